--- /dev/null
+++ b/util/counters.h
@@ -0,0 +1,78 @@
+#ifndef UTIL_COUNTERS_H
+#define UTIL_COUNTERS_H
+
+#include <stdint.h>
+#include <glib.h>
+
+/*
+ * The process's counters, one line each. They only grow; rates are left to
+ * whoever reads them. The text form is one "name value" pair a line.
+ */
+#define COUNTER_LIST(X)            \
+	X(requests_received)       \
+	X(requests_answered)       \
+	X(requests_not_run)        \
+	X(requests_unknown)        \
+	X(requests_rejected)       \
+	X(requests_retried)        \
+	X(requests_hedged)         \
+	X(hedges_won)              \
+	X(answers_late)            \
+	X(answers_cut)             \
+	X(gate_received)           \
+	X(gate_admitted)           \
+	X(gate_queued)             \
+	X(gate_refused_overload)   \
+	X(gate_refused_not_owner)  \
+	X(gate_refused_deadline)   \
+	X(gate_refused_draining)   \
+	X(gate_id_replayed)        \
+	X(gate_id_in_doubt)        \
+	X(gate_cancelled)          \
+	X(gate_backend_shed)       \
+	X(gate_backend_failed)     \
+	X(gate_cold_starts)        \
+	X(gate_probes)             \
+	X(vouches_sent)            \
+	X(vouches_given)           \
+	X(vouches_denied)          \
+	X(lease_lapses)            \
+	X(stops_promised)          \
+	X(takeovers)               \
+	X(shards_acquired)         \
+	X(shards_released)         \
+	X(records_applied)         \
+	X(records_dropped)         \
+	X(records_from_peers)      \
+	X(snapshots_loaded)        \
+	X(log_appends)             \
+	X(log_append_answers_lost) \
+	X(log_reads)               \
+	X(log_failures)            \
+	X(peer_messages_in)        \
+	X(peer_messages_out)       \
+	X(peer_bytes_in)           \
+	X(peer_bytes_out)          \
+	X(control_bytes_in)        \
+	X(control_bytes_out)       \
+	X(peer_messages_malformed) \
+	X(peer_sends_dropped)      \
+	X(peer_links_opened)       \
+	X(peer_links_closed)
+
+enum counter {
+#define COUNTER_ENUM(name) COUNTER_##name,
+	COUNTER_LIST(COUNTER_ENUM)
+#undef COUNTER_ENUM
+	N_COUNTERS
+};
+
+extern uint64_t counters[N_COUNTERS];
+
+#define COUNT(name) (counters[COUNTER_##name]++)
+#define COUNT_ADD(name, n) (counters[COUNTER_##name] += (n))
+
+const char *counter_name(enum counter c);
+void counters_text(GString *out);
+
+#endif
--- /dev/null
+++ b/util/log.c
@@ -0,0 +1,78 @@
+#include <stdio.h>
+#include <string.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "util/log.h"
+
+static GLogLevelFlags lowest = G_LOG_LEVEL_INFO;
+static bool as_json;
+static const char *host_name = "";
+
+static const char *level_name(GLogLevelFlags level)
+{
+	if (level & G_LOG_LEVEL_ERROR)
+		return "error";
+	if (level & G_LOG_LEVEL_CRITICAL)
+		return "critical";
+	if (level & G_LOG_LEVEL_WARNING)
+		return "warning";
+	if (level & (G_LOG_LEVEL_MESSAGE | G_LOG_LEVEL_INFO))
+		return "info";
+	return "debug";
+}
+
+static const char *message_of(const GLogField *fields, gsize n)
+{
+	gsize i;
+
+	for (i = 0; i < n; i++)
+		if (!strcmp(fields[i].key, "MESSAGE"))
+			return fields[i].value;
+	return "";
+}
+
+static void write_json(const char *when, GLogLevelFlags level,
+		       const char *message)
+{
+	json_t *o = json_pack("{s:s,s:s,s:s,s:s}", "time", when, "level",
+			      level_name(level), "host", host_name, "message",
+			      message);
+	char *text = json_dumps(o, JSON_COMPACT);
+
+	fprintf(stderr, "%s\n", text);
+	free(text);
+	json_decref(o);
+}
+
+static GLogWriterOutput write_line(GLogLevelFlags level,
+				   const GLogField *fields, gsize n,
+				   gpointer user)
+{
+	g_autoptr(GDateTime) now = g_date_time_new_now_utc();
+	g_autofree char *when = g_date_time_format(now, "%FT%T.%fZ");
+	const char *message = message_of(fields, n);
+
+	(void)user;
+	if ((level & G_LOG_LEVEL_MASK) > lowest)
+		return G_LOG_WRITER_HANDLED;
+	if (as_json)
+		write_json(when, level, message);
+	else
+		fprintf(stderr, "%s %s %s: %s\n", when, host_name,
+			level_name(level), message);
+	return G_LOG_WRITER_HANDLED;
+}
+
+void log_setup(const char *level, bool json, const char *host)
+{
+	as_json = json;
+	host_name = host;
+	if (!strcmp(level, "error"))
+		lowest = G_LOG_LEVEL_CRITICAL;
+	else if (!strcmp(level, "warning"))
+		lowest = G_LOG_LEVEL_WARNING;
+	else if (!strcmp(level, "debug"))
+		lowest = G_LOG_LEVEL_DEBUG;
+	g_log_set_writer_func(write_line, NULL, NULL);
+}
