settings: checked settings and configuration documents

Problems are gathered, not reported one at a time: an operator who has to start a node six times to learn of six mistakes will not trust the seventh start. Each is named with file and path.

--- /dev/null
+++ b/settings/configuration.c
@@ -0,0 +1,241 @@
+#include <string.h>
+
+#include "settings/configuration.h"
+#include "util/result.h"
+
+#define DEFAULT_SHARDS 64
+#define MAX_SHARDS 16384
+#define DEFAULT_DEADLINE_MS 2000
+#define DEFAULT_RESEND_WINDOW_MS 30000
+#define DEFAULT_GUARD_MS 500
+
+static const char *const top_fields[] = { "services", "classes", "data_centres",
+					  NULL };
+static const char *const service_fields[] = { "name",	  "key",
+					      "shards",	  "checks_grants",
+					      "guard_ms", NULL };
+static const char *const key_fields[] = { "in", "segment", "name", NULL };
+static const char *const class_fields[] = { "name",
+					    "service",
+					    "method",
+					    "path",
+					    "target_ms",
+					    "percentile",
+					    "refused_share",
+					    "repeatable",
+					    "deadline_ms",
+					    "resend_window_ms",
+					    NULL };
+static const char *const data_centre_fields[] = { "name", "in_service", NULL };
+
+static void read_name(struct json_check *c, const json_t *obj, const char *path,
+		      char *out)
+{
+	const char *s = json_check_string(c, obj, path, "name",
+					  JSON_REQUIRED_STRING, NAME_MAX_LEN);
+
+	g_strlcpy(out, s, NAME_MAX_LEN + 1);
+	if (strpbrk(s, " \t\r\n/\"\\"))
+		json_check_fail(c, path, "name holds a space, slash or quote");
+}
+
+static void read_key(struct service_settings *s, const json_t *key,
+		     const char *path, struct json_check *c)
+{
+	const char *in;
+
+	s->key_place = KEY_NONE;
+	if (!key)
+		return;
+	if (!json_is_object(key)) {
+		json_check_fail(c, path, "key must be an object");
+		return;
+	}
+	json_check_fields(c, key, path, key_fields);
+	in = json_check_string(c, key, path, "in", JSON_REQUIRED_STRING, 16);
+	if (!strcmp(in, "path")) {
+		s->key_place = KEY_PATH;
+		s->key_segment = json_check_int(c, key, path, "segment",
+						JSON_REQUIRED_INT, 1, 16);
+		return;
+	}
+	if (!strcmp(in, "query"))
+		s->key_place = KEY_QUERY;
+	else if (!strcmp(in, "header"))
+		s->key_place = KEY_HEADER;
+	else
+		json_check_fail(c, path,
+				"key.in must be path, query or header");
+	read_name(c, key, path, s->key_name);
+}
+
+static void read_service(struct configuration *cfg, const json_t *obj,
+			 const char *path, struct json_check *c)
+{
+	struct service_settings *s = &cfg->services[cfg->n_services];
+	g_autofree char *key_path = g_strdup_printf("%s.key", path);
+	uint32_t i;
+
+	memset(s, 0, sizeof(*s));
+	json_check_fields(c, obj, path, service_fields);
+	read_name(c, obj, path, s->name);
+	read_key(s, json_object_get(obj, "key"), key_path, c);
+	s->n_shards = json_check_int(c, obj, path, "shards", DEFAULT_SHARDS, 1,
+				     MAX_SHARDS);
+	s->checks_grants = json_check_bool(c, obj, path, "checks_grants", true);
+	s->guard_ms = json_check_int(c, obj, path, "guard_ms",
+				     s->checks_grants ? 0 : DEFAULT_GUARD_MS, 0,
+				     60000);
+	for (i = 0; i < cfg->n_services; i++)
+		if (!strcmp(cfg->services[i].name, s->name))
+			json_check_fail(c, path, "service %s stands twice",
+					s->name);
+	cfg->n_services++;
+}
+
+static uint32_t find_service(const struct configuration *cfg, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < cfg->n_services; i++)
+		if (!strcmp(cfg->services[i].name, name))
+			return i;
+	return UINT32_MAX;
+}
+
+static void read_class(struct configuration *cfg, const json_t *obj,
+		       const char *path, struct json_check *c)
+{
+	struct class_settings *k = &cfg->classes[cfg->n_classes];
+	const char *service;
+
+	memset(k, 0, sizeof(*k));
+	json_check_fields(c, obj, path, class_fields);
+	read_name(c, obj, path, k->name);
+	service = json_check_string(c, obj, path, "service",
+				    JSON_REQUIRED_STRING, NAME_MAX_LEN);
+	k->service = find_service(cfg, service);
+	if (k->service == UINT32_MAX)
+		json_check_fail(c, path, "service %s does not exist", service);
+	g_strlcpy(k->method,
+		  json_check_string(c, obj, path, "method",
+				    JSON_REQUIRED_STRING, 15),
+		  sizeof(k->method));
+	g_strlcpy(k->path,
+		  json_check_string(c, obj, path, "path", JSON_REQUIRED_STRING,
+				    PATH_MAX_LEN),
+		  sizeof(k->path));
+	if (k->path[0] != '/')
+		json_check_fail(c, path, "path must begin with a slash");
+	k->target_ms = json_check_int(c, obj, path, "target_ms",
+				      JSON_REQUIRED_INT, 1, 600000);
+	k->percentile =
+		(double)json_check_int(c, obj, path, "percentile", 99, 1, 100);
+	k->refused_share =
+		json_check_share(c, obj, path, "refused_share", 0.01);
+	k->repeatable = json_check_bool(c, obj, path, "repeatable", false);
+	k->deadline_ms = json_check_int(c, obj, path, "deadline_ms",
+					DEFAULT_DEADLINE_MS, 10, 600000);
+	k->resend_window_ms = json_check_int(c, obj, path, "resend_window_ms",
+					     DEFAULT_RESEND_WINDOW_MS, 0,
+					     3600000);
+	cfg->n_classes++;
+}
+
+static void read_data_centre(struct configuration *cfg, const json_t *obj,
+			     const char *path, struct json_check *c)
+{
+	struct data_centre_settings *d =
+		&cfg->data_centres[cfg->n_data_centres];
+
+	memset(d, 0, sizeof(*d));
+	json_check_fields(c, obj, path, data_centre_fields);
+	read_name(c, obj, path, d->name);
+	d->in_service = json_check_bool(c, obj, path, "in_service", true);
+	cfg->n_data_centres++;
+}
+
+typedef void (*read_item)(struct configuration *, const json_t *, const char *,
+			  struct json_check *);
+
+static void read_list(struct configuration *cfg, const json_t *doc,
+		      const char *name, uint32_t max, read_item read,
+		      struct json_check *c)
+{
+	json_t *list = json_object_get(doc, name);
+	json_t *item;
+	size_t i;
+
+	if (!json_is_array(list)) {
+		json_check_fail(c, name, "must be a list");
+		return;
+	}
+	if (json_array_size(list) > max) {
+		json_check_fail(c, name, "holds more than %u entries", max);
+		return;
+	}
+	json_array_foreach(list, i, item)
+	{
+		g_autofree char *path = g_strdup_printf("%s[%zu]", name, i);
+
+		if (json_is_object(item))
+			read(cfg, item, path, c);
+		else
+			json_check_fail(c, path, "must be an object");
+	}
+}
+
+int configuration_read(struct configuration *cfg, const json_t *doc,
+		       struct json_check *c)
+{
+	cfg->n_services = 0;
+	cfg->n_classes = 0;
+	cfg->n_data_centres = 0;
+	if (!json_is_object(doc)) {
+		json_check_fail(c, "$", "the document must be an object");
+		return RESULT_INVALID;
+	}
+	json_check_fields(c, doc, "$", top_fields);
+	read_list(cfg, doc, "services", CONFIGURATION_MAX_SERVICES,
+		  read_service, c);
+	read_list(cfg, doc, "classes", CONFIGURATION_MAX_CLASSES, read_class,
+		  c);
+	read_list(cfg, doc, "data_centres", CONFIGURATION_MAX_DATA_CENTRES,
+		  read_data_centre, c);
+	return c->n_errors ? RESULT_INVALID : RESULT_OK;
+}
+
+/* Tell whether a data centre takes work; one that is not listed does. */
+bool configuration_in_service(const struct configuration *cfg,
+			      const char *data_centre)
+{
+	uint32_t i;
+
+	for (i = 0; i < cfg->n_data_centres; i++)
+		if (!strcmp(cfg->data_centres[i].name, data_centre))
+			return cfg->data_centres[i].in_service;
+	return true;
+}
+
+/* Find the class with the longest matching path; NULL when none matches. */
+const struct class_settings *
+configuration_match(const struct configuration *cfg, const char *method,
+		    const char *path)
+{
+	const struct class_settings *best = NULL;
+	size_t best_len = 0;
+	uint32_t i;
+
+	for (i = 0; i < cfg->n_classes; i++) {
+		const struct class_settings *k = &cfg->classes[i];
+		size_t len = strlen(k->path);
+
+		if (len < best_len || strcmp(k->method, method))
+			continue;
+		if (strncmp(path, k->path, len))
+			continue;
+		best = k;
+		best_len = len;
+	}
+	return best;
+}
--- /dev/null
+++ b/settings/json-check.h
@@ -0,0 +1,41 @@
+#ifndef SETTINGS_JSON_CHECK_H
+#define SETTINGS_JSON_CHECK_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <glib.h>
+#include <jansson.h>
+
+/*
+ * Checked reading of JSON objects. Every problem is appended to a list as
+ * "path: what is wrong", so that an operator sees all of them at once and
+ * where they stand. Reads return the default when the field is absent.
+ */
+struct json_check {
+	const char *file;
+	GString *errors;
+	uint32_t n_errors;
+};
+
+void json_check_init(struct json_check *c, const char *file);
+void json_check_finish(struct json_check *c);
+void json_check_fail(struct json_check *c, const char *path, const char *fmt,
+		     ...) G_GNUC_PRINTF(3, 4);
+void json_check_fields(struct json_check *c, const json_t *obj,
+		       const char *path, const char *const *allowed);
+const char *json_check_string(struct json_check *c, const json_t *obj,
+			      const char *path, const char *name,
+			      const char *fallback, uint32_t max_len);
+int64_t json_check_int(struct json_check *c, const json_t *obj,
+		       const char *path, const char *name, int64_t fallback,
+		       int64_t min, int64_t max);
+double json_check_share(struct json_check *c, const json_t *obj,
+			const char *path, const char *name, double fallback);
+bool json_check_bool(struct json_check *c, const json_t *obj, const char *path,
+		     const char *name, bool fallback);
+
+/* A fallback that marks the field as required. */
+#define JSON_REQUIRED_INT INT64_MIN
+#define JSON_REQUIRED_STRING NULL
+
+#endif
--- /dev/null
+++ b/settings/settings.h
@@ -0,0 +1,44 @@
+#ifndef SETTINGS_SETTINGS_H
+#define SETTINGS_SETTINGS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <glib.h>
+
+#include "settings/configuration.h"
+
+#define SETTINGS_ADDRESS_MAX 63
+#define SETTINGS_MAX_SEEDS 16
+
+/* One node's settings, as read from its file. */
+struct settings {
+	char host[64];
+	char data_centre[NAME_MAX_LEN + 1];
+	char service[NAME_MAX_LEN + 1];
+	char caller_address[SETTINGS_ADDRESS_MAX + 1];
+	char peer_address[SETTINGS_ADDRESS_MAX + 1];
+	char operator_address[SETTINGS_ADDRESS_MAX + 1];
+	char backend_server[SETTINGS_ADDRESS_MAX + 1];
+	char log[SETTINGS_ADDRESS_MAX + 1];
+	char seeds[SETTINGS_MAX_SEEDS][SETTINGS_ADDRESS_MAX + 1];
+	uint32_t n_seeds;
+	char log_level[16];
+	bool log_json;
+	int64_t max_body_bytes;
+	int64_t snapshot_interval_ms;
+	int64_t drift_ppm;
+	bool hedge;
+	bool test_hooks; /* allow a test to cut links */
+};
+
+/*
+ * Read a settings file and check all of it. Returns RESULT_OK, or
+ * RESULT_INVALID or RESULT_IO with each problem appended to errors as
+ * "file: path: what is wrong".
+ */
+int settings_read(struct settings *s, const char *path, GString *errors);
+
+/* Read and check a configuration document; the caller drops *doc. */
+int settings_read_document(const char *path, json_t **doc, GString *errors);
+
+#endif
