state: replay of the log into owners, members and configuration

What the fleet agrees on is a pure function of the log, so no leader and no second store is needed: whoever appends, the first valid record wins and every node drops the others alike.

Two choices matter for safety. A member that is gone leaves its shards to the successors the log named beforehand and to nobody else, because that successor may already serve them without the log. And the record that takes a data centre out moves its shards itself; a proposer that had to append the moves afterwards could find the log down.

--- /dev/null
+++ b/state/assign.c
@@ -0,0 +1,272 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "state/fleet.h"
+#include "state/records.h"
+#include "util/hash.h"
+
+static bool serves(const struct fleet *f, const struct fleet_service *s,
+		   const struct member *m)
+{
+	return !strcmp(m->service, s->name) && fleet_member_takes_work(f, m);
+}
+
+/* How many shards a member holds or would inherit: its load if it were it. */
+static uint32_t claims(const struct fleet_service *s, int64_t id)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < s->n_shards; i++)
+		n += (s->shards[i].owner == id) +
+		     (s->shards[i].successor == id);
+	return n;
+}
+
+/*
+ * Choose who should hold or inherit a shard: a member of the service that
+ * takes work, other than owner and avoid, in another data centre than owner
+ * where there is one, with the fewest claims so far, by rendezvous hash among
+ * equals. Returns 0 when nobody can.
+ */
+int64_t assign_pick(const struct fleet *f, const struct fleet_service *s,
+		    uint32_t shard, int64_t owner, int64_t avoid)
+{
+	const struct member *home = fleet_member(f, owner);
+	const struct member *best = NULL;
+	bool best_away = false;
+	uint32_t best_claims = 0;
+	uint64_t best_hash = 0;
+	struct member *m;
+	uint32_t i;
+
+	for_each_member (f, m, i) {
+		uint64_t h = hash_pair(m->host, shard);
+		uint32_t n;
+		bool away;
+
+		if (m->id == owner || m->id == avoid || !serves(f, s, m))
+			continue;
+		away = !home || strcmp(home->data_centre, m->data_centre);
+		n = claims(s, m->id);
+		if (best && (away < best_away ||
+			     (away == best_away &&
+			      (n > best_claims ||
+			       (n == best_claims && h <= best_hash)))))
+			continue;
+		best = m;
+		best_away = away;
+		best_claims = n;
+		best_hash = h;
+	}
+	return best ? best->id : 0;
+}
+
+static bool data_centre_used(const struct fleet *f, const struct witness_set *w,
+			     const char *data_centre)
+{
+	uint32_t i;
+
+	for (i = 0; i < w->n; i++) {
+		const struct member *m = fleet_member_by_process(f, w->id[i]);
+
+		if (m && !strcmp(m->data_centre, data_centre))
+			return true;
+	}
+	return false;
+}
+
+/* A host's newest member is the only one of it that can still be running. */
+static bool is_newest(const struct fleet *f, const struct member *m)
+{
+	return fleet_member_by_host(f, m->host)->id == m->id;
+}
+
+static int64_t pick_witness(const struct fleet *f, const struct member *subject,
+			    const struct witness_set *avoid,
+			    const struct witness_set *chosen)
+{
+	const struct member *best = NULL;
+	bool best_spread = false;
+	uint64_t best_hash = 0;
+	struct member *m;
+	uint32_t i;
+
+	for_each_member (f, m, i) {
+		uint64_t h = hash_pair(subject->host, hash_string(m->host));
+		bool spread;
+
+		if (!strcmp(m->host, subject->host) || m->id == subject->id)
+			continue;
+		if (witness_set_has(chosen, m->process) ||
+		    (avoid && witness_set_has(avoid, m->process)) ||
+		    !is_newest(f, m))
+			continue;
+		spread = strcmp(m->data_centre, subject->data_centre) &&
+			 !data_centre_used(f, chosen, m->data_centre);
+		if (best && (spread < best_spread ||
+			     (spread == best_spread && h <= best_hash)))
+			continue;
+		best = m;
+		best_spread = spread;
+		best_hash = h;
+	}
+	return best ? best->process : 0;
+}
+
+/*
+ * Choose witnesses for a member, spread over data centres, none from avoid.
+ * While fewer than three others can be had the set is the log alone.
+ */
+void assign_witnesses(const struct fleet *f, const struct member *subject,
+		      const struct witness_set *avoid, struct witness_set *out)
+{
+	out->n = 0;
+	while (out->n < FLEET_WITNESSES) {
+		int64_t id = pick_witness(f, subject, avoid, out);
+
+		if (!id)
+			break;
+		out->id[out->n++] = id;
+	}
+	if (out->n == FLEET_WITNESSES)
+		return;
+	out->n = 1;
+	out->id[0] = LOG_WITNESS;
+}
+
+struct load {
+	int64_t id;
+	uint32_t n_owned;
+};
+
+static GArray *count_owned(const struct fleet *f, const struct fleet_service *s)
+{
+	GArray *loads = g_array_new(FALSE, FALSE, sizeof(struct load));
+	struct member *m;
+	uint32_t i, j;
+
+	for_each_member (f, m, i) {
+		struct load l = { m->id, 0 };
+
+		if (!serves(f, s, m))
+			continue;
+		for (j = 0; j < s->n_shards; j++)
+			l.n_owned += s->shards[j].owner == m->id;
+		g_array_append_val(loads, l);
+	}
+	return loads;
+}
+
+static struct load *extreme(GArray *loads, bool most)
+{
+	struct load *best = NULL;
+	uint32_t i;
+
+	for (i = 0; i < loads->len; i++) {
+		struct load *l = &g_array_index(loads, struct load, i);
+
+		if (!best || (most ? l->n_owned > best->n_owned
+				   : l->n_owned < best->n_owned))
+			best = l;
+	}
+	return best;
+}
+
+static int64_t movable_shard(const struct fleet_service *s, int64_t owner,
+			     GHashTable *taken)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->n_shards; i++) {
+		const struct shard *sh = &s->shards[i];
+
+		if (sh->owner == owner && !sh->from &&
+		    !g_hash_table_contains(taken, GUINT_TO_POINTER(i)))
+			return i;
+	}
+	return -1;
+}
+
+static int64_t successor_after(const struct fleet *f,
+			       const struct fleet_service *s, uint32_t shard,
+			       int64_t owner)
+{
+	int64_t old = s->shards[shard].successor;
+
+	return old && old != owner ? old : assign_pick(f, s, shard, owner, 0);
+}
+
+static int64_t stranded_shard(const struct fleet *f,
+			      const struct fleet_service *s, GHashTable *taken)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->n_shards; i++) {
+		const struct member *m = fleet_member(f, s->shards[i].owner);
+
+		if (m && !fleet_member_takes_work(f, m) && !s->shards[i].from &&
+		    !g_hash_table_contains(taken, GUINT_TO_POINTER(i)))
+			return i;
+	}
+	return -1;
+}
+
+/*
+ * Build a record of at most max_moves moves: first shards whose owner's data
+ * centre is out of service, then from the member with the most shards to the
+ * one with the fewest, until they differ by at most one. Returns NULL when
+ * nothing needs to move.
+ */
+json_t *assign_balance(const struct fleet *f, const struct fleet_service *s,
+		       uint32_t max_moves)
+{
+	GArray *loads = count_owned(f, s);
+	GHashTable *taken = g_hash_table_new(NULL, NULL);
+	json_t *record = NULL;
+	uint32_t n;
+
+	for (n = 0; n < max_moves; n++) {
+		struct load *most = extreme(loads, true);
+		struct load *least = extreme(loads, false);
+		int64_t i = least ? stranded_shard(f, s, taken) : -1;
+
+		if (i >= 0) {
+			most = NULL;
+		} else {
+			if (!most || most->n_owned <= least->n_owned + 1)
+				break;
+			i = movable_shard(s, most->id, taken);
+			if (i < 0)
+				break;
+		}
+		if (!record)
+			record = record_move(s->name, 0, "balance");
+		record_move_add(record, i, least->id,
+				successor_after(f, s, i, least->id),
+				s->shards[i].fence);
+		g_hash_table_add(taken, GUINT_TO_POINTER((guint)i));
+		if (most)
+			most->n_owned--;
+		least->n_owned++;
+	}
+	g_hash_table_unref(taken);
+	g_array_unref(loads);
+	return record;
+}
+
+/*
+ * Rank of a member in who acts first on a matter, 0 first, by rendezvous hash
+ * over all members. Only a preference: replay keeps a second actor harmless.
+ */
+uint32_t assign_rank(const struct fleet *f, const char *matter, int64_t id)
+{
+	uint64_t mine = hash_pair(matter, id);
+	uint32_t rank = 0;
+	struct member *m;
+	uint32_t i;
+
+	for_each_member (f, m, i)
+		rank += hash_pair(matter, m->id) > mine;
+	return rank;
+}
--- /dev/null
+++ b/state/fleet.c
@@ -0,0 +1,611 @@
+#include <string.h>
+
+#include "state/fleet.h"
+#include "state/records.h"
+#include "util/hash.h"
+#include "util/result.h"
+
+/* Set up an empty state that no record has touched. */
+void fleet_init(struct fleet *f)
+{
+	memset(f, 0, sizeof(*f));
+	f->applied = -1;
+	f->configuration_version = -1;
+	f->snapshot_offset = -1;
+	f->snapshot_upto = -1;
+	f->members = g_array_new(FALSE, TRUE, sizeof(struct member));
+}
+
+/* Release what the state holds. */
+void fleet_finish(struct fleet *f)
+{
+	uint32_t i;
+
+	for (i = 0; i < f->n_services; i++)
+		g_free(f->services[i].shards);
+	g_array_unref(f->members);
+	json_decref(f->document);
+	memset(f, 0, sizeof(*f));
+}
+
+/* Number of members. */
+uint32_t fleet_n_members(const struct fleet *f)
+{
+	return f->members->len;
+}
+
+/* The member at position i, valid until the next record is applied. */
+struct member *fleet_member_at(const struct fleet *f, uint32_t i)
+{
+	return &g_array_index(f->members, struct member, i);
+}
+
+/* Find a member by id, NULL when it never joined or is gone. */
+struct member *fleet_member(const struct fleet *f, int64_t id)
+{
+	uint32_t lo = 0;
+	uint32_t hi = f->members->len;
+
+	while (lo < hi) {
+		uint32_t mid = lo + (hi - lo) / 2;
+		struct member *m = fleet_member_at(f, mid);
+
+		if (m->id == id)
+			return m;
+		if (m->id < id)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return NULL;
+}
+
+/* Find the member that a process is, NULL when it is none now. */
+struct member *fleet_member_by_process(const struct fleet *f, int64_t process)
+{
+	struct member *m;
+	uint32_t i;
+
+	for_each_member (f, m, i)
+		if (m->process == process)
+			return m;
+	return NULL;
+}
+
+/* Find the newest member on a host, NULL when there is none. */
+struct member *fleet_member_by_host(const struct fleet *f, const char *host)
+{
+	struct member *found = NULL;
+	struct member *m;
+	uint32_t i;
+
+	for_each_member (f, m, i)
+		if (!strcmp(m->host, host))
+			found = m;
+	return found;
+}
+
+/* Find a service by name, NULL when no configuration names it. */
+struct fleet_service *fleet_service(const struct fleet *f, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < f->n_services; i++)
+		if (!strcmp(f->services[i].name, name))
+			return (struct fleet_service *)&f->services[i];
+	return NULL;
+}
+
+/* Tell whether operators let the member's data centre take work. */
+bool fleet_member_takes_work(const struct fleet *f, const struct member *m)
+{
+	return configuration_in_service(&f->configuration, m->data_centre);
+}
+
+/* The shard of a service that a key falls into. */
+uint32_t shard_of_key(const struct fleet_service *s, const char *key)
+{
+	return hash_string(key) % s->n_shards;
+}
+
+/* Tell whether a member is in a witness set. */
+bool witness_set_has(const struct witness_set *w, int64_t id)
+{
+	uint32_t i;
+
+	for (i = 0; i < w->n; i++)
+		if (w->id[i] == id)
+			return true;
+	return false;
+}
+
+static int64_t number(const json_t *r, const char *name)
+{
+	return json_integer_value(json_object_get(r, name));
+}
+
+static const char *text(const json_t *r, const char *name)
+{
+	const char *s = json_string_value(json_object_get(r, name));
+
+	return s ? s : "";
+}
+
+static void emit(struct fleet *f, struct fleet_event *ev, const json_t *record)
+{
+	const json_t *by = json_object_get(record, "by");
+	char id[24];
+
+	if (!f->on_event)
+		return;
+	if (json_is_integer(by)) {
+		g_snprintf(id, sizeof(id), "member %" G_GINT64_FORMAT,
+			   (gint64)json_integer_value(by));
+		ev->by = id;
+	} else {
+		ev->by = text(record, "by");
+	}
+	if (!ev->reason)
+		ev->reason = text(record, "reason");
+	f->on_event(f->on_event_user, ev);
+}
+
+static void emit_member(struct fleet *f, enum fleet_event_type type,
+			int64_t offset, const struct member *m,
+			const json_t *record, const char *reason)
+{
+	struct fleet_event ev = {
+		.type = type, .offset = offset, .member = m, .reason = reason
+	};
+
+	emit(f, &ev, record);
+}
+
+static void set_owner(struct fleet *f, struct fleet_service *s, uint32_t i,
+		      int64_t owner, int64_t offset, const json_t *record,
+		      const char *reason)
+{
+	struct shard *sh = &s->shards[i];
+	struct fleet_event ev = { .type = FLEET_SHARD_MOVED,
+				  .offset = offset,
+				  .service = s->name,
+				  .shard = i,
+				  .from = sh->owner,
+				  .to = owner,
+				  .fence_before = sh->fence,
+				  .reason = reason };
+
+	sh->owner = owner;
+	sh->fence = offset;
+	emit(f, &ev, record);
+}
+
+static void assign_unowned(struct fleet *f, struct fleet_service *s,
+			   int64_t offset, const json_t *record)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->n_shards; i++) {
+		struct shard *sh = &s->shards[i];
+
+		if (!sh->owner) {
+			int64_t to = assign_pick(f, s, i, 0, 0);
+
+			if (to)
+				set_owner(f, s, i, to, offset, record,
+					  "unowned shard");
+		}
+		if (sh->owner && !sh->successor)
+			sh->successor = assign_pick(f, s, i, sh->owner, 0);
+	}
+}
+
+static void inherit(struct fleet *f, struct fleet_service *s, uint32_t i,
+		    int64_t gone, int64_t offset, const json_t *record,
+		    const char *reason)
+{
+	struct shard *sh = &s->shards[i];
+
+	/*
+	 * The shard goes to the successor that the log named beforehand and to
+	 * nobody else: that successor may already serve it, when it took over
+	 * while it could not reach the log. Any other choice here would give
+	 * the key a second owner.
+	 */
+	if (sh->owner == gone) {
+		int64_t heir = sh->successor;
+
+		sh->successor = 0;
+		if (!heir)
+			heir = assign_pick(f, s, i, 0, gone);
+		set_owner(f, s, i, heir, offset, record, reason);
+	}
+	if (sh->successor == gone) {
+		struct fleet_event ev = { .type = FLEET_SUCCESSOR_GONE,
+					  .offset = offset,
+					  .service = s->name,
+					  .shard = i,
+					  .from = gone,
+					  .reason = reason };
+
+		sh->successor = 0;
+		emit(f, &ev, record);
+	}
+	if (sh->owner && !sh->successor)
+		sh->successor = assign_pick(f, s, i, sh->owner, gone);
+}
+
+static void remove_member(struct fleet *f, int64_t id, int64_t offset,
+			  const json_t *record, const char *reason)
+{
+	struct member *m = fleet_member(f, id);
+	struct member copy = *m;
+	uint32_t i, j;
+
+	g_array_remove_index(f->members,
+			     m - &g_array_index(f->members, struct member, 0));
+	for (i = 0; i < f->n_services; i++)
+		for (j = 0; j < f->services[i].n_shards; j++)
+			inherit(f, &f->services[i], j, id, offset, record,
+				reason);
+	emit_member(f, FLEET_MEMBER_GONE, offset, &copy, record, reason);
+}
+
+static int read_join(struct member *m, int64_t offset, const json_t *r)
+{
+	memset(m, 0, sizeof(*m));
+	m->id = offset + 1;
+	m->witness_offset = offset;
+	m->process = number(r, "process");
+	if (!m->process)
+		m->process = m->id;
+	g_strlcpy(m->host, text(r, "host"), sizeof(m->host));
+	g_strlcpy(m->data_centre, text(r, "data_centre"),
+		  sizeof(m->data_centre));
+	g_strlcpy(m->service, text(r, "service"), sizeof(m->service));
+	g_strlcpy(m->peer, text(r, "peer"), sizeof(m->peer));
+	g_strlcpy(m->caller, text(r, "caller"), sizeof(m->caller));
+	g_strlcpy(m->boot_id, text(r, "boot_id"), sizeof(m->boot_id));
+	g_strlcpy(m->nonce, text(r, "nonce"), sizeof(m->nonce));
+	if (!m->host[0] || !m->peer[0])
+		return RESULT_INVALID;
+	return witness_set_from_json(&m->witnesses,
+				     json_object_get(r, "witnesses"));
+}
+
+static bool superseded(const struct member *old, const struct member *new)
+{
+	/*
+	 * A process killed and started again would otherwise keep its keys
+	 * unserved until its witnesses prove the stop, and a fleet restarted
+	 * whole has no witnesses left to prove it. Under one boot of one host
+	 * the kernel lets a single process listen on the peer address, so the
+	 * newer process is itself the proof that the older one is gone.
+	 */
+	return !strcmp(old->host, new->host) && !strcmp(old->peer, new->peer) &&
+	       old->boot_id[0] && !strcmp(old->boot_id, new->boot_id);
+}
+
+static int apply_join(struct fleet *f, int64_t offset, const json_t *r)
+{
+	struct member m;
+	struct member *old;
+	struct fleet_service *s;
+	int err = read_join(&m, offset, r);
+
+	if (err)
+		return err;
+	old = fleet_member_by_host(f, m.host);
+	while (old && superseded(old, &m)) {
+		remove_member(f, old->id, offset, r, FLEET_REASON_RESTARTED);
+		old = fleet_member_by_host(f, m.host);
+	}
+	g_array_append_val(f->members, m);
+	emit_member(f, FLEET_MEMBER_JOINED, offset, &m, r, "joined");
+	s = fleet_service(f, m.service);
+	if (s)
+		assign_unowned(f, s, offset, r);
+	return RESULT_OK;
+}
+
+static int apply_expel(struct fleet *f, int64_t offset, const json_t *r)
+{
+	json_t *list = json_object_get(r, "members");
+	int result = RESULT_NO_SUCH;
+	json_t *item;
+	size_t i;
+
+	json_array_foreach(list, i, item)
+	{
+		struct member *m = fleet_member(f, number(item, "id"));
+
+		if (!m)
+			continue;
+		/*
+		 * A proof gathered from witnesses that the member has since
+		 * replaced proves nothing: the new ones may vouch for it.
+		 */
+		if (m->witness_offset != number(item, "witness_offset")) {
+			result = result == RESULT_OK ? RESULT_OK : RESULT_STALE;
+			continue;
+		}
+		remove_member(f, m->id, offset, r, text(r, "reason"));
+		result = RESULT_OK;
+	}
+	return result;
+}
+
+static int move_shard(struct fleet *f, struct fleet_service *s, uint32_t i,
+		      int64_t owner, int64_t successor, int64_t offset,
+		      const json_t *record, const char *reason)
+{
+	struct shard *sh = &s->shards[i];
+	int64_t from = sh->owner;
+	int64_t from_successor = sh->successor;
+
+	/* One unsettled move at a time: its two predecessors fit no more. */
+	if (sh->from || owner == successor)
+		return RESULT_STALE;
+	if (owner != from)
+		set_owner(f, s, i, owner, offset, record, reason);
+	sh->successor = successor;
+	if (from) {
+		sh->from = from;
+		sh->from_successor = from_successor;
+		sh->fence = offset;
+	}
+	return RESULT_OK;
+}
+
+static int apply_move_item(struct fleet *f, struct fleet_service *s,
+			   int64_t offset, const json_t *r, const json_t *item)
+{
+	int64_t i = json_integer_value(json_array_get(item, 0));
+	int64_t owner = json_integer_value(json_array_get(item, 1));
+	int64_t successor = json_integer_value(json_array_get(item, 2));
+	int64_t base = json_integer_value(json_array_get(item, 3));
+
+	if (i < 0 || i >= s->n_shards)
+		return RESULT_INVALID;
+	if (s->shards[i].fence != base || !fleet_member(f, owner))
+		return RESULT_STALE;
+	if (successor && !fleet_member(f, successor))
+		return RESULT_STALE;
+	return move_shard(f, s, i, owner, successor, offset, r,
+			  text(r, "reason"));
+}
+
+static int apply_move(struct fleet *f, int64_t offset, const json_t *r)
+{
+	struct fleet_service *s = fleet_service(f, text(r, "service"));
+	int result = RESULT_STALE;
+	json_t *item;
+	size_t i;
+
+	if (!s)
+		return RESULT_NO_SUCH;
+	json_array_foreach(json_object_get(r, "items"), i,
+			   item) if (!apply_move_item(f, s, offset, r, item))
+		result = RESULT_OK;
+	return result;
+}
+
+static int apply_settle(struct fleet *f, int64_t offset, const json_t *r)
+{
+	struct member *m = fleet_member(f, number(r, "member"));
+	int64_t upto = number(r, "upto");
+	uint32_t i, j;
+
+	if (!m)
+		return RESULT_NO_SUCH;
+	if (upto >= offset)
+		return RESULT_INVALID;
+	if (m->witness_offset <= upto)
+		m->old_witnesses.n = 0;
+	for (i = 0; i < f->n_services; i++) {
+		for (j = 0; j < f->services[i].n_shards; j++) {
+			struct shard *sh = &f->services[i].shards[j];
+
+			if (sh->owner != m->id || sh->fence > upto)
+				continue;
+			sh->from = 0;
+			sh->from_successor = 0;
+		}
+	}
+	emit_member(f, FLEET_SETTLED, offset, m, r, "settled");
+	return RESULT_OK;
+}
+
+static int apply_witnesses(struct fleet *f, int64_t offset, const json_t *r)
+{
+	struct member *m = fleet_member(f, number(r, "member"));
+	struct witness_set w;
+
+	if (!m)
+		return RESULT_NO_SUCH;
+	if (witness_set_from_json(&w, json_object_get(r, "witnesses")))
+		return RESULT_INVALID;
+	/*
+	 * Until the member settles, its old set still counts beside the new
+	 * one. A second change before that would leave a third set out.
+	 */
+	if (m->witness_offset != number(r, "base") || m->old_witnesses.n)
+		return RESULT_STALE;
+	m->old_witnesses = m->witnesses;
+	m->witnesses = w;
+	m->witness_offset = offset;
+	emit_member(f, FLEET_WITNESSES_CHANGED, offset, m, r, "witnesses");
+	return RESULT_OK;
+}
+
+static void add_services(struct fleet *f)
+{
+	const struct configuration *cfg = &f->configuration;
+	uint32_t i;
+
+	for (i = 0; i < cfg->n_services; i++) {
+		const struct service_settings *ss = &cfg->services[i];
+		struct fleet_service *s = fleet_service(f, ss->name);
+
+		if (s || f->n_services == CONFIGURATION_MAX_SERVICES)
+			continue;
+		s = &f->services[f->n_services++];
+		g_strlcpy(s->name, ss->name, sizeof(s->name));
+		s->n_shards = ss->n_shards;
+		s->shards = g_new0(struct shard, s->n_shards);
+	}
+}
+
+static bool member_takes_work(const struct fleet *f, int64_t id)
+{
+	struct member *m = fleet_member(f, id);
+
+	return m && fleet_member_takes_work(f, m);
+}
+
+static void move_out_of_service(struct fleet *f, struct fleet_service *s,
+				int64_t offset, const json_t *record)
+{
+	uint32_t i;
+
+	/*
+	 * The record that takes a data centre out also says where its shards
+	 * go, so that nodes which learn of it from each other, with the log
+	 * down right after, can still carry it out.
+	 */
+	for (i = 0; i < s->n_shards; i++) {
+		struct shard *sh = &s->shards[i];
+		int64_t to = sh->owner;
+		int64_t heir = sh->successor;
+
+		if (!to || sh->from)
+			continue;
+		if (!member_takes_work(f, to))
+			to = member_takes_work(f, heir)
+				     ? heir
+				     : assign_pick(f, s, i, 0, to);
+		if (!to)
+			continue;
+		if (heir == to || !member_takes_work(f, heir))
+			heir = assign_pick(f, s, i, to, 0);
+		if (to != sh->owner || (heir && heir != sh->successor))
+			move_shard(f, s, i, to, heir, offset, record,
+				   "data centre out of service");
+	}
+}
+
+static int apply_configuration(struct fleet *f, int64_t offset, const json_t *r)
+{
+	json_t *doc = json_object_get(r, "document");
+	struct configuration *cfg;
+	struct json_check c;
+	int err;
+	uint32_t i;
+
+	if (number(r, "base") != f->configuration_version)
+		return RESULT_STALE;
+	cfg = g_new0(struct configuration, 1);
+	json_check_init(&c, "record");
+	err = configuration_read(cfg, doc, &c);
+	json_check_finish(&c);
+	if (!err) {
+		struct fleet_event ev = { .type = FLEET_CONFIGURED,
+					  .offset = offset };
+
+		f->configuration = *cfg;
+		json_decref(f->document);
+		f->document = json_incref(doc);
+		f->configuration_version = offset;
+		add_services(f);
+		for (i = 0; i < f->n_services; i++) {
+			assign_unowned(f, &f->services[i], offset, r);
+			move_out_of_service(f, &f->services[i], offset, r);
+		}
+		emit(f, &ev, r);
+	}
+	g_free(cfg);
+	return err;
+}
+
+static int apply_snapshot(struct fleet *f, int64_t offset, const json_t *r)
+{
+	int64_t upto = number(r, "upto");
+	int64_t part = number(r, "part");
+
+	if (part == 0) {
+		f->snapshot_upto = upto;
+		f->snapshot_part = 0;
+	}
+	if (upto != f->snapshot_upto || part != f->snapshot_part)
+		return RESULT_STALE;
+	f->snapshot_part++;
+	if (f->snapshot_part == number(r, "parts"))
+		f->snapshot_offset = offset;
+	return RESULT_OK;
+}
+
+struct record_kind {
+	const char *type;
+	int (*apply)(struct fleet *f, int64_t offset, const json_t *r);
+};
+
+static const struct record_kind kinds[] = {
+	{ "join", apply_join },
+	{ "expel", apply_expel },
+	{ "move", apply_move },
+	{ "settle", apply_settle },
+	{ "witnesses", apply_witnesses },
+	{ "configuration", apply_configuration },
+	{ "snapshot", apply_snapshot },
+};
+
+static bool seen_before(struct fleet *f, const char *append_id)
+{
+	uint64_t h = hash_string(append_id);
+	uint32_t i;
+
+	if (!append_id[0])
+		return false;
+	for (i = 0; i < FLEET_RECENT_APPENDS; i++)
+		if (f->recent[i] == h)
+			return true;
+	f->recent[f->recent_next] = h;
+	f->recent_next = (f->recent_next + 1) % FLEET_RECENT_APPENDS;
+	return false;
+}
+
+static int apply_kind(struct fleet *f, int64_t offset, const json_t *record)
+{
+	const char *type = text(record, "type");
+	uint32_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(kinds); i++)
+		if (!strcmp(kinds[i].type, type))
+			return kinds[i].apply(f, offset, record);
+	return RESULT_INVALID;
+}
+
+int fleet_apply(struct fleet *f, int64_t offset, const char *append_id,
+		const json_t *record)
+{
+	struct fleet_event ev = { .type = FLEET_DROPPED, .offset = offset };
+	int err;
+
+	if (offset != f->applied + 1)
+		return RESULT_GAP;
+	f->applied = offset;
+	/*
+	 * A writer whose answer was lost may append the same record again;
+	 * the second copy must not, say, make a member supersede itself.
+	 */
+	if (seen_before(f, append_id))
+		err = RESULT_DUPLICATE;
+	else
+		err = apply_kind(f, offset, record);
+	if (err) {
+		ev.result = err;
+		ev.reason = text(record, "type");
+		emit(f, &ev, record);
+	}
+	return err;
+}
