--- /dev/null
+++ b/member/holds.c
@@ -0,0 +1,556 @@
+#include <string.h>
+
+#include "member/internal.h"
+#include "util/counters.h"
+#include "util/invariant.h"
+#include "util/result.h"
+
+#define ASK_INTERVAL_MS 200
+#define IDS_PER_ENTRY 4
+
+static struct shard *shard_at(const struct member_node *n, uint32_t i)
+{
+	return &member_service(n)->shards[i];
+}
+
+static int64_t guard_ms(const struct member_node *n)
+{
+	const struct configuration *cfg = &n->fleet.configuration;
+	uint32_t i;
+
+	for (i = 0; i < cfg->n_services; i++)
+		if (!strcmp(cfg->services[i].name, n->me.service))
+			return cfg->services[i].guard_ms;
+	return 0;
+}
+
+static bool is_gone(const struct member_node *n, int64_t id)
+{
+	return !id || !fleet_member(&n->fleet, id) || takeover_proved(n, id);
+}
+
+/* Whether the log, or a proved stop of the owner, gives us the shard. */
+static bool entitled(const struct member_node *n, uint32_t i, uint8_t *step)
+{
+	const struct shard *sh = shard_at(n, i);
+
+	*step = 0;
+	if (!n->self || n->resigning)
+		return false;
+	if (sh->owner == n->self)
+		return true;
+	*step = 1;
+	return sh->successor == n->self && sh->owner &&
+	       takeover_proved(n, sh->owner);
+}
+
+static bool witnesses_know(const struct member_node *n, int64_t offset)
+{
+	const struct member *m = fleet_member(&n->fleet, n->self);
+
+	if (!m || !lease_valid(n))
+		return false;
+	if (!rule_on(n, RULE_WITNESSES_KNOW_MOVE))
+		return true;
+	if (m->old_witnesses.n &&
+	    !lease_witnesses_applied(n, &m->old_witnesses, offset))
+		return false;
+	return lease_witnesses_applied(n, &m->witnesses, offset);
+}
+
+/* Whether nobody who held or could inherit the shard before still serves. */
+static bool predecessors_clear(const struct member_node *n, uint32_t i)
+{
+	const struct shard *sh = shard_at(n, i);
+	const struct hold *h = &n->holds[i];
+	bool from = h->clear & CLEAR_FROM;
+	bool successor = h->clear & CLEAR_SUCCESSOR;
+
+	if (!sh->from || !rule_on(n, RULE_RELEASE_BEFORE_HOLD))
+		return true;
+	if (sh->from == n->self) {
+		from = true;
+		successor = successor || witnesses_know(n, sh->fence);
+	}
+	from = from || is_gone(n, sh->from);
+	successor = successor || sh->from_successor == n->self ||
+		    is_gone(n, sh->from_successor);
+	return from && successor;
+}
+
+/* Whether a shard that is ours needs no more word from its predecessors. */
+bool holds_cleared(const struct member_node *n, uint32_t i)
+{
+	const struct shard *sh = shard_at(n, i);
+
+	if (!sh->from)
+		return true;
+	if (sh->from == n->self)
+		return predecessors_clear(n, i);
+	return n->holds[i].state == HOLD_HELD;
+}
+
+static void acquire(struct member_node *n, uint32_t i)
+{
+	struct hold *h = &n->holds[i];
+
+	INVARIANT(lease_valid(n), "a shard acquired without a lease");
+	h->state = HOLD_HELD;
+	h->held_since_ms = n->now_ms;
+	if (!h->has_ids)
+		h->blind_since_ms = n->now_ms;
+	COUNT(shards_acquired);
+}
+
+static void let_go(struct member_node *n, uint32_t i)
+{
+	int64_t shard = i;
+
+	n->holds[i].state = HOLD_NONE;
+	n->holds[i].has_ids = false;
+	n->holds[i].clear = 0;
+	g_array_append_val(n->releases, shard);
+	COUNT(shards_released);
+}
+
+static void update_entitled(struct member_node *n, uint32_t i, uint8_t step)
+{
+	const struct shard *sh = shard_at(n, i);
+	struct hold *h = &n->holds[i];
+
+	if (h->state == HOLD_HELD) {
+		h->step = step;
+		return;
+	}
+	if (h->state != HOLD_WAITING) {
+		h->state = HOLD_WAITING;
+		h->held_since_ms = 0;
+		if (step)
+			h->has_ids = h->ids_from == sh->owner &&
+				     h->ids_fence == sh->fence;
+		if (step && !h->has_ids)
+			h->busy_until_ms =
+				MAX(h->busy_until_ms, n->now_ms + guard_ms(n));
+		n->next_ask_ms = n->now_ms;
+	}
+	h->step = step;
+	if (!predecessors_clear(n, i) || !lease_valid(n))
+		return;
+	if (n->now_ms < n->quiet_until_ms || n->now_ms < h->busy_until_ms)
+		return;
+	acquire(n, i);
+}
+
+static void update_foreign(struct member_node *n, uint32_t i)
+{
+	struct hold *h = &n->holds[i];
+
+	if (h->state == HOLD_WAITING) {
+		h->state = HOLD_NONE;
+		h->has_ids = false;
+	}
+	if (h->state == HOLD_HELD) {
+		/*
+		 * Released before our witnesses know of the move, the shard
+		 * could be taken over by a successor that does not know of it
+		 * either, while the new owner serves it. So serve on until
+		 * they do. Without a lease nobody is being served anyhow.
+		 */
+		if (!n->resigning && lease_valid(n) &&
+		    !witnesses_know(n, shard_at(n, i)->fence)) {
+			lease_ask_now(n);
+			return;
+		}
+		h->state = HOLD_RELEASING;
+	}
+	if (h->state == HOLD_RELEASING && !n->ops->in_flight(n->ops_user, i))
+		let_go(n, i);
+}
+
+static void update(struct member_node *n, uint32_t i)
+{
+	struct hold *h = &n->holds[i];
+	const struct shard *sh = shard_at(n, i);
+	uint8_t step;
+
+	if (h->fence != sh->fence) {
+		h->fence = sh->fence;
+		h->clear = 0;
+	}
+	if (entitled(n, i, &step))
+		update_entitled(n, i, step);
+	else
+		update_foreign(n, i);
+}
+
+static void add_ask(GHashTable *asks, int64_t to, uint32_t i)
+{
+	GArray *list = g_hash_table_lookup(asks, &to);
+	int64_t shard = i;
+
+	if (!list) {
+		list = g_array_new(FALSE, FALSE, sizeof(int64_t));
+		g_hash_table_insert(asks, g_memdup2(&to, sizeof(to)), list);
+	}
+	g_array_append_val(list, shard);
+}
+
+static void collect_asks(struct member_node *n, GHashTable *asks, uint32_t i)
+{
+	const struct shard *sh = shard_at(n, i);
+	const struct hold *h = &n->holds[i];
+
+	if (h->state != HOLD_WAITING && holds_cleared(n, i))
+		return;
+	if (sh->owner != n->self && h->state != HOLD_WAITING)
+		return;
+	if (sh->from != n->self && !(h->clear & CLEAR_FROM) &&
+	    !is_gone(n, sh->from))
+		add_ask(asks, sh->from, i);
+	if (sh->from && sh->from_successor != n->self &&
+	    !(h->clear & CLEAR_SUCCESSOR) && !is_gone(n, sh->from_successor))
+		add_ask(asks, sh->from_successor, i);
+}
+
+static void send_asks(struct member_node *n)
+{
+	GHashTable *asks = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						 g_free,
+						 (GDestroyNotify)g_array_unref);
+	GHashTableIter it;
+	gpointer to, list;
+	uint32_t i;
+
+	for (i = 0; i < n->n_holds; i++)
+		collect_asks(n, asks, i);
+	g_hash_table_iter_init(&it, asks);
+	while (g_hash_table_iter_next(&it, &to, &list)) {
+		struct member_msg msg;
+
+		member_msg_init(&msg, MSG_RELEASE_ASK);
+		msg.offset = n->fleet.applied;
+		msg.list = g_array_ref(list);
+		member_send(n, *(int64_t *)to, &msg);
+		member_msg_finish(&msg);
+	}
+	g_hash_table_unref(asks);
+}
+
+static void export_shard(struct member_node *n, uint32_t i, GArray *out)
+{
+	const struct hold *h = &n->holds[i];
+	int64_t blind[IDS_PER_ENTRY] = { i, 0, n->now_ms - h->blind_since_ms,
+					 0 };
+
+	if (h->blind_since_ms)
+		g_array_append_vals(out, blind, IDS_PER_ENTRY);
+	n->ops->export_ids(n->ops_user, i, out);
+}
+
+static void send_release(struct member_node *n, int64_t to, GArray *shards)
+{
+	int64_t newest = 0;
+	bool held = true;
+	struct member_msg msg;
+	uint32_t i;
+
+	if (!shards->len)
+		return;
+	member_msg_init(&msg, MSG_RELEASE);
+	msg.offset = n->fleet.applied;
+	msg.list = g_array_ref(shards);
+	msg.ids = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	for (i = 0; i < shards->len; i++) {
+		uint32_t s = g_array_index(shards, int64_t, i);
+
+		newest = MAX(newest, shard_at(n, s)->fence);
+		held = held && n->holds[s].held_since_ms;
+		export_shard(n, s, msg.ids);
+	}
+	if (witnesses_know(n, newest))
+		msg.flags |= RELEASE_CLEARS_SUCCESSOR;
+	if (held)
+		msg.flags |= RELEASE_HAS_IDS;
+	member_send(n, to, &msg);
+	member_msg_finish(&msg);
+}
+
+static void tell_released(struct member_node *n)
+{
+	GArray *shards = n->releases;
+	GArray *one = g_array_new(FALSE, FALSE, sizeof(int64_t));
+
+	n->releases = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	while (shards->len) {
+		int64_t to =
+			shard_at(n, g_array_index(shards, int64_t, 0))->owner;
+		uint32_t i;
+
+		g_array_set_size(one, 0);
+		for (i = shards->len; i-- > 0;) {
+			int64_t s = g_array_index(shards, int64_t, i);
+
+			if (shard_at(n, s)->owner != to)
+				continue;
+			g_array_append_val(one, s);
+			g_array_remove_index_fast(shards, i);
+		}
+		if (to && to != n->self)
+			send_release(n, to, one);
+	}
+	g_array_unref(one);
+	g_array_unref(shards);
+}
+
+/* Resigning and idle: give every successor the ids seen on its shards. */
+void holds_hand_over(struct member_node *n)
+{
+	GArray *to = witness_successors(n, n->self);
+	GArray *shards = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	uint32_t i, j;
+
+	for (i = 0; i < to->len; i++) {
+		g_array_set_size(shards, 0);
+		for (j = 0; j < n->n_holds; j++) {
+			const struct shard *sh = shard_at(n, j);
+			int64_t s = j;
+
+			if (sh->owner == n->self &&
+			    sh->successor == g_array_index(to, int64_t, i))
+				g_array_append_val(shards, s);
+		}
+		send_release(n, g_array_index(to, int64_t, i), shards);
+	}
+	g_array_unref(shards);
+	g_array_unref(to);
+}
+
+/* Whether we serve no shard and let none go. */
+bool holds_idle(const struct member_node *n)
+{
+	uint32_t i;
+
+	for (i = 0; i < n->n_holds; i++)
+		if (n->holds[i].state == HOLD_HELD ||
+		    n->holds[i].state == HOLD_RELEASING)
+			return false;
+	return true;
+}
+
+/* Bring every hold in line with the state, the proofs and the lease. */
+void holds_tick(struct member_node *n)
+{
+	uint32_t i;
+
+	holds_resize(n);
+	for (i = 0; i < n->n_holds; i++)
+		update(n, i);
+	if (n->releases->len)
+		tell_released(n);
+	if (n->self && n->now_ms >= n->next_ask_ms) {
+		n->next_ask_ms = n->now_ms + ASK_INTERVAL_MS;
+		send_asks(n);
+	}
+}
+
+/* Follow the number of shards of our service once it is configured. */
+void holds_resize(struct member_node *n)
+{
+	struct fleet_service *s = member_service(n);
+
+	if (!s || n->n_holds == s->n_shards)
+		return;
+	g_free(n->holds);
+	n->holds = g_new0(struct hold, s->n_shards);
+	n->n_holds = s->n_shards;
+}
+
+/* Serve nothing any more: we are no member, or never can be again. */
+void holds_drop_all(struct member_node *n)
+{
+	uint32_t i;
+
+	for (i = 0; i < n->n_holds; i++) {
+		int64_t busy_until_ms = n->holds[i].busy_until_ms;
+
+		memset(&n->holds[i], 0, sizeof(n->holds[i]));
+		n->holds[i].busy_until_ms = busy_until_ms;
+	}
+	g_array_set_size(n->releases, 0);
+}
+
+/*
+ * The backend server of a killed node may still be busy with what it was
+ * given, for as long as the grant lasts. Witnesses wait that long before they
+ * let anybody take over; a restart that proves the stop at once does not.
+ */
+static int64_t abrupt_wait_ms(const struct member_node *n, const char *reason)
+{
+	int64_t wait = guard_ms(n);
+
+	if (!strcmp(reason, FLEET_REASON_RESTARTED) &&
+	    rule_on(n, RULE_RESTART_WAITS))
+		wait += member_wait_ms(n);
+	return wait;
+}
+
+static struct hold *hold_of_event(struct member_node *n,
+				  const struct fleet_event *ev)
+{
+	holds_resize(n);
+	if (strcmp(ev->service, n->me.service) || ev->shard >= n->n_holds)
+		return NULL;
+	return &n->holds[ev->shard];
+}
+
+static void expect_busy(struct member_node *n, struct hold *h,
+			const char *reason)
+{
+	h->busy_until_ms =
+		MAX(h->busy_until_ms, n->now_ms + abrupt_wait_ms(n, reason));
+}
+
+/* The log moved a shard of our service. */
+void holds_on_moved(struct member_node *n, const struct fleet_event *ev)
+{
+	struct hold *h = hold_of_event(n, ev);
+	bool handed_over;
+
+	if (!h)
+		return;
+	handed_over = ev->from && h->ids_from == ev->from &&
+		      h->ids_fence == ev->fence_before;
+	if (ev->from && !fleet_member(&n->fleet, ev->from) && !handed_over)
+		expect_busy(n, h, ev->reason);
+	if (ev->to != n->self || !n->self || h->state == HOLD_HELD)
+		return;
+	h->has_ids = !ev->from || handed_over;
+	if (!ev->from)
+		h->blind_since_ms = 0;
+}
+
+/* The heir of a shard, which may have held it already, is gone. */
+void holds_on_successor_gone(struct member_node *n,
+			     const struct fleet_event *ev)
+{
+	struct hold *h = hold_of_event(n, ev);
+
+	if (h)
+		expect_busy(n, h, ev->reason);
+}
+
+/* A member is gone: what it may still have held is busy for a while. */
+void holds_on_gone(struct member_node *n, int64_t id, const char *reason)
+{
+	uint32_t i;
+
+	for (i = 0; i < n->n_holds; i++) {
+		const struct shard *sh = shard_at(n, i);
+
+		if (sh->from == id || sh->from_successor == id)
+			expect_busy(n, &n->holds[i], reason);
+	}
+}
+
+/* A new owner asks whether we still serve some shards. */
+void holds_on_ask(struct member_node *n, const struct member_msg *msg)
+{
+	GArray *free_shards;
+	uint32_t i;
+
+	/* What we have not read yet may give us a shard: catch up first. */
+	if (n->fleet.applied < msg->offset) {
+		sync_fetch(n, msg->from);
+		return;
+	}
+	free_shards = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	for (i = 0; msg->list && i < msg->list->len; i++) {
+		int64_t s = g_array_index(msg->list, int64_t, i);
+		uint8_t step;
+
+		if (s < 0 || s >= n->n_holds || entitled(n, s, &step))
+			continue;
+		if (n->holds[s].state == HOLD_NONE)
+			g_array_append_val(free_shards, s);
+	}
+	send_release(n, msg->from, free_shards);
+	g_array_unref(free_shards);
+}
+
+static void take_ids(struct member_node *n, const struct member_msg *msg)
+{
+	uint32_t i;
+
+	for (i = 0; msg->ids && i + IDS_PER_ENTRY <= msg->ids->len;
+	     i += IDS_PER_ENTRY) {
+		const int64_t *e = &g_array_index(msg->ids, int64_t, i);
+
+		if (e[0] < 0 || e[0] >= n->n_holds)
+			continue;
+		if (e[1])
+			n->ops->import_ids(n->ops_user, e);
+		else
+			n->holds[e[0]].blind_since_ms = n->now_ms - e[2];
+	}
+}
+
+static void on_shard_released(struct member_node *n, uint32_t i,
+			      const struct member_msg *msg)
+{
+	const struct shard *sh = shard_at(n, i);
+	struct hold *h = &n->holds[i];
+
+	if (h->fence != sh->fence) {
+		h->fence = sh->fence;
+		h->clear = 0;
+	}
+	if (msg->offset < sh->fence || h->state == HOLD_HELD)
+		return;
+	if ((msg->flags & RELEASE_HAS_IDS) && msg->from == sh->from) {
+		h->has_ids = true;
+		h->blind_since_ms = 0;
+	}
+	if ((msg->flags & RELEASE_HAS_IDS) && msg->from == sh->owner) {
+		h->ids_from = msg->from;
+		h->ids_fence = sh->fence;
+		h->blind_since_ms = 0;
+	}
+	if (msg->from == sh->from)
+		h->clear |= CLEAR_FROM;
+	if (msg->from == sh->from && (msg->flags & RELEASE_CLEARS_SUCCESSOR))
+		h->clear |= CLEAR_SUCCESSOR;
+	if (msg->from == sh->from_successor)
+		h->clear |= CLEAR_SUCCESSOR;
+}
+
+/* A predecessor says that it does not serve some shards. */
+void holds_on_release(struct member_node *n, const struct member_msg *msg)
+{
+	uint32_t i;
+
+	for (i = 0; msg->list && i < msg->list->len; i++) {
+		int64_t s = g_array_index(msg->list, int64_t, i);
+
+		if (s >= 0 && s < n->n_holds)
+			on_shard_released(n, s, msg);
+	}
+	take_ids(n, msg);
+	holds_tick(n);
+}
+
+int member_may_serve(const struct member_node *n, uint32_t shard,
+		     int64_t now_ms, int64_t *fence, int64_t *lease_end_ms)
+{
+	const struct hold *h;
+	int64_t end = member_lease_end_ms(n);
+
+	if (shard >= n->n_holds || !n->self || end <= now_ms)
+		return RESULT_NOT_OWNER;
+	h = &n->holds[shard];
+	if (h->state != HOLD_HELD)
+		return RESULT_NOT_OWNER;
+	/* A succession ahead of the log comes after the fence it follows. */
+	*fence = h->fence * 2 + h->step;
+	*lease_end_ms = end;
+	return RESULT_OK;
+}
--- /dev/null
+++ b/member/internal.h
@@ -0,0 +1,89 @@
+#ifndef MEMBER_INTERNAL_H
+#define MEMBER_INTERNAL_H
+
+#include "member/member.h"
+
+/* Shared between the files of member/ only. */
+
+static inline bool rule_on(const struct member_node *n, enum member_rule rule)
+{
+#ifdef RULE_SWITCHES
+	return !(n->disabled_rules & rule);
+#else
+	(void)n;
+	(void)rule;
+	return true;
+#endif
+}
+
+/* How long a witness waits so that any lease it vouched for has ended. */
+static inline int64_t member_wait_ms(const struct member_node *n)
+{
+	int64_t ms = n->timing.lease_ms;
+
+	return ms + ms * 3 * n->timing.drift_ppm / 1000000 + 1;
+}
+
+void member_send(struct member_node *n, int64_t to, struct member_msg *msg);
+void member_append(struct member_node *n, enum append_kind kind, json_t *r);
+void member_note(struct member_node *n, const char *what, int64_t subject);
+struct fleet_service *member_service(const struct member_node *n);
+
+/* lease.c */
+void lease_tick(struct member_node *n);
+void lease_ask_now(struct member_node *n);
+void lease_on_vouch(struct member_node *n, const struct member_msg *msg);
+void lease_on_denied(struct member_node *n, const struct member_msg *msg);
+bool lease_valid(const struct member_node *n);
+bool lease_is_lost(const struct member_node *n);
+bool lease_witnesses_applied(const struct member_node *n,
+			     const struct witness_set *w, int64_t offset);
+
+/* witness.c */
+void witness_tick(struct member_node *n);
+void witness_on_ask(struct member_node *n, const struct member_msg *msg);
+void witness_on_resign(struct member_node *n, const struct member_msg *msg);
+void witness_refresh(struct member_node *n);
+GArray *witness_successors(const struct member_node *n, int64_t subject);
+
+/* takeover.c */
+void takeover_tick(struct member_node *n);
+void takeover_on_stopped(struct member_node *n, const struct member_msg *msg);
+bool takeover_proved(const struct member_node *n, int64_t subject);
+int64_t takeover_proved_since(const struct member_node *n, int64_t subject);
+void takeover_learn(struct member_node *n, const GArray *ids);
+void takeover_forget(struct member_node *n, int64_t subject);
+
+/* holds.c */
+void holds_tick(struct member_node *n);
+void holds_resize(struct member_node *n);
+void holds_drop_all(struct member_node *n);
+void holds_on_moved(struct member_node *n, const struct fleet_event *ev);
+void holds_on_successor_gone(struct member_node *n,
+			     const struct fleet_event *ev);
+void holds_on_gone(struct member_node *n, int64_t id, const char *reason);
+void holds_on_ask(struct member_node *n, const struct member_msg *msg);
+void holds_on_release(struct member_node *n, const struct member_msg *msg);
+bool holds_cleared(const struct member_node *n, uint32_t shard);
+bool holds_idle(const struct member_node *n);
+void holds_hand_over(struct member_node *n);
+
+/* propose.c */
+void propose_tick(struct member_node *n);
+
+/* sync.c */
+void sync_tick(struct member_node *n);
+void sync_heard(struct member_node *n, int64_t peer, int64_t applied);
+void sync_fetch(struct member_node *n, int64_t peer);
+void sync_remember(struct member_node *n, int64_t offset, const char *append_id,
+		   const json_t *record);
+void sync_on_ask(struct member_node *n, const struct member_msg *msg);
+void sync_on_records(struct member_node *n, const struct member_msg *msg);
+void sync_on_state(struct member_node *n, const struct member_msg *msg);
+void cached_record_free(gpointer p);
+
+/* member.c */
+void member_leave_incarnation(struct member_node *n);
+void member_state_replaced(struct member_node *n);
+
+#endif
--- /dev/null
+++ b/member/member.c
@@ -0,0 +1,368 @@
+#include <string.h>
+
+#include "member/internal.h"
+#include "util/counters.h"
+#include "util/invariant.h"
+#include "util/result.h"
+
+#define RESIGN_INTERVAL_MS 200
+#define PAUSE_MS 400
+
+static void on_event(void *user, const struct fleet_event *ev);
+
+static void json_decref_p(gpointer p)
+{
+	json_decref(p);
+}
+
+void member_init(struct member_node *n, const struct member *me,
+		 const struct member_timing *timing,
+		 const struct member_ops *ops, void *ops_user, int64_t now_ms,
+		 uint32_t seed)
+{
+	memset(n, 0, sizeof(*n));
+	fleet_init(&n->fleet);
+	n->fleet.on_event = on_event;
+	n->fleet.on_event_user = n;
+	n->me = *me;
+	n->timing = *timing;
+	n->ops = ops;
+	n->ops_user = ops_user;
+	n->now_ms = now_ms;
+	n->ahead_applied = -1;
+	n->rand = g_rand_new_with_seed(seed);
+	/* We cannot know how long ago a record read at the start was made. */
+	n->quiet_until_ms = now_ms + member_wait_ms(n);
+	n->snapshot_seen_ms = now_ms;
+	n->balance_since_ms = now_ms;
+	n->vouches = g_array_new(FALSE, FALSE, sizeof(struct vouch));
+	n->watches = g_array_new(FALSE, FALSE, sizeof(struct watch));
+	n->proofs = g_array_new(FALSE, FALSE, sizeof(struct proof));
+	n->stopped = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	n->releases = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	n->snapshot_parts = g_ptr_array_new_with_free_func(json_decref_p);
+	n->cache = g_queue_new();
+}
+
+/* Release everything that member_init() and the node's life allocated. */
+void member_finish(struct member_node *n)
+{
+	fleet_finish(&n->fleet);
+	g_rand_free(n->rand);
+	g_array_unref(n->vouches);
+	g_array_unref(n->watches);
+	g_array_unref(n->proofs);
+	g_array_unref(n->stopped);
+	g_array_unref(n->releases);
+	g_ptr_array_unref(n->snapshot_parts);
+	g_queue_free_full(n->cache, cached_record_free);
+	g_free(n->holds);
+	memset(n, 0, sizeof(*n));
+}
+
+/* The state of our own service, NULL until it is configured. */
+struct fleet_service *member_service(const struct member_node *n)
+{
+	return fleet_service(&n->fleet, n->me.service);
+}
+
+/* Fill in who sends and send. */
+void member_send(struct member_node *n, int64_t to, struct member_msg *msg)
+{
+	msg->from = n->self;
+	msg->to = to;
+	msg->applied = n->fleet.applied;
+	n->ops->send(n->ops_user, to, msg);
+}
+
+/* Append a record; the kind is busy until member_append_done(). */
+void member_append(struct member_node *n, enum append_kind kind, json_t *r)
+{
+	n->append_pending[kind] = true;
+	n->ops->append(n->ops_user, kind, r);
+}
+
+/* Log a change of state. */
+void member_note(struct member_node *n, const char *what, int64_t subject)
+{
+	n->ops->note(n->ops_user, what, subject);
+}
+
+/* Be no member any more: hold nothing, vouch for nobody. */
+void member_leave_incarnation(struct member_node *n)
+{
+	holds_drop_all(n);
+	g_array_set_size(n->vouches, 0);
+	g_array_set_size(n->proofs, 0);
+	n->self = 0;
+	n->had_lease = false;
+	n->no_lease_since_ms = 0;
+	n->denied.n = 0;
+}
+
+static void on_joined(struct member_node *n, const struct member *m)
+{
+	if (strcmp(m->nonce, n->me.nonce) || strcmp(m->host, n->me.host))
+		return;
+	member_leave_incarnation(n);
+	n->self = m->id;
+	n->process = m->process;
+	n->me.process = m->process;
+	n->next_vouch_ms = n->now_ms;
+	member_note(n, "joined as", n->self);
+}
+
+static void on_gone(struct member_node *n, const struct member *m)
+{
+	/*
+	 * A member whose witness was the log learns of its expulsion by
+	 * reading, and may serve for a lease's length after its last read.
+	 */
+	if ((witness_set_has(&m->witnesses, LOG_WITNESS) ||
+	     witness_set_has(&m->old_witnesses, LOG_WITNESS)) &&
+	    m->id != n->self && rule_on(n, RULE_LOG_WITNESS_WAIT))
+		n->quiet_until_ms = n->now_ms + member_wait_ms(n);
+	if (m->id == n->self) {
+		member_note(n, "expelled", n->self);
+		member_leave_incarnation(n);
+	}
+	takeover_forget(n, m->id);
+}
+
+static void on_event(void *user, const struct fleet_event *ev)
+{
+	struct member_node *n = user;
+
+	switch (ev->type) {
+	case FLEET_MEMBER_JOINED:
+		on_joined(n, ev->member);
+		break;
+	case FLEET_MEMBER_GONE:
+		holds_on_gone(n, ev->member->id, ev->reason);
+		on_gone(n, ev->member);
+		break;
+	case FLEET_SHARD_MOVED:
+		holds_on_moved(n, ev);
+		break;
+	case FLEET_SUCCESSOR_GONE:
+		holds_on_successor_gone(n, ev);
+		break;
+	default:
+		break;
+	}
+	if (n->on_event)
+		n->on_event(n->on_event_user, ev);
+}
+
+/* The state was replaced whole, without an event for each change. */
+void member_state_replaced(struct member_node *n)
+{
+	COUNT(snapshots_loaded);
+	if (n->self && !fleet_member(&n->fleet, n->self))
+		member_leave_incarnation(n);
+	n->quiet_until_ms = n->now_ms + member_wait_ms(n);
+	g_queue_free_full(n->cache, cached_record_free);
+	n->cache = g_queue_new();
+	n->cache_bytes = 0;
+	holds_resize(n);
+	witness_refresh(n);
+}
+
+int member_on_record(struct member_node *n, int64_t offset,
+		     const char *append_id, const json_t *record,
+		     int64_t now_ms)
+{
+	int64_t version = n->fleet.configuration_version;
+	int64_t snapshot = n->fleet.snapshot_offset;
+	int err;
+
+	n->now_ms = MAX(n->now_ms, now_ms);
+	err = fleet_apply(&n->fleet, offset, append_id, record);
+	if (err == RESULT_GAP)
+		return err;
+	INVARIANT(n->fleet.configuration_version >= version,
+		  "the configuration went back");
+	COUNT(records_applied);
+	if (err)
+		COUNT(records_dropped);
+	sync_remember(n, offset, append_id, record);
+	if (n->fleet.snapshot_offset != snapshot)
+		n->snapshot_seen_ms = n->now_ms;
+	witness_refresh(n);
+	return err;
+}
+
+int member_load(struct member_node *n, const json_t *snapshot, int64_t now_ms)
+{
+	int err;
+
+	n->now_ms = MAX(n->now_ms, now_ms);
+	err = fleet_load(&n->fleet, snapshot);
+	if (!err)
+		member_state_replaced(n);
+	return err;
+}
+
+bool member_needs_log(const struct member_node *n)
+{
+	const struct member *m = fleet_member(&n->fleet, n->self);
+
+	return !m || witness_set_has(&m->witnesses, LOG_WITNESS) ||
+	       witness_set_has(&m->old_witnesses, LOG_WITNESS);
+}
+
+void member_on_log_tail(struct member_node *n, int64_t sent_ms, int64_t now_ms)
+{
+	n->now_ms = MAX(n->now_ms, now_ms);
+	n->log_read_sent_ms = MAX(n->log_read_sent_ms, sent_ms);
+	n->log_caught_up = true;
+}
+
+static void send_resign(struct member_node *n, int64_t process)
+{
+	const struct member *to = fleet_member_by_process(&n->fleet, process);
+	struct member_msg msg;
+
+	if (!to)
+		return;
+	member_msg_init(&msg, MSG_RESIGN);
+	msg.flags = process;
+	member_send(n, to->id, &msg);
+}
+
+static void resign_tick(struct member_node *n)
+{
+	const struct member *m = fleet_member(&n->fleet, n->self);
+	uint32_t i;
+
+	if (!m || !n->resigning || !holds_idle(n) || n->now_ms < n->next_ask_ms)
+		return;
+	n->next_ask_ms = n->now_ms + RESIGN_INTERVAL_MS;
+	holds_hand_over(n);
+	for (i = 0; i < m->witnesses.n; i++)
+		send_resign(n, m->witnesses.id[i]);
+	for (i = 0; i < m->old_witnesses.n; i++)
+		send_resign(n, m->old_witnesses.id[i]);
+}
+
+static void forgive_own_pause(struct member_node *n)
+{
+	uint32_t i;
+
+	/*
+	 * While this process was paused it heard nobody, and on waking would
+	 * promise stops for members that are well. Waiting longer is safe.
+	 */
+	for (i = 0; i < n->watches->len; i++)
+		g_array_index(n->watches, struct watch, i).last_ms = n->now_ms;
+}
+
+void member_tick(struct member_node *n, int64_t now_ms)
+{
+	bool paused = now_ms - n->last_tick_ms > PAUSE_MS;
+
+	n->now_ms = MAX(n->now_ms, now_ms);
+	n->last_tick_ms = n->now_ms;
+	if (paused)
+		forgive_own_pause(n);
+	takeover_tick(n);
+	lease_tick(n);
+	witness_tick(n);
+	holds_tick(n);
+	resign_tick(n);
+	sync_tick(n);
+	propose_tick(n);
+}
+
+static bool needs_own_id(enum member_msg_type type)
+{
+	return type == MSG_VOUCH || type == MSG_STOPPED ||
+	       type == MSG_RELEASE_ASK || type == MSG_RELEASE;
+}
+
+static bool needs_own_process(enum member_msg_type type)
+{
+	return type == MSG_VOUCH_ASK || type == MSG_RESIGN;
+}
+
+typedef void (*msg_handler)(struct member_node *, const struct member_msg *);
+
+static const msg_handler handlers[MSG_N_TYPES] = {
+	[MSG_VOUCH_ASK] = witness_on_ask,    [MSG_VOUCH] = lease_on_vouch,
+	[MSG_STOPPED] = takeover_on_stopped, [MSG_RESIGN] = witness_on_resign,
+	[MSG_RECORDS_ASK] = sync_on_ask,     [MSG_RECORDS] = sync_on_records,
+	[MSG_STATE] = sync_on_state,	     [MSG_RELEASE_ASK] = holds_on_ask,
+	[MSG_RELEASE] = holds_on_release,
+};
+
+void member_on_message(struct member_node *n, const struct member_msg *msg,
+		       int64_t now_ms)
+{
+	n->now_ms = MAX(n->now_ms, now_ms);
+	sync_heard(n, msg->from, msg->applied);
+	/*
+	 * A process started again has forgotten what its earlier self
+	 * promised. Answering for that self would let a vouch follow a
+	 * promise to give none.
+	 */
+	if (needs_own_id(msg->type) && (!n->self || msg->to != n->self))
+		return;
+	if (needs_own_process(msg->type) &&
+	    (!n->process || msg->flags != n->process))
+		return;
+	if (handlers[msg->type])
+		handlers[msg->type](n, msg);
+}
+
+void member_set_wanted(struct member_node *n, bool wanted, int64_t now_ms)
+{
+	n->now_ms = MAX(n->now_ms, now_ms);
+	n->want_member = wanted;
+	/*
+	 * Witnesses told of a resignation promise a stop at once, without
+	 * waiting for the lease to end. Taking it back would let this node
+	 * serve on beside its successors, so it joins anew instead.
+	 */
+	if (wanted && n->resigning)
+		member_leave_incarnation(n);
+	n->resigning = !wanted && n->self;
+	n->next_join_ms = n->now_ms;
+}
+
+bool member_has_left(const struct member_node *n)
+{
+	if (!n->self)
+		return true;
+	return n->resigning && holds_idle(n) && lease_is_lost(n);
+}
+
+static uint32_t add_candidate(const struct member_node *n, int64_t id,
+			      int64_t *out, uint32_t count, uint32_t max)
+{
+	uint32_t i;
+
+	if (!id || count == max || !fleet_member(&n->fleet, id))
+		return count;
+	for (i = 0; i < count; i++)
+		if (out[i] == id)
+			return count;
+	out[count] = id;
+	return count + 1;
+}
+
+uint32_t member_candidates(const struct member_node *n,
+			   const struct fleet_service *s, uint32_t shard,
+			   int64_t *out, uint32_t max)
+{
+	const struct shard *sh = &s->shards[shard];
+	bool owner_stopped = member_known_stopped(n, sh->owner);
+	uint32_t count = 0;
+
+	if (sh->from && !member_known_stopped(n, sh->from))
+		count = add_candidate(n, sh->from, out, count, max);
+	if (!owner_stopped)
+		count = add_candidate(n, sh->owner, out, count, max);
+	count = add_candidate(n, sh->successor, out, count, max);
+	count = add_candidate(n, sh->from_successor, out, count, max);
+	return add_candidate(n, sh->owner, out, count, max);
+}
--- /dev/null
+++ b/member/member.h
@@ -0,0 +1,250 @@
+#ifndef MEMBER_MEMBER_H
+#define MEMBER_MEMBER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <glib.h>
+
+#include "member/msg.h"
+#include "state/fleet.h"
+
+/*
+ * What makes a node the one owner of its shards: a lease that witnesses vouch
+ * for, promises given as a witness, takeover with proof, release on planned
+ * moves, and proposals to the log. No input or output and no clock: time and
+ * events come in as arguments, and what is to be done goes out through a table
+ * of functions. All times are milliseconds of CLOCK_BOOTTIME.
+ */
+
+struct member_timing {
+	int64_t lease_ms; /* how long a vouch lasts */
+	int64_t vouch_interval_ms;
+	int64_t drift_ppm; /* bound on how much two clocks differ */
+	int64_t snapshot_interval_ms;
+	uint32_t snapshot_records; /* records after which a new one is due */
+	uint32_t move_batch; /* shards one balancing record moves */
+};
+
+#define MEMBER_TIMING_DEFAULT                                       \
+	{                                                           \
+		.lease_ms = 1500, .vouch_interval_ms = 500,         \
+		.drift_ppm = 10000, .snapshot_interval_ms = 600000, \
+		.snapshot_records = 500, .move_batch = 16           \
+	}
+
+enum hold_state {
+	HOLD_NONE, /* not served here */
+	HOLD_WAITING, /* ours by the log, others may still serve it */
+	HOLD_HELD, /* served here while the lease lasts */
+	HOLD_RELEASING, /* no new requests; those in flight end */
+};
+
+#define CLEAR_FROM 1
+#define CLEAR_SUCCESSOR 2
+
+/* What this node does about one shard of its service. */
+struct hold {
+	enum hold_state state;
+	uint8_t clear; /* CLEAR_*: predecessors known not to serve */
+	uint8_t step; /* 1: held as successor, ahead of the log */
+	bool has_ids; /* the ids seen before us are known here */
+	int64_t ids_from; /* the owner that handed them over on leaving */
+	int64_t ids_fence; /* and the fence that it held the shard under */
+	int64_t fence; /* the shard's fence that clear belongs to */
+	/*
+	 * A backend server that lost its node may be busy with the shard until
+	 * then. Kept for shards of others too, since they may yet become ours.
+	 */
+	int64_t busy_until_ms;
+	int64_t blind_since_ms; /* ids from before are not known; 0 none */
+	int64_t held_since_ms;
+};
+
+/* Our side of one witness of ours. */
+struct vouch {
+	int64_t witness; /* its process */
+	int64_t sent_ms; /* sending time of the newest ask it answered */
+	int64_t applied; /* newest offset it reported */
+	bool denied; /* it has promised not to vouch again */
+};
+
+/* What we watch as a witness of somebody. */
+struct watch {
+	int64_t subject;
+	int64_t last_ms;
+	int64_t told_ms; /* when we last told others of the stop */
+	int64_t frozen; /* our applied offset at the promise */
+	bool stopped;
+};
+
+/* A witness's promise about subject, received. */
+struct proof {
+	int64_t subject;
+	int64_t witness; /* its process */
+	int64_t frozen;
+	int64_t since_ms;
+};
+
+enum append_kind {
+	APPEND_JOIN,
+	APPEND_EXPEL,
+	APPEND_SETTLE,
+	APPEND_WITNESSES,
+	APPEND_BALANCE,
+	APPEND_SNAPSHOT,
+	N_APPEND_KINDS,
+};
+
+/* A record kept for peers that cannot read the log. */
+struct cached_record {
+	int64_t offset;
+	char *append_id;
+	char *text;
+};
+
+/* What member_ops.note says of a member proved to have stopped. */
+#define NOTE_PROVED_STOPPED "proved to have stopped"
+
+struct member_ops {
+	/* Send to a member; takes nothing over. */
+	void (*send)(void *user, int64_t to, const struct member_msg *msg);
+	/* Append, answered later by member_append_done(); steals record. */
+	void (*append)(void *user, enum append_kind kind, json_t *record);
+	/* Requests in flight on a shard of this node's service. */
+	uint32_t (*in_flight)(void *user, uint32_t shard);
+	/* Ids seen on a shard: four numbers an entry. */
+	void (*export_ids)(void *user, uint32_t shard, GArray *out);
+	void (*import_ids)(void *user, const int64_t *entry);
+	/* A change of state worth a log line. */
+	void (*note)(void *user, const char *what, int64_t subject);
+};
+
+struct member_node {
+	struct fleet fleet;
+	struct member_timing timing;
+	const struct member_ops *ops;
+	void *ops_user;
+	struct member me; /* how we join; id unused */
+	GRand *rand;
+	int64_t now_ms;
+	int64_t self; /* our member id, 0 while not a member */
+	int64_t process; /* id of our first membership, 0 never a member */
+	bool want_member;
+	bool resigning; /* no new work; leave when what runs has ended */
+	bool log_caught_up; /* we have read to the log's end once */
+	bool had_lease;
+	int64_t no_lease_since_ms; /* 0 while there is one */
+	struct witness_set unfit; /* witnesses that did not answer us */
+	struct witness_set denied; /* witnesses that vouch for us no more */
+	int64_t last_tick_ms;
+	int64_t log_read_sent_ms; /* start of the last read up to the tail */
+	int64_t quiet_until_ms; /* no shard is acquired before */
+	int64_t next_vouch_ms;
+	int64_t next_join_ms;
+	int64_t next_ask_ms;
+	int64_t behind_since_ms; /* a peer is known to be ahead; 0 not */
+	int64_t ahead_peer;
+	int64_t ahead_applied;
+	int64_t balance_since_ms;
+	int64_t snapshot_seen_ms;
+	int64_t next_append_ms[N_APPEND_KINDS];
+	bool append_pending[N_APPEND_KINDS];
+	GPtrArray *snapshot_parts; /* json_t * still to be appended */
+	GArray *vouches; /* struct vouch */
+	GArray *watches; /* struct watch */
+	GArray *proofs; /* struct proof */
+	GArray *stopped; /* int64_t ids known to have stopped */
+	struct hold *holds; /* by shard of our service */
+	uint32_t n_holds;
+	GQueue *cache; /* struct cached_record, newest last */
+	uint32_t cache_bytes;
+	int64_t next_fetch_ms;
+	GArray *releases; /* int64_t shards released since last told */
+	uint32_t disabled_rules; /* tests only */
+	fleet_event_fn on_event; /* audit */
+	void *on_event_user;
+};
+
+/*
+ * Set up on memory that the caller owns. me tells how to join; seed makes the
+ * jitter repeatable.
+ */
+void member_init(struct member_node *n, const struct member *me,
+		 const struct member_timing *timing,
+		 const struct member_ops *ops, void *ops_user, int64_t now_ms,
+		 uint32_t seed);
+void member_finish(struct member_node *n);
+
+/* Run every timed duty that is due; call at least every 100 ms. */
+void member_tick(struct member_node *n, int64_t now_ms);
+
+/* Handle a message; records and states in it are applied. */
+void member_on_message(struct member_node *n, const struct member_msg *msg,
+		       int64_t now_ms);
+
+/* Apply the next record read from the log; results as fleet_apply(). */
+int member_on_record(struct member_node *n, int64_t offset,
+		     const char *append_id, const json_t *record,
+		     int64_t now_ms);
+
+/* A read that began at sent_ms showed us to be at the log's end. */
+void member_on_log_tail(struct member_node *n, int64_t sent_ms, int64_t now_ms);
+
+/* The append of a kind ended; the record itself arrives by reading. */
+void member_append_done(struct member_node *n, enum append_kind kind,
+			int result, int64_t now_ms);
+
+/* Ask to be a member, or to leave once what runs has ended. */
+void member_set_wanted(struct member_node *n, bool wanted, int64_t now_ms);
+
+/* Replace the state by a snapshot from the log; results as fleet_load(). */
+int member_load(struct member_node *n, const json_t *snapshot, int64_t now_ms);
+
+/* Whether our lease rests on reads of the log. */
+bool member_needs_log(const struct member_node *n);
+
+/* End of our lease on our clock; in the past when we have none. */
+int64_t member_lease_end_ms(const struct member_node *n);
+
+/*
+ * Tell whether a request on a shard of our service may be handed to the
+ * backend server now. On RESULT_OK fence and lease_end_ms are set; otherwise
+ * RESULT_NOT_OWNER.
+ */
+int member_may_serve(const struct member_node *n, uint32_t shard,
+		     int64_t now_ms, int64_t *fence, int64_t *lease_end_ms);
+
+/* Whether a member is known to have stopped though the log still lists it. */
+bool member_known_stopped(const struct member_node *n, int64_t id);
+
+/*
+ * Fill up to max candidates, best first, for who serves a shard; returns how
+ * many. The gates decide; this is where an entry should try.
+ */
+uint32_t member_candidates(const struct member_node *n,
+			   const struct fleet_service *s, uint32_t shard,
+			   int64_t *out, uint32_t max);
+
+/* Whether all of our shards are given up, when resigning. */
+bool member_has_left(const struct member_node *n);
+
+/*
+ * The safety rules, one bit each. The randomised test builds this library
+ * with RULE_SWITCHES and turns each off to see that it catches the breach.
+ */
+enum member_rule {
+	RULE_LEASE_FROM_SENDING = 1 << 0,
+	RULE_WITNESS_WAITS = 1 << 1,
+	RULE_STOP_IS_FINAL = 1 << 2,
+	RULE_MAJORITY = 1 << 3,
+	RULE_SUCCESSOR_CATCHES_UP = 1 << 4,
+	RULE_RELEASE_BEFORE_HOLD = 1 << 5,
+	RULE_WITNESSES_KNOW_MOVE = 1 << 6,
+	RULE_OLD_WITNESSES_COUNT = 1 << 7,
+	RULE_RESTART_WAITS = 1 << 8,
+	RULE_LOG_WITNESS_WAIT = 1 << 9,
+	RULE_PROMISE_IS_KEPT = 1 << 10,
+	N_MEMBER_RULES = 11,
+};
+
+#endif
--- /dev/null
+++ b/member/propose.c
@@ -0,0 +1,355 @@
+#include <string.h>
+
+#include "member/internal.h"
+#include "state/records.h"
+#include "util/counters.h"
+#include "util/result.h"
+
+#define RANK_STEP_MS 300
+#define BALANCE_EVERY_MS 1000
+#define BALANCE_RANK_STEP_MS 3000
+#define WITNESS_WAIT_MS 500
+#define RETRY_MS 500
+#define LEASELESS_LEASES 3
+#define SPREAD_PER_MEMBER_MS 20
+#define SNAPSHOT_PART_BYTES (64 * 1024)
+#define LOG_WITNESSED_LAPSES 2
+
+/*
+ * Appends spread over a time that grows with the fleet, so that an outage of
+ * the log does not end in a rush from every node: at most 1000/20 = 50 a
+ * second from the whole fleet for any one cause.
+ */
+static int64_t spread_ms(struct member_node *n)
+{
+	int32_t range = fleet_n_members(&n->fleet) * SPREAD_PER_MEMBER_MS;
+
+	return g_rand_int_range(n->rand, 0, MAX(range, 200));
+}
+
+static bool may_append(const struct member_node *n, enum append_kind kind)
+{
+	return !n->append_pending[kind] && n->now_ms >= n->next_append_ms[kind];
+}
+
+void member_append_done(struct member_node *n, enum append_kind kind,
+			int result, int64_t now_ms)
+{
+	n->now_ms = MAX(n->now_ms, now_ms);
+	n->append_pending[kind] = false;
+	if (result == RESULT_OK) {
+		n->next_append_ms[kind] = n->now_ms + RETRY_MS;
+		return;
+	}
+	n->next_append_ms[kind] = n->now_ms + RETRY_MS + spread_ms(n);
+}
+
+static bool must_join_anew(const struct member_node *n)
+{
+	return lease_is_lost(n) ||
+	       (n->no_lease_since_ms &&
+		n->now_ms - n->no_lease_since_ms >
+			LEASELESS_LEASES * n->timing.lease_ms);
+}
+
+static void note_silent_witnesses(struct member_node *n)
+{
+	uint32_t i;
+
+	n->unfit.n = 0;
+	for (i = 0; i < n->vouches->len; i++) {
+		const struct vouch *v =
+			&g_array_index(n->vouches, struct vouch, i);
+
+		if (n->unfit.n < FLEET_MAX_WITNESSES &&
+		    n->now_ms - v->sent_ms > n->timing.lease_ms)
+			n->unfit.id[n->unfit.n++] = v->witness;
+	}
+}
+
+static void propose_join(struct member_node *n)
+{
+	if (n->self && !must_join_anew(n))
+		return;
+	if (!n->want_member || n->resigning || !n->log_caught_up)
+		return;
+	if (!may_append(n, APPEND_JOIN) || n->now_ms < n->next_join_ms)
+		return;
+	n->next_join_ms = n->now_ms + RETRY_MS + spread_ms(n);
+	/*
+	 * Other nodes may read our new join record before we do, and take our
+	 * shards. Witnesses that answer late must not revive the old lease
+	 * meanwhile, so the old incarnation ends here, before the append.
+	 */
+	if (n->self) {
+		note_silent_witnesses(n);
+		member_leave_incarnation(n);
+	}
+	assign_witnesses(&n->fleet, &n->me, &n->unfit, &n->me.witnesses);
+	g_snprintf(n->me.nonce, sizeof(n->me.nonce), "%08x%08x",
+		   g_rand_int(n->rand), g_rand_int(n->rand));
+	member_append(n, APPEND_JOIN, record_join(&n->me));
+}
+
+/* Our place among those who inherit from subject; they act one by one. */
+static int64_t expel_delay_ms(const struct member_node *n, int64_t subject)
+{
+	GArray *heirs = witness_successors(n, subject);
+	uint32_t rank = 0;
+	bool among = false;
+	uint32_t i;
+
+	for (i = 0; i < heirs->len; i++) {
+		int64_t id = g_array_index(heirs, int64_t, i);
+
+		among = among || id == n->self;
+		rank += id < n->self;
+	}
+	if (!among)
+		rank = heirs->len + assign_rank(&n->fleet, "expel", n->self);
+	g_array_unref(heirs);
+	return MIN(rank, 20) * RANK_STEP_MS;
+}
+
+static bool log_witnessed_silent(const struct member_node *n,
+				 const struct member *m)
+{
+	uint32_t i;
+
+	if (!witness_set_has(&m->witnesses, LOG_WITNESS) &&
+	    !witness_set_has(&m->old_witnesses, LOG_WITNESS))
+		return false;
+	for (i = 0; i < n->watches->len; i++) {
+		const struct watch *w =
+			&g_array_index(n->watches, struct watch, i);
+
+		if (w->subject == m->id)
+			return n->now_ms - w->last_ms >
+			       LOG_WITNESSED_LAPSES * member_wait_ms(n) +
+				       expel_delay_ms(n, m->id);
+	}
+	return false;
+}
+
+static bool expel_due(const struct member_node *n, const struct member *m)
+{
+	if (m->id == n->self)
+		return n->resigning && holds_idle(n);
+	if (log_witnessed_silent(n, m))
+		return true;
+	return takeover_proved(n, m->id) &&
+	       n->now_ms >= takeover_proved_since(n, m->id) +
+				    expel_delay_ms(n, m->id);
+}
+
+static void propose_expel(struct member_node *n)
+{
+	json_t *record = NULL;
+	struct member *m;
+	uint32_t i;
+
+	if (!n->self || !may_append(n, APPEND_EXPEL))
+		return;
+	if (!n->proofs->len && !n->resigning && !n->watches->len)
+		return;
+	for_each_member (&n->fleet, m, i) {
+		if (!expel_due(n, m))
+			continue;
+		if (!record)
+			record = record_expel(
+				n->self,
+				m->id == n->self ? "resigned" : "lease lapsed");
+		record_expel_add(record, m);
+	}
+	if (record)
+		member_append(n, APPEND_EXPEL, record);
+}
+
+static bool witness_unfit(const struct member_node *n, const struct member *m)
+{
+	uint32_t i;
+
+	for (i = 0; i < m->witnesses.n; i++)
+		if (m->witnesses.id[i] != LOG_WITNESS &&
+		    !fleet_member_by_process(&n->fleet, m->witnesses.id[i]))
+			return true;
+	for (i = 0; i < n->vouches->len; i++)
+		if (g_array_index(n->vouches, struct vouch, i).denied)
+			return true;
+	return witness_set_has(&m->witnesses, LOG_WITNESS) &&
+	       fleet_n_members(&n->fleet) > FLEET_WITNESSES;
+}
+
+static bool same_set(const struct witness_set *a, const struct witness_set *b)
+{
+	uint32_t i;
+
+	for (i = 0; i < a->n; i++)
+		if (!witness_set_has(b, a->id[i]))
+			return false;
+	return a->n == b->n;
+}
+
+static void propose_witnesses(struct member_node *n)
+{
+	const struct member *m = fleet_member(&n->fleet, n->self);
+	struct witness_set w;
+
+	if (!m || m->old_witnesses.n || n->resigning || !lease_valid(n))
+		return;
+	if (!witness_unfit(n, m)) {
+		n->next_append_ms[APPEND_WITNESSES] =
+			n->now_ms + WITNESS_WAIT_MS + spread_ms(n);
+		return;
+	}
+	if (!may_append(n, APPEND_WITNESSES))
+		return;
+	assign_witnesses(&n->fleet, m, &n->denied, &w);
+	if (same_set(&w, &m->witnesses))
+		return;
+	member_append(n, APPEND_WITNESSES,
+		      record_witnesses(n->self, m->witness_offset, &w));
+}
+
+/* The newest offset up to which all that is ours is held by us alone. */
+static int64_t settled_upto(const struct member_node *n, const struct member *m,
+			    bool *useful)
+{
+	struct fleet_service *s = member_service(n);
+	int64_t upto = n->fleet.applied;
+	uint32_t i;
+
+	*useful = false;
+	if (m->old_witnesses.n) {
+		if (lease_witnesses_applied(n, &m->old_witnesses,
+					    m->witness_offset))
+			*useful = true;
+		else
+			upto = MIN(upto, m->witness_offset - 1);
+	}
+	for (i = 0; s && i < n->n_holds; i++)
+		if (s->shards[i].owner == n->self && !holds_cleared(n, i))
+			upto = MIN(upto, s->shards[i].fence - 1);
+	for (i = 0; s && i < n->n_holds; i++)
+		*useful = *useful ||
+			  (s->shards[i].owner == n->self && s->shards[i].from &&
+			   s->shards[i].fence <= upto);
+	return upto;
+}
+
+static void propose_settle(struct member_node *n)
+{
+	const struct member *m = fleet_member(&n->fleet, n->self);
+	bool useful;
+	int64_t upto;
+
+	/*
+	 * Without a lease our old witnesses may already have promised a
+	 * successor that we stopped; settling would cut them out.
+	 */
+	if (!m || !may_append(n, APPEND_SETTLE) || !lease_valid(n))
+		return;
+	upto = settled_upto(n, m, &useful);
+	if (!useful)
+		return;
+	member_append(n, APPEND_SETTLE, record_settle(n->self, upto));
+}
+
+static bool all_settled(const struct fleet_service *s)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->n_shards; i++)
+		if (s->shards[i].from)
+			return false;
+	return true;
+}
+
+static void propose_balance(struct member_node *n)
+{
+	const struct fleet_service *s = member_service(n);
+	json_t *record;
+	int64_t wait;
+
+	if (!s || !n->self || !lease_valid(n) || n->resigning ||
+	    !may_append(n, APPEND_BALANCE))
+		return;
+	n->next_append_ms[APPEND_BALANCE] = n->now_ms + BALANCE_EVERY_MS;
+	record = all_settled(s)
+			 ? assign_balance(&n->fleet, s, n->timing.move_batch)
+			 : NULL;
+	if (!record) {
+		n->balance_since_ms = n->now_ms;
+		return;
+	}
+	wait = BALANCE_EVERY_MS +
+	       MIN(assign_rank(&n->fleet, s->name, n->self), 20) *
+		       BALANCE_RANK_STEP_MS;
+	if (n->now_ms - n->balance_since_ms < wait) {
+		json_decref(record);
+		return;
+	}
+	json_object_set_new(record, "by", json_integer(n->self));
+	member_append(n, APPEND_BALANCE, record);
+}
+
+static void cut_snapshot(struct member_node *n)
+{
+	json_t *state = fleet_snapshot(&n->fleet);
+	char *text = json_dumps(state, JSON_COMPACT | JSON_ENSURE_ASCII);
+	size_t len = strlen(text);
+	uint32_t parts = (len + SNAPSHOT_PART_BYTES - 1) / SNAPSHOT_PART_BYTES;
+	uint32_t i;
+
+	for (i = 0; i < parts; i++) {
+		size_t at = (size_t)i * SNAPSHOT_PART_BYTES;
+
+		g_ptr_array_add(
+			n->snapshot_parts,
+			record_snapshot(n->fleet.applied, i, parts, text + at,
+					MIN(len - at, SNAPSHOT_PART_BYTES)));
+	}
+	free(text);
+	json_decref(state);
+}
+
+static bool snapshot_due(const struct member_node *n)
+{
+	int64_t age = n->now_ms - n->snapshot_seen_ms;
+	int64_t records = n->fleet.applied - n->fleet.snapshot_offset;
+	int64_t wait = MIN(assign_rank(&n->fleet, "snapshot", n->self), 20) *
+		       BALANCE_RANK_STEP_MS;
+
+	if (records <= 1)
+		return false;
+	return age >= n->timing.snapshot_interval_ms + wait ||
+	       records >= n->timing.snapshot_records + wait / 10;
+}
+
+/*
+ * What is in force must not age out of the log with the records that made it,
+ * or a node that starts then would find nothing.
+ */
+static void propose_snapshot(struct member_node *n)
+{
+	if (!n->self || !may_append(n, APPEND_SNAPSHOT))
+		return;
+	if (!n->snapshot_parts->len && snapshot_due(n))
+		cut_snapshot(n);
+	if (!n->snapshot_parts->len)
+		return;
+	member_append(n, APPEND_SNAPSHOT,
+		      json_incref(g_ptr_array_index(n->snapshot_parts, 0)));
+	g_ptr_array_remove_index(n->snapshot_parts, 0);
+}
+
+/* Append what this node, by its rank and its state, should append. */
+void propose_tick(struct member_node *n)
+{
+	propose_join(n);
+	propose_expel(n);
+	propose_witnesses(n);
+	propose_settle(n);
+	propose_balance(n);
+	propose_snapshot(n);
+}
--- /dev/null
+++ b/member/sync.c
@@ -0,0 +1,176 @@
+#include <string.h>
+
+#include "member/internal.h"
+#include "util/counters.h"
+#include "util/result.h"
+
+/*
+ * Records reach a node that cannot read the log from its peers: an offset
+ * identifies a record, so a copy from anybody is as good as the log's own.
+ */
+
+#define BEHIND_MS 300
+#define CACHE_MAX_BYTES (1024 * 1024)
+#define CACHE_MAX_RECORDS 4096
+#define BATCH_MAX_BYTES (256 * 1024)
+
+/* Release one cached record. */
+void cached_record_free(gpointer p)
+{
+	struct cached_record *c = p;
+
+	g_free(c->append_id);
+	g_free(c->text);
+	g_free(c);
+}
+
+/* Keep a record that was just applied for peers that lack it. */
+void sync_remember(struct member_node *n, int64_t offset, const char *append_id,
+		   const json_t *record)
+{
+	struct cached_record *c = g_new0(struct cached_record, 1);
+
+	c->offset = offset;
+	c->append_id = g_strdup(append_id);
+	c->text = json_dumps(record, JSON_COMPACT);
+	n->cache_bytes += strlen(c->text);
+	g_queue_push_tail(n->cache, c);
+	while (n->cache_bytes > CACHE_MAX_BYTES ||
+	       n->cache->length > CACHE_MAX_RECORDS) {
+		c = g_queue_pop_head(n->cache);
+		n->cache_bytes -= strlen(c->text);
+		cached_record_free(c);
+	}
+}
+
+/* A peer named the offset that it has applied. */
+void sync_heard(struct member_node *n, int64_t peer, int64_t applied)
+{
+	if (applied <= n->fleet.applied || applied <= n->ahead_applied)
+		return;
+	n->ahead_applied = applied;
+	n->ahead_peer = peer;
+	if (!n->behind_since_ms)
+		n->behind_since_ms = n->now_ms;
+}
+
+/* Ask a peer for the records that we lack. */
+void sync_fetch(struct member_node *n, int64_t peer)
+{
+	struct member_msg msg;
+
+	member_msg_init(&msg, MSG_RECORDS_ASK);
+	msg.offset = n->fleet.applied + 1;
+	member_send(n, peer, &msg);
+}
+
+/* Fetch from a peer when the log has not brought us level in time. */
+void sync_tick(struct member_node *n)
+{
+	if (n->fleet.applied >= n->ahead_applied) {
+		n->behind_since_ms = 0;
+		return;
+	}
+	if (!n->behind_since_ms || n->now_ms - n->behind_since_ms < BEHIND_MS)
+		return;
+	if (n->now_ms < n->next_fetch_ms)
+		return;
+	n->next_fetch_ms = n->now_ms + BEHIND_MS;
+	sync_fetch(n, n->ahead_peer);
+	/* Should that peer be gone, the next one heard of takes its place. */
+	n->ahead_applied = n->fleet.applied;
+	n->behind_since_ms = n->now_ms;
+}
+
+static void send_state(struct member_node *n, int64_t to)
+{
+	json_t *state = fleet_snapshot(&n->fleet);
+	char *text = json_dumps(state, JSON_COMPACT);
+	struct member_msg msg;
+
+	member_msg_init(&msg, MSG_STATE);
+	msg.offset = n->fleet.applied;
+	msg.text = g_string_new(text);
+	free(text);
+	json_decref(state);
+	member_send(n, to, &msg);
+	member_msg_finish(&msg);
+}
+
+/* A peer lacks records from an offset on. */
+void sync_on_ask(struct member_node *n, const struct member_msg *msg)
+{
+	struct cached_record *first = g_queue_peek_head(n->cache);
+	struct member_msg answer;
+	GList *l;
+
+	if (msg->offset > n->fleet.applied)
+		return;
+	if (!first || first->offset > msg->offset) {
+		send_state(n, msg->from);
+		return;
+	}
+	member_msg_init(&answer, MSG_RECORDS);
+	answer.offset = msg->offset;
+	answer.text = g_string_new("[");
+	for (l = n->cache->head; l; l = l->next) {
+		struct cached_record *c = l->data;
+
+		if (c->offset < msg->offset)
+			continue;
+		if (answer.text->len > BATCH_MAX_BYTES)
+			break;
+		g_string_append_printf(answer.text, "%s[\"%s\",%s]",
+				       c->offset == msg->offset ? "" : ",",
+				       c->append_id, c->text);
+	}
+	g_string_append_c(answer.text, ']');
+	member_send(n, msg->from, &answer);
+	member_msg_finish(&answer);
+}
+
+/* A peer sends records. */
+void sync_on_records(struct member_node *n, const struct member_msg *msg)
+{
+	json_t *list;
+	json_t *pair;
+	size_t i;
+
+	if (!msg->text)
+		return;
+	list = json_loadb(msg->text->str, msg->text->len, 0, NULL);
+	json_array_foreach(list, i, pair)
+	{
+		const char *id = json_string_value(json_array_get(pair, 0));
+		json_t *record = json_array_get(pair, 1);
+
+		if (!id || !json_is_object(record)) {
+			COUNT(peer_messages_malformed);
+			break;
+		}
+		if (msg->offset + (int64_t)i <= n->fleet.applied)
+			continue;
+		if (member_on_record(n, msg->offset + i, id, record,
+				     n->now_ms) == RESULT_GAP)
+			break;
+		COUNT(records_from_peers);
+	}
+	json_decref(list);
+}
+
+/* A peer sends a whole state, since it no longer has the records. */
+void sync_on_state(struct member_node *n, const struct member_msg *msg)
+{
+	json_t *state;
+
+	if (!msg->text || msg->offset <= n->fleet.applied)
+		return;
+	state = json_loadb(msg->text->str, msg->text->len, 0, NULL);
+	if (!state) {
+		COUNT(peer_messages_malformed);
+		return;
+	}
+	if (!fleet_load(&n->fleet, state))
+		member_state_replaced(n);
+	json_decref(state);
+}
