--- /dev/null
+++ b/gate/queue.c
@@ -0,0 +1,197 @@
+#include <string.h>
+
+#include "gate/queue.h"
+
+#define FADE 0.998
+#define SERVICE_WEIGHT 0.1
+
+/* Set up an empty queue of at most max requests. */
+void queue_init(struct queue *q, uint32_t max)
+{
+	memset(q, 0, sizeof(*q));
+	q->heap = g_ptr_array_new_with_free_func(g_free);
+	q->max = max;
+}
+
+/* Release the queue; the requests stay the caller's. */
+void queue_finish(struct queue *q)
+{
+	g_ptr_array_unref(q->heap);
+	g_free(q->classes);
+}
+
+void queue_set_classes(struct queue *q, uint32_t n)
+{
+	g_free(q->classes);
+	q->classes = g_new0(struct class_load, n);
+	q->n_classes = n;
+}
+
+void queue_set_share(struct queue *q, uint32_t class_index, double share)
+{
+	if (class_index < q->n_classes)
+		q->classes[class_index].refused_share = share;
+}
+
+void queue_count(struct queue *q, uint32_t class_index, bool refused)
+{
+	struct class_load *c;
+
+	if (class_index >= q->n_classes)
+		return;
+	c = &q->classes[class_index];
+	c->seen = c->seen * FADE + 1;
+	c->refused = c->refused * FADE + refused;
+}
+
+static struct queued *at(const struct queue *q, uint32_t i)
+{
+	return g_ptr_array_index(q->heap, i);
+}
+
+static void swap(struct queue *q, uint32_t i, uint32_t j)
+{
+	gpointer t = q->heap->pdata[i];
+
+	q->heap->pdata[i] = q->heap->pdata[j];
+	q->heap->pdata[j] = t;
+}
+
+static void sift_up(struct queue *q, uint32_t i)
+{
+	while (i && at(q, i)->due_ms < at(q, (i - 1) / 2)->due_ms) {
+		swap(q, i, (i - 1) / 2);
+		i = (i - 1) / 2;
+	}
+}
+
+static void sift_down(struct queue *q, uint32_t i)
+{
+	for (;;) {
+		uint32_t l = 2 * i + 1;
+		uint32_t best = i;
+
+		if (l < q->heap->len && at(q, l)->due_ms < at(q, best)->due_ms)
+			best = l;
+		if (l + 1 < q->heap->len &&
+		    at(q, l + 1)->due_ms < at(q, best)->due_ms)
+			best = l + 1;
+		if (best == i)
+			return;
+		swap(q, i, best);
+		i = best;
+	}
+}
+
+static struct queued *take(struct queue *q, uint32_t i)
+{
+	struct queued *e;
+
+	swap(q, i, q->heap->len - 1);
+	e = g_ptr_array_steal_index(q->heap, q->heap->len - 1);
+	if (i < q->heap->len) {
+		sift_down(q, i);
+		sift_up(q, i);
+	}
+	return e;
+}
+
+/* How far a class is from refusing more than its target allows. */
+static double headroom(const struct queue *q, uint32_t class_index)
+{
+	const struct class_load *c;
+
+	if (class_index >= q->n_classes)
+		return 0;
+	c = &q->classes[class_index];
+	return c->refused_share - (c->refused + 1) / (c->seen + 1);
+}
+
+/*
+ * The class of work that should be refused when something must: the one with
+ * the most headroom, and of that the request with the least to lose.
+ */
+static uint32_t pick_victim(const struct queue *q)
+{
+	uint32_t best = 0;
+	uint32_t i;
+
+	for (i = 1; i < q->heap->len; i++) {
+		double a = headroom(q, at(q, i)->class_index);
+		double b = headroom(q, at(q, best)->class_index);
+
+		if (a > b || (a >= b && at(q, i)->due_ms > at(q, best)->due_ms))
+			best = i;
+	}
+	return best;
+}
+
+bool queue_can_meet(const struct queue *q, int64_t now_ms, int64_t due_ms,
+		    int64_t deadline_ms, double slots)
+{
+	uint32_t ahead = 0;
+	uint32_t i;
+
+	for (i = 0; i < q->heap->len; i++)
+		ahead += at(q, i)->due_ms <= due_ms;
+	return now_ms + (ahead / MAX(slots, 1.0) + 1) * q->service_ms <=
+	       deadline_ms;
+}
+
+struct queued *queue_push(struct queue *q, const struct queued *in)
+{
+	g_ptr_array_add(q->heap, g_memdup2(in, sizeof(*in)));
+	sift_up(q, q->heap->len - 1);
+	if (q->heap->len <= q->max)
+		return NULL;
+	return take(q, pick_victim(q));
+}
+
+bool queue_pop(struct queue *q, struct queued *out)
+{
+	struct queued *e;
+
+	if (!q->heap->len)
+		return false;
+	e = take(q, 0);
+	*out = *e;
+	g_free(e);
+	return true;
+}
+
+static bool take_into(struct queue *q, uint32_t i, struct queued *out)
+{
+	struct queued *e = take(q, i);
+
+	*out = *e;
+	g_free(e);
+	return true;
+}
+
+bool queue_remove(struct queue *q, const void *request)
+{
+	struct queued dropped;
+	uint32_t i;
+
+	for (i = 0; i < q->heap->len; i++)
+		if (at(q, i)->request == request)
+			return take_into(q, i, &dropped);
+	return false;
+}
+
+bool queue_pop_expired(struct queue *q, int64_t now_ms, struct queued *out)
+{
+	uint32_t i;
+
+	for (i = 0; i < q->heap->len; i++)
+		if (at(q, i)->deadline_ms <= now_ms)
+			return take_into(q, i, out);
+	return false;
+}
+
+void queue_learn(struct queue *q, double service_ms)
+{
+	if (q->service_ms <= 0)
+		q->service_ms = service_ms;
+	q->service_ms += SERVICE_WEIGHT * (service_ms - q->service_ms);
+}
--- /dev/null
+++ b/gate/queue.h
@@ -0,0 +1,70 @@
+#ifndef GATE_QUEUE_H
+#define GATE_QUEUE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <glib.h>
+
+/*
+ * Requests admitted by a gate that wait for room at its backend server. The
+ * one closest to missing its target goes first. When the queue is full, the
+ * class with the most room left under its target for refusals gives way.
+ */
+
+struct class_load {
+	double seen; /* requests, fading */
+	double refused;
+	double refused_share; /* target */
+};
+
+struct queued {
+	int64_t due_ms; /* arrival plus the class's target */
+	int64_t deadline_ms;
+	uint32_t class_index;
+	void *request;
+};
+
+struct queue {
+	GPtrArray *heap; /* struct queued, smallest due first */
+	uint32_t max;
+	struct class_load *classes;
+	uint32_t n_classes;
+	double service_ms; /* smoothed time one slot takes */
+};
+
+void queue_init(struct queue *q, uint32_t max);
+void queue_finish(struct queue *q);
+
+/* Follow a new configuration: n classes, counters begin anew. */
+void queue_set_classes(struct queue *q, uint32_t n);
+void queue_set_share(struct queue *q, uint32_t class_index, double share);
+
+/* Count a request of a class, and whether it was refused. */
+void queue_count(struct queue *q, uint32_t class_index, bool refused);
+
+/*
+ * Whether a request that must be done by deadline_ms has a chance, with
+ * `slots` requests served at a time.
+ */
+bool queue_can_meet(const struct queue *q, int64_t now_ms, int64_t due_ms,
+		    int64_t deadline_ms, double slots);
+
+/*
+ * Add a request. Returns NULL when it fitted, otherwise what must be refused
+ * instead, which may be the request itself; the caller frees that entry.
+ */
+struct queued *queue_push(struct queue *q, const struct queued *in);
+
+/* Take the most urgent; false when empty. */
+bool queue_pop(struct queue *q, struct queued *out);
+
+/* Remove one request; false when it is not waiting. */
+bool queue_remove(struct queue *q, const void *request);
+
+/* Take one whose deadline has passed; false when there is none. */
+bool queue_pop_expired(struct queue *q, int64_t now_ms, struct queued *out);
+
+/* Learn how long the backend server took for one request. */
+void queue_learn(struct queue *q, double service_ms);
+
+#endif
--- /dev/null
+++ b/route/choose.h
@@ -0,0 +1,56 @@
+#ifndef ROUTE_CHOOSE_H
+#define ROUTE_CHOOSE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <glib.h>
+
+/*
+ * What an entry knows of each gate, from the gates' own answers and from what
+ * it has outstanding there, and the choice between two of them.
+ */
+
+struct gate_view {
+	int64_t member;
+	uint32_t outstanding; /* requests of ours without an answer */
+	double load; /* in flight and queued, as the gate last said */
+	double limit; /* as the gate last said */
+	double latency_ms; /* smoothed */
+	int64_t heard_ms;
+	int64_t avoid_until_ms;
+	int64_t waiting_since_ms; /* oldest without an answer, 0 none */
+};
+
+struct chooser {
+	GHashTable *views; /* int64_t member -> struct gate_view */
+	GRand *rand;
+};
+
+void chooser_init(struct chooser *c, uint32_t seed);
+void chooser_finish(struct chooser *c);
+struct gate_view *chooser_view(struct chooser *c, int64_t member);
+void chooser_forget(struct chooser *c, int64_t member);
+
+/* A request went out to a gate. */
+void chooser_sent(struct chooser *c, int64_t member, int64_t now_ms);
+
+/* Its answer came: how long it took, and what the gate says of itself. */
+void chooser_answered(struct chooser *c, int64_t member, double latency_ms,
+		      double load, double limit, int64_t now_ms);
+
+/* It was given up or cancelled, with no word from the gate. */
+void chooser_dropped(struct chooser *c, int64_t member, bool silent,
+		     int64_t now_ms);
+
+/* The gate refused for load or for draining: leave it alone for a moment. */
+void chooser_refused(struct chooser *c, int64_t member, int64_t avoid_ms,
+		     int64_t now_ms);
+
+/*
+ * Choose among n members, skipping `except`; home is preferred when it is no
+ * worse. Returns 0 when there is none.
+ */
+int64_t chooser_pick(struct chooser *c, const int64_t *members, uint32_t n,
+		     int64_t home, int64_t except, int64_t now_ms);
+
+#endif
