--- /dev/null
+++ b/net/entry.h
@@ -0,0 +1,48 @@
+#ifndef NET_ENTRY_H
+#define NET_ENTRY_H
+
+#include <stdint.h>
+#include <glib.h>
+
+#include "net/httpd.h"
+#include "net/request-msg.h"
+#include "route/budget.h"
+#include "route/choose.h"
+
+/*
+ * The callers' side of a node: finds a request's class and key, asks the gate
+ * that should serve it, tries again where that is safe, and answers.
+ */
+
+struct node;
+struct entry_request;
+
+struct entry {
+	struct node *node;
+	struct httpd httpd;
+	struct chooser chooser;
+	struct budget retries;
+	struct budget hedges;
+	GHashTable *attempts; /* uint64_t id -> struct attempt */
+	GPtrArray *requests; /* struct entry_request */
+	GRand *rand;
+	uint64_t origin;
+	uint64_t next_id;
+	ev_timer tick;
+	uint32_t n_listening;
+};
+
+int entry_init(struct entry *e, struct node *node);
+void entry_finish(struct entry *e);
+
+/* A message from a gate. */
+void entry_on_message(struct entry *e, const struct request_msg *m);
+
+/* A member is gone or known to have stopped: wait for it no longer. */
+void entry_on_member_stopped(struct entry *e, int64_t member);
+
+/* Take no new connections; requests in progress end. */
+void entry_drain(struct entry *e);
+bool entry_idle(const struct entry *e);
+
+#endif
--- /dev/null
+++ b/net/fetch.c
@@ -0,0 +1,335 @@
+#include <string.h>
+#include <strings.h>
+
+#include "net/fetch.h"
+#include "util/result.h"
+
+#define CONNECT_TIMEOUT_MS 1000
+#define MAX_IDLE_HANDLES 256
+#define MAX_HEADERS 128
+
+struct fetch_socket {
+	struct fetcher *fetcher;
+	ev_io io;
+};
+
+static void finish_one(struct fetch *f)
+{
+	struct fetcher *x = f->fetcher;
+
+	curl_multi_remove_handle(x->multi, f->easy);
+	curl_slist_free_all(f->headers);
+	f->headers = NULL;
+	curl_easy_reset(f->easy);
+	if (x->idle->len < MAX_IDLE_HANDLES)
+		g_ptr_array_add(x->idle, f->easy);
+	else
+		curl_easy_cleanup(f->easy);
+	f->easy = NULL;
+	x->n_running--;
+}
+
+static int result_of(const struct fetch *f, CURLcode code)
+{
+	(void)f;
+	switch (code) {
+	case CURLE_OK:
+		return RESULT_OK;
+	case CURLE_COULDNT_CONNECT:
+	case CURLE_COULDNT_RESOLVE_HOST:
+		return RESULT_UNREACHABLE;
+	case CURLE_OPERATION_TIMEDOUT:
+		return RESULT_TIMEOUT;
+	default:
+		return RESULT_CUT;
+	}
+}
+
+static bool anything_sent(CURL *easy)
+{
+	curl_off_t pretransfer_us = 0;
+
+	/* Set once a connection is ready and the request is about to go. */
+	curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &pretransfer_us);
+	return pretransfer_us > 0;
+}
+
+static void reap(struct fetcher *x)
+{
+	CURLMsg *msg;
+	int left;
+
+	while ((msg = curl_multi_info_read(x->multi, &left))) {
+		struct fetch *f;
+		GPtrArray *headers;
+		int result;
+
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE,
+				  (char **)&f);
+		result = result_of(f, msg->data.result);
+		f->sent = anything_sent(f->easy);
+		headers = f->answer_headers;
+		finish_one(f);
+		f->ops->on_done(f, result);
+		g_ptr_array_unref(headers);
+	}
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct fetcher *x = w->data;
+	int running;
+
+	(void)loop;
+	(void)events;
+	ev_timer_stop(x->loop, w);
+	curl_multi_socket_action(x->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	reap(x);
+}
+
+static void on_socket(struct ev_loop *loop, ev_io *w, int events)
+{
+	struct fetch_socket *s = w->data;
+	struct fetcher *x = s->fetcher;
+	int what = 0;
+	int running;
+
+	(void)loop;
+	if (events & EV_READ)
+		what |= CURL_CSELECT_IN;
+	if (events & EV_WRITE)
+		what |= CURL_CSELECT_OUT;
+	curl_multi_socket_action(x->multi, w->fd, what, &running);
+	reap(x);
+}
+
+static int set_timer(CURLM *multi, long ms, void *user)
+{
+	struct fetcher *x = user;
+
+	(void)multi;
+	ev_timer_stop(x->loop, &x->timer);
+	if (ms < 0)
+		return 0;
+	ev_timer_set(&x->timer, ms / 1000.0, 0);
+	ev_timer_start(x->loop, &x->timer);
+	return 0;
+}
+
+static int set_socket(CURL *easy, curl_socket_t fd, int what, void *user,
+		      void *socket_user)
+{
+	struct fetcher *x = user;
+	struct fetch_socket *s = socket_user;
+	int events = 0;
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		if (s) {
+			ev_io_stop(x->loop, &s->io);
+			g_ptr_array_remove_fast(x->sockets, s);
+		}
+		return 0;
+	}
+	if (!s) {
+		s = g_new0(struct fetch_socket, 1);
+		s->fetcher = x;
+		ev_init(&s->io, on_socket);
+		s->io.data = s;
+		g_ptr_array_add(x->sockets, s);
+		curl_multi_assign(x->multi, fd, s);
+	}
+	if (what & CURL_POLL_IN)
+		events |= EV_READ;
+	if (what & CURL_POLL_OUT)
+		events |= EV_WRITE;
+	ev_io_stop(x->loop, &s->io);
+	ev_io_set(&s->io, fd, events);
+	ev_io_start(x->loop, &s->io);
+	return 0;
+}
+
+/* Set up a client that opens at most max_connections. */
+void fetcher_init(struct fetcher *x, struct ev_loop *loop,
+		  uint32_t max_connections)
+{
+	memset(x, 0, sizeof(*x));
+	x->loop = loop;
+	x->multi = curl_multi_init();
+	x->idle = g_ptr_array_new();
+	x->sockets = g_ptr_array_new_with_free_func(g_free);
+	ev_init(&x->timer, on_timer);
+	x->timer.data = x;
+	curl_multi_setopt(x->multi, CURLMOPT_SOCKETFUNCTION, set_socket);
+	curl_multi_setopt(x->multi, CURLMOPT_SOCKETDATA, x);
+	curl_multi_setopt(x->multi, CURLMOPT_TIMERFUNCTION, set_timer);
+	curl_multi_setopt(x->multi, CURLMOPT_TIMERDATA, x);
+	curl_multi_setopt(x->multi, CURLMOPT_MAX_TOTAL_CONNECTIONS,
+			  (long)max_connections);
+	curl_multi_setopt(x->multi, CURLMOPT_MAXCONNECTS,
+			  (long)max_connections);
+}
+
+/* Release; every fetch must have ended or been cancelled. */
+void fetcher_finish(struct fetcher *x)
+{
+	uint32_t i;
+
+	ev_timer_stop(x->loop, &x->timer);
+	for (i = 0; i < x->idle->len; i++)
+		curl_easy_cleanup(g_ptr_array_index(x->idle, i));
+	curl_multi_cleanup(x->multi);
+	for (i = 0; i < x->sockets->len; i++) {
+		struct fetch_socket *s = g_ptr_array_index(x->sockets, i);
+
+		ev_io_stop(x->loop, &s->io);
+	}
+	g_ptr_array_unref(x->sockets);
+	g_ptr_array_unref(x->idle);
+}
+
+static size_t on_header(char *line, size_t size, size_t n, void *user)
+{
+	struct fetch *f = user;
+	size_t len = size * n;
+	char *colon = memchr(line, ':', len);
+
+	if (len >= 5 && !memcmp(line, "HTTP/", 5))
+		g_ptr_array_set_size(f->answer_headers, 0);
+	if (!colon || f->answer_headers->len >= 2 * MAX_HEADERS)
+		return len;
+	g_ptr_array_add(f->answer_headers, g_strndup(line, colon - line));
+	g_ptr_array_add(
+		f->answer_headers,
+		g_strstrip(g_strndup(colon + 1, len - (colon + 1 - line))));
+	return len;
+}
+
+static void head_is_done(struct fetch *f)
+{
+	if (f->head_done)
+		return;
+	f->head_done = true;
+	curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &f->status);
+	if (f->ops->on_head)
+		f->ops->on_head(f);
+}
+
+static size_t on_write(char *data, size_t size, size_t n, void *user)
+{
+	struct fetch *f = user;
+
+	head_is_done(f);
+	if (!f->ops->on_data)
+		return size * n;
+	if (!f->ops->on_data(f, data, size * n))
+		return CURL_WRITEFUNC_PAUSE;
+	return size * n;
+}
+
+static void set_body(CURL *easy, const char *method, const void *body,
+		     size_t len)
+{
+	if (!strcmp(method, "GET") && !len)
+		return;
+	if (!strcmp(method, "HEAD")) {
+		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+		return;
+	}
+	if (len || !strcmp(method, "POST") || !strcmp(method, "PUT") ||
+	    !strcmp(method, "PATCH")) {
+		curl_easy_setopt(easy, CURLOPT_POST, 1L);
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, len ? body : "");
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+				 (curl_off_t)len);
+	}
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
+}
+
+static void set_headers(struct fetch *f, const GPtrArray *headers)
+{
+	uint32_t i;
+
+	/* What libcurl would add of its own accord is not the caller's. */
+	f->headers = curl_slist_append(f->headers, "Expect:");
+	f->headers = curl_slist_append(f->headers, "Accept:");
+	f->headers = curl_slist_append(f->headers, "Content-Type:");
+	for (i = 0; headers && i + 1 < headers->len; i += 2) {
+		const char *name = g_ptr_array_index(headers, i);
+		const char *value = g_ptr_array_index(headers, i + 1);
+		g_autofree char *line =
+			*value ? g_strdup_printf("%s: %s", name, value)
+			       : g_strdup_printf("%s;", name);
+
+		if (!strcasecmp(name, "Accept") ||
+		    !strcasecmp(name, "Content-Type")) {
+			struct curl_slist *l;
+
+			for (l = f->headers; l; l = l->next)
+				if (!strncasecmp(l->data, name, strlen(name)) &&
+				    l->data[strlen(l->data) - 1] == ':')
+					break;
+			if (l) {
+				free(l->data);
+				l->data = strdup(line);
+				continue;
+			}
+		}
+		f->headers = curl_slist_append(f->headers, line);
+	}
+	curl_easy_setopt(f->easy, CURLOPT_HTTPHEADER, f->headers);
+}
+
+void fetch_start(struct fetch *f, struct fetcher *x, const char *method,
+		 const char *url, const GPtrArray *headers, const void *body,
+		 size_t len, int64_t timeout_ms, bool fresh,
+		 const struct fetch_ops *ops, void *user)
+{
+	memset(f, 0, sizeof(*f));
+	f->fetcher = x;
+	f->ops = ops;
+	f->user = user;
+	f->answer_headers = g_ptr_array_new_with_free_func(g_free);
+	f->easy = x->idle->len ? g_ptr_array_remove_index_fast(x->idle,
+							       x->idle->len - 1)
+			       : curl_easy_init();
+	curl_easy_setopt(f->easy, CURLOPT_URL, url);
+	curl_easy_setopt(f->easy, CURLOPT_PATH_AS_IS, 1L);
+	curl_easy_setopt(f->easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(f->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(f->easy, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(f->easy, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(f->easy, CURLOPT_PRIVATE, f);
+	curl_easy_setopt(f->easy, CURLOPT_ERRORBUFFER, f->error);
+	curl_easy_setopt(f->easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(f->easy, CURLOPT_HEADERDATA, f);
+	curl_easy_setopt(f->easy, CURLOPT_WRITEFUNCTION, on_write);
+	curl_easy_setopt(f->easy, CURLOPT_WRITEDATA, f);
+	curl_easy_setopt(f->easy, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
+	curl_easy_setopt(f->easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)MIN(timeout_ms, CONNECT_TIMEOUT_MS));
+	if (fresh)
+		curl_easy_setopt(f->easy, CURLOPT_FRESH_CONNECT, 1L);
+	set_body(f->easy, method, body, len);
+	set_headers(f, headers);
+	x->n_running++;
+	curl_multi_add_handle(x->multi, f->easy);
+}
+
+void fetch_cancel(struct fetch *f)
+{
+	GPtrArray *headers = f->answer_headers;
+
+	if (!f->easy)
+		return;
+	finish_one(f);
+	g_ptr_array_unref(headers);
+}
+
+void fetch_resume(struct fetch *f)
+{
+	if (f->easy)
+		curl_easy_pause(f->easy, CURLPAUSE_CONT);
+}
--- /dev/null
+++ b/net/fetch.h
@@ -0,0 +1,68 @@
+#ifndef NET_FETCH_H
+#define NET_FETCH_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <curl/curl.h>
+#include <ev.h>
+#include <glib.h>
+
+/*
+ * HTTP client on the process's one loop, by libcurl's multi interface. Used
+ * towards the backend server and the platform's log.
+ */
+
+struct fetcher {
+	struct ev_loop *loop;
+	CURLM *multi;
+	ev_timer timer;
+	GPtrArray *idle; /* CURL * handles kept for use again */
+	GPtrArray *sockets; /* struct fetch_socket */
+	uint32_t n_running;
+};
+
+struct fetch;
+
+struct fetch_ops {
+	/* The answer's head has come. */
+	void (*on_head)(struct fetch *f);
+	/* Part of its body; false pauses until fetch_resume(). */
+	bool (*on_data)(struct fetch *f, const void *data, size_t len);
+	/* The end: RESULT_OK, or why the answer is not whole. */
+	void (*on_done)(struct fetch *f, int result);
+};
+
+/* One request, on memory the caller owns until on_done. */
+struct fetch {
+	struct fetcher *fetcher;
+	CURL *easy;
+	struct curl_slist *headers;
+	const struct fetch_ops *ops;
+	void *user;
+	long status;
+	bool head_done;
+	bool sent; /* some byte of the request may have left */
+	GPtrArray *answer_headers; /* name and value in turn */
+	char error[CURL_ERROR_SIZE];
+};
+
+void fetcher_init(struct fetcher *x, struct ev_loop *loop,
+		  uint32_t max_connections);
+void fetcher_finish(struct fetcher *x);
+
+/*
+ * Start a request. headers: name and value in turn, or NULL; body is not
+ * copied and must stay until the end. fresh opens a new connection.
+ */
+void fetch_start(struct fetch *f, struct fetcher *x, const char *method,
+		 const char *url, const GPtrArray *headers, const void *body,
+		 size_t len, int64_t timeout_ms, bool fresh,
+		 const struct fetch_ops *ops, void *user);
+
+/* Drop a request; on_done is not called. Its connection closes. */
+void fetch_cancel(struct fetch *f);
+
+/* Go on after on_data returned false. */
+void fetch_resume(struct fetch *f);
+
+#endif
--- /dev/null
+++ b/net/gate.c
@@ -0,0 +1,749 @@
+#include <string.h>
+#define XXH_STATIC_LINKING_ONLY /* the state has a size */
+#include <xxhash.h>
+
+#include "net/clock.h"
+#include "net/gate.h"
+#include "net/headers.h"
+#include "net/node.h"
+#include "util/counters.h"
+#include "util/invariant.h"
+#include "util/result.h"
+
+#define BLOCK_BYTES (64 * 1024)
+#define WINDOW_BYTES (4 * BLOCK_BYTES)
+#define QUEUE_PER_SLOT 4
+#define MAX_IDS 65536
+#define PROBE_EVERY_MS 2000
+#define PROBE_SHARE 200
+#define PROBE_TIMEOUT_MS 1000
+#define MAX_CONNECT_FAILURES 3
+#define MIN_WAIT_MS 100
+#define NO_SHARD (-1)
+
+enum gate_state {
+	GATE_WAITING, /* in the queue */
+	GATE_RUNNING, /* handed to the backend server */
+};
+
+struct gate_request {
+	struct gate *gate;
+	GBytes *identity; /* of the entry's link, NULL our own entry */
+	uint64_t origin;
+	uint64_t id;
+	enum gate_state state;
+	const char *method;
+	char *text; /* method, url and key */
+	const char *url;
+	const char *key;
+	uint64_t seen_hash; /* 0: no idempotency key */
+	GPtrArray *headers;
+	GByteArray *body;
+	uint32_t class_index;
+	bool repeatable;
+	bool keyed;
+	int64_t shard;
+	int64_t arrived_ms;
+	int64_t started_us;
+	int64_t deadline_ms;
+	int64_t resend_window_ms;
+	struct fetch fetch;
+	GByteArray *pending; /* answer not yet sent on */
+	bool head_sent;
+	bool shed;
+	int64_t total;
+	int64_t uncredited;
+	XXH64_state_t digest;
+	GString *kept; /* a short answer, for a repeated id */
+};
+
+static void pump(struct gate *g);
+
+static guint request_hash(gconstpointer p)
+{
+	const struct gate_request *r = p;
+
+	return (guint)(r->origin * 31 + r->id);
+}
+
+static gboolean request_equal(gconstpointer a, gconstpointer b)
+{
+	const struct gate_request *x = a;
+	const struct gate_request *y = b;
+
+	return x->origin == y->origin && x->id == y->id;
+}
+
+static void request_free(struct gate_request *r)
+{
+	struct gate *g = r->gate;
+
+	g_hash_table_remove(g->requests, r);
+	if (r->shard >= 0 && r->shard < g->n_shards)
+		g->shard_load[r->shard]--;
+	if (r->identity)
+		g_bytes_unref(r->identity);
+	if (r->headers)
+		g_ptr_array_unref(r->headers);
+	g_byte_array_unref(r->body);
+	if (r->pending)
+		g_byte_array_unref(r->pending);
+	if (r->kept)
+		g_string_free(r->kept, TRUE);
+	g_free(r->text);
+	g_free(r);
+}
+
+/* Set up a gate whose backend server has not announced itself yet. */
+void gate_init(struct gate *g, struct node *node)
+{
+	memset(g, 0, sizeof(*g));
+	g->node = node;
+	g->version = -1;
+	g->requests = g_hash_table_new(request_hash, request_equal);
+	g->rand = g_rand_new();
+	queue_init(&g->queue, QUEUE_PER_SLOT);
+	ids_init(&g->ids, MAX_IDS);
+	limit_init(&g->limit, 1, clock_now_ms());
+}
+
+/* Release; requests still here are dropped without an answer. */
+void gate_finish(struct gate *g)
+{
+	GList *all = g_hash_table_get_keys(g->requests);
+	GList *l;
+
+	for (l = all; l; l = l->next) {
+		fetch_cancel(&((struct gate_request *)l->data)->fetch);
+		request_free(l->data);
+	}
+	g_list_free(all);
+	if (g->probing)
+		fetch_cancel(&g->probe);
+	if (g->fetcher_ready)
+		fetcher_finish(&g->fetcher);
+	g_hash_table_unref(g->requests);
+	queue_finish(&g->queue);
+	ids_finish(&g->ids);
+	g_free(g->shard_load);
+	g_rand_free(g->rand);
+}
+
+void gate_announce(struct gate *g, const struct backend_server *b)
+{
+	bool again = g->backend_server.announced;
+
+	g->backend_server = *b;
+	g->backend_server.announced = true;
+	g->draining = false;
+	g->connect_failures = 0;
+	g->heard_ms = clock_now_ms();
+	if (!g->fetcher_ready)
+		fetcher_init(&g->fetcher, g->node->loop, b->connections);
+	g->fetcher_ready = true;
+	g->queue.max = b->slots * QUEUE_PER_SLOT;
+	/* A server that announces itself again has started again: cold. */
+	limit_init(&g->limit, b->slots, clock_now_ms());
+	COUNT(gate_cold_starts);
+	g_info("backend server announced%s: %u slots, %u connections",
+	       again ? " again" : "", b->slots, b->connections);
+}
+
+void gate_leave(struct gate *g)
+{
+	g->backend_server.announced = false;
+	g->draining = true;
+	g_info("backend server leaves");
+}
+
+uint32_t gate_shard_load(const struct gate *g, uint32_t shard)
+{
+	return shard < g->n_shards ? g->shard_load[shard] : 0;
+}
+
+bool gate_idle(const struct gate *g)
+{
+	return !g_hash_table_size(g->requests);
+}
+
+static void emit(struct gate *g, GBytes *identity, struct request_msg *m)
+{
+	GByteArray *out;
+	gsize len;
+	const void *id;
+
+	m->load = g->n_running + g->queue.heap->len;
+	m->limit = (int64_t)g->limit.now;
+	if (!identity) {
+		entry_on_message(&g->node->entry, m);
+		return;
+	}
+	out = g_byte_array_sized_new(256 + m->len);
+	request_msg_encode(m, out);
+	id = g_bytes_get_data(identity, &len);
+	peers_answer(&g->node->peers, id, len, PLANE_REQUEST, out->data,
+		     out->len);
+	g_byte_array_unref(out);
+}
+
+static void emit_for(struct gate_request *r, struct request_msg *m)
+{
+	m->origin = r->origin;
+	m->id = r->id;
+	emit(r->gate, r->identity, m);
+}
+
+/*
+ * How long until a refused caller should come back: the time that the queue
+ * takes to drain, spread, so that they do not all return at once.
+ */
+static int64_t wait_ms(struct gate *g)
+{
+	double drain = g->queue.heap->len * g->queue.service_ms /
+		       MAX(g->limit.now, 1.0);
+
+	return (MIN_WAIT_MS + drain) * g_rand_double_range(g->rand, 1.0, 2.0);
+}
+
+static void refuse(struct gate_request *r, int result)
+{
+	struct request_msg m = { .type = REQ_REFUSED,
+				 .number = result,
+				 .wait_ms = wait_ms(r->gate) };
+
+	if (result == RESULT_NOT_OWNER)
+		COUNT(gate_refused_not_owner);
+	else if (result == RESULT_TIMEOUT)
+		COUNT(gate_refused_deadline);
+	else
+		COUNT(gate_refused_overload);
+	queue_count(&r->gate->queue, r->class_index, true);
+	emit_for(r, &m);
+	request_free(r);
+}
+
+static void fail(struct gate_request *r, int result)
+{
+	struct request_msg m = { .type = REQ_FAILED, .number = result };
+
+	emit_for(r, &m);
+	request_free(r);
+}
+
+static void reply_again(struct gate_request *r, const struct seen_id *e)
+{
+	struct request_msg m = { .type = REQ_HEAD,
+				 .flags = REQ_FLAG_END,
+				 .status = 409 };
+	GPtrArray *headers = headers_new();
+	gsize len = 0;
+
+	COUNT(gate_id_replayed);
+	m.headers = headers;
+	if (e->state == SEEN_RUNNING) {
+		header_add(headers, HEADER_OUTCOME, OUTCOME_IN_PROGRESS);
+		header_add(headers, "Retry-After", "1");
+	} else if (e->answer) {
+		m.status = e->status;
+		m.data = g_bytes_get_data(e->answer, &len);
+		m.len = len;
+		m.total = len;
+		header_add(headers, HEADER_REPLAYED, "true");
+		if (e->content_type)
+			header_add(headers, "Content-Type", e->content_type);
+	} else {
+		header_add(headers, HEADER_OUTCOME, OUTCOME_ALREADY_RUN);
+	}
+	m.digest = XXH64(m.data, m.len, 0);
+	emit_for(r, &m);
+	g_ptr_array_unref(headers);
+	request_free(r);
+}
+
+/* Whether an id not seen here may have run under an owner lost abruptly. */
+static bool in_doubt(const struct gate_request *r, const char *id)
+{
+	const struct member_node *n = &r->gate->node->member;
+	int64_t now = clock_now_ms();
+	int64_t blind_ms;
+	int64_t made_ms;
+
+	if (!r->keyed || r->shard >= n->n_holds ||
+	    !n->holds[r->shard].blind_since_ms)
+		return false;
+	blind_ms = now - n->holds[r->shard].blind_since_ms;
+	if (blind_ms > r->resend_window_ms)
+		return false;
+	/*
+	 * Made after the loss, on a clock that may be off by our bound, an id
+	 * cannot have reached the owner that was lost.
+	 */
+	made_ms = ids_made_ms(id);
+	if (made_ms < 0)
+		return true;
+	return made_ms <
+	       g_get_real_time() / 1000 - blind_ms + CALLER_CLOCK_BOUND_MS;
+}
+
+/* Deal with an idempotency key; false when the request has been answered. */
+static bool check_id(struct gate_request *r, const char *id)
+{
+	struct gate *g = r->gate;
+	struct seen_id *e;
+
+	if (r->repeatable || !id || !id[0])
+		return true;
+	r->seen_hash = ids_hash(
+		g->node->member.fleet.configuration.classes[r->class_index].name,
+		r->key, id);
+	e = ids_find(&g->ids, r->seen_hash, clock_now_ms());
+	if (e && e->state == SEEN_UNKNOWN) {
+		COUNT(gate_id_in_doubt);
+		fail(r, RESULT_CUT);
+		return false;
+	}
+	if (e) {
+		reply_again(r, e);
+		return false;
+	}
+	if (in_doubt(r, id)) {
+		COUNT(gate_id_in_doubt);
+		fail(r, RESULT_NOT_OWNER);
+		return false;
+	}
+	return true;
+}
+
+static bool may_serve(struct gate_request *r, int64_t *fence,
+		      int64_t *lease_end_ms)
+{
+	struct node *node = r->gate->node;
+
+	*fence = 0;
+	*lease_end_ms = INT64_MAX;
+	if (!r->keyed)
+		return node_takes_work(node);
+	return !member_may_serve(&node->member, r->shard, clock_now_ms(), fence,
+				 lease_end_ms);
+}
+
+static int result_outcome(const struct gate_request *r, int result)
+{
+	if (r->shed)
+		return LIMIT_SHED;
+	return result == RESULT_OK ? LIMIT_ANSWERED : LIMIT_FAILED;
+}
+
+static void send_part(struct gate_request *r, bool end)
+{
+	struct request_msg m = { .type = r->head_sent ? REQ_DATA : REQ_HEAD };
+	GPtrArray *headers = NULL;
+	uint32_t i;
+
+	if (!r->head_sent) {
+		headers = g_ptr_array_new();
+		for (i = 0; i + 1 < r->fetch.answer_headers->len; i += 2) {
+			char *name =
+				g_ptr_array_index(r->fetch.answer_headers, i);
+
+			/* Kept, to tell the length of a streamed answer. */
+			if (header_is_hop_by_hop(name) &&
+			    g_ascii_strcasecmp(name, "Content-Length"))
+				continue;
+			g_ptr_array_add(headers, name);
+			g_ptr_array_add(
+				headers,
+				g_ptr_array_index(r->fetch.answer_headers,
+						  i + 1));
+		}
+	}
+	m.headers = headers;
+	m.status = r->fetch.status;
+	m.data = r->pending->data;
+	m.len = r->pending->len;
+	if (end) {
+		m.flags |= REQ_FLAG_END;
+		m.total = r->total;
+		m.digest = XXH64_digest(&r->digest);
+	}
+	r->uncredited += r->pending->len;
+	r->head_sent = true;
+	emit_for(r, &m);
+	g_byte_array_set_size(r->pending, 0);
+	if (headers)
+		g_ptr_array_unref(headers);
+}
+
+static void on_head(struct fetch *f)
+{
+	struct gate_request *r = f->user;
+
+	r->gate->heard_ms = clock_now_ms();
+	r->gate->connect_failures = 0;
+	r->shed = f->status == 503 &&
+		  header_find(f->answer_headers, HEADER_NOT_RUN);
+}
+
+static bool on_data(struct fetch *f, const void *data, size_t len)
+{
+	struct gate_request *r = f->user;
+
+	if (r->shed)
+		return true;
+	/*
+	 * An entry whose caller reads slowly must not make this process hold
+	 * the whole answer: beyond the window the backend server waits.
+	 */
+	if (r->uncredited >= WINDOW_BYTES)
+		return false;
+	g_byte_array_append(r->pending, data, len);
+	XXH64_update(&r->digest, data, len);
+	r->total += len;
+	if (r->kept && r->kept->len + len <= BLOCK_BYTES)
+		g_string_append_len(r->kept, data, len);
+	if (r->pending->len >= BLOCK_BYTES)
+		send_part(r, false);
+	return true;
+}
+
+static void note_seen(struct gate_request *r, int result)
+{
+	struct ids *t = &r->gate->ids;
+	bool whole = r->kept && (int64_t)r->kept->len == r->total;
+
+	if (!r->seen_hash)
+		return;
+	if (r->shed || (result && !r->fetch.sent))
+		ids_forget(t, r->seen_hash);
+	else if (result)
+		ids_end(t, r->seen_hash, SEEN_UNKNOWN, 0, NULL, NULL, 0);
+	else
+		ids_end(t, r->seen_hash, SEEN_ANSWERED, r->fetch.status,
+			header_find(r->fetch.answer_headers, "Content-Type"),
+			whole ? r->kept->str : NULL, r->kept->len);
+}
+
+static void on_done(struct fetch *f, int result)
+{
+	struct gate_request *r = f->user;
+	struct gate *g = r->gate;
+	int64_t now = clock_now_ms();
+	double ms = (clock_now_us() - r->started_us) / 1000.0;
+
+	g->n_running--;
+	limit_done(&g->limit, result_outcome(r, result), ms, now);
+	note_seen(r, result);
+	if (result == RESULT_UNREACHABLE)
+		g->connect_failures++;
+	if (r->shed) {
+		COUNT(gate_backend_shed);
+		refuse(r, RESULT_OVERLOAD);
+	} else if (!result) {
+		queue_learn(&g->queue, ms);
+		queue_count(&g->queue, r->class_index, false);
+		send_part(r, true);
+		request_free(r);
+	} else if (!f->sent) {
+		COUNT(gate_backend_failed);
+		refuse(r, RESULT_UNREACHABLE);
+	} else {
+		COUNT(gate_backend_failed);
+		fail(r, result);
+	}
+	pump(g);
+}
+
+static const struct fetch_ops backend_ops = {
+	.on_head = on_head,
+	.on_data = on_data,
+	.on_done = on_done,
+};
+
+static void start(struct gate_request *r)
+{
+	struct gate *g = r->gate;
+	int64_t now = clock_now_ms();
+	int64_t fence, lease_end_ms, left_ms;
+	g_autofree char *url = NULL;
+
+	/*
+	 * Checked again here, not only on arrival: while the request waited
+	 * the lease may have lapsed or the shard moved, and another gate may
+	 * be serving the key by now.
+	 */
+	if (!may_serve(r, &fence, &lease_end_ms)) {
+		refuse(r, RESULT_NOT_OWNER);
+		return;
+	}
+	left_ms = MIN(r->deadline_ms, lease_end_ms) - now;
+	if (left_ms <= 0) {
+		refuse(r, RESULT_TIMEOUT);
+		return;
+	}
+	if (r->seen_hash) {
+		if (!ids_begin(&g->ids, r->seen_hash, MAX(r->shard, 0),
+			       r->resend_window_ms, now)) {
+			refuse(r, RESULT_OVERLOAD);
+			return;
+		}
+		r->kept = g_string_new(NULL);
+	}
+	header_add_int(r->headers, HEADER_DEADLINE_MS, left_ms);
+	if (r->keyed) {
+		header_add_int(r->headers, HEADER_FENCE, fence);
+		header_add_int(r->headers, HEADER_GRANT_MS, lease_end_ms - now);
+	}
+	url = g_strdup_printf("http://%s%s", g->node->settings.backend_server,
+			      r->url);
+	r->state = GATE_RUNNING;
+	r->started_us = clock_now_us();
+	r->pending = g_byte_array_new();
+	XXH64_reset(&r->digest, 0);
+	g->n_running++;
+	COUNT(gate_admitted);
+	/*
+	 * libcurl sends a request again by itself when a kept connection
+	 * turns out to be dead. The server may have run it, so one that may
+	 * not be repeated always gets a connection of its own.
+	 */
+	fetch_start(&r->fetch, &g->fetcher, r->method, url, r->headers,
+		    r->body->data, r->body->len, left_ms, !r->repeatable,
+		    &backend_ops, r);
+}
+
+static void pump(struct gate *g)
+{
+	struct queued q;
+
+	while (g->queue.heap->len && g->backend_server.announced &&
+	       limit_allows(&g->limit, g->n_running) &&
+	       queue_pop(&g->queue, &q))
+		start(q.request);
+}
+
+static void follow_configuration(struct gate *g)
+{
+	const struct fleet *f = &g->node->member.fleet;
+	struct fleet_service *s;
+	uint32_t i;
+
+	if (g->version == f->configuration_version)
+		return;
+	g->version = f->configuration_version;
+	queue_set_classes(&g->queue, f->configuration.n_classes);
+	for (i = 0; i < f->configuration.n_classes; i++)
+		queue_set_share(&g->queue, i,
+				f->configuration.classes[i].refused_share);
+	s = fleet_service(f, g->node->settings.service);
+	if (s && s->n_shards != g->n_shards) {
+		g_free(g->shard_load);
+		g->shard_load = g_new0(uint32_t, s->n_shards);
+		g->n_shards = s->n_shards;
+	}
+}
+
+static struct gate_request *request_new(struct gate *g, const void *identity,
+					size_t len, const struct request_msg *m,
+					const struct class_settings *k)
+{
+	struct gate_request *r = g_new0(struct gate_request, 1);
+	const struct configuration *cfg = &g->node->member.fleet.configuration;
+	uint32_t i;
+
+	r->gate = g;
+	r->identity = identity ? g_bytes_new(identity, len) : NULL;
+	r->origin = m->origin;
+	r->id = m->id;
+	r->text = g_malloc(strlen(m->method) + strlen(m->url) + strlen(m->key) +
+			   3);
+	r->method = strcpy(r->text, m->method);
+	r->url = strcpy(r->text + strlen(m->method) + 1, m->url);
+	r->key = strcpy((char *)r->url + strlen(m->url) + 1, m->key);
+	r->headers = headers_new();
+	for (i = 0; m->headers && i + 1 < m->headers->len; i += 2)
+		header_add(r->headers, g_ptr_array_index(m->headers, i),
+			   g_ptr_array_index(m->headers, i + 1));
+	r->body = g_byte_array_new();
+	g_byte_array_append(r->body, m->data, m->len);
+	r->class_index = k - cfg->classes;
+	r->repeatable = k->repeatable;
+	r->resend_window_ms = k->resend_window_ms;
+	r->keyed = m->flags & REQ_FLAG_KEYED;
+	r->shard = r->keyed ? m->shard : NO_SHARD;
+	r->arrived_ms = clock_now_ms();
+	r->deadline_ms = r->arrived_ms + m->deadline_ms;
+	if (r->shard >= 0 && r->shard < g->n_shards)
+		g->shard_load[r->shard]++;
+	else
+		r->shard = NO_SHARD;
+	g_hash_table_add(g->requests, r);
+	return r;
+}
+
+static void enqueue(struct gate_request *r, int64_t target_ms)
+{
+	struct gate *g = r->gate;
+	struct queued q = { .due_ms = r->arrived_ms + target_ms,
+			    .deadline_ms = r->deadline_ms,
+			    .class_index = r->class_index,
+			    .request = r };
+	struct queued *victim;
+
+	/* Late already: refused now, its caller can still go elsewhere. */
+	if (!queue_can_meet(&g->queue, r->arrived_ms, q.due_ms, q.deadline_ms,
+			    g->limit.now)) {
+		refuse(r, RESULT_OVERLOAD);
+		return;
+	}
+	if (!limit_allows(&g->limit, g->n_running))
+		COUNT(gate_queued);
+	victim = queue_push(&g->queue, &q);
+	if (victim) {
+		struct gate_request *v = victim->request;
+
+		g_free(victim);
+		refuse(v, RESULT_OVERLOAD);
+	}
+	pump(g);
+}
+
+static void on_ask(struct gate *g, const void *identity, size_t len,
+		   const struct request_msg *m)
+{
+	const struct configuration *cfg = &g->node->member.fleet.configuration;
+	const struct class_settings *k = NULL;
+	struct gate_request *r;
+	struct request_msg no = { .type = REQ_REFUSED,
+				  .origin = m->origin,
+				  .id = m->id,
+				  .number = RESULT_NOT_OWNER };
+	int64_t fence, lease_end_ms;
+
+	COUNT(gate_received);
+	follow_configuration(g);
+	if (m->class_index >= 0 && m->class_index < cfg->n_classes &&
+	    m->version == g->version)
+		k = &cfg->classes[m->class_index];
+	else
+		k = configuration_match(cfg, m->method, m->url);
+	if (!k || m->to != g->node->member.self ||
+	    !g->backend_server.announced ||
+	    strcmp(cfg->services[k->service].name, g->node->settings.service)) {
+		GBytes *id = identity ? g_bytes_new(identity, len) : NULL;
+
+		COUNT(gate_refused_not_owner);
+		emit(g, id, &no);
+		if (id)
+			g_bytes_unref(id);
+		return;
+	}
+	r = request_new(g, identity, len, m, k);
+	if (!may_serve(r, &fence, &lease_end_ms)) {
+		refuse(r, RESULT_NOT_OWNER);
+		return;
+	}
+	if (check_id(r, m->idempotency_key))
+		enqueue(r, k->target_ms);
+}
+
+static void cancel(struct gate_request *r)
+{
+	struct gate *g = r->gate;
+
+	COUNT(gate_cancelled);
+	if (r->state == GATE_WAITING) {
+		queue_remove(&g->queue, r);
+	} else {
+		fetch_cancel(&r->fetch);
+		g->n_running--;
+		if (r->seen_hash)
+			ids_end(&g->ids, r->seen_hash, SEEN_UNKNOWN, 0, NULL,
+				NULL, 0);
+	}
+	request_free(r);
+	pump(g);
+}
+
+void gate_on_message(struct gate *g, const void *identity, size_t len,
+		     const struct request_msg *m)
+{
+	struct gate_request key = { .origin = m->origin, .id = m->id };
+	struct gate_request *r = g_hash_table_lookup(g->requests, &key);
+
+	if (m->type == REQ_ASK) {
+		if (!r)
+			on_ask(g, identity, len, m);
+		return;
+	}
+	if (!r)
+		return;
+	if (m->type == REQ_CANCEL) {
+		cancel(r);
+		return;
+	}
+	if (m->type == REQ_CREDIT) {
+		r->uncredited -= m->number;
+		if (r->state == GATE_RUNNING && r->uncredited < WINDOW_BYTES)
+			fetch_resume(&r->fetch);
+	}
+}
+
+static void on_probe_done(struct fetch *f, int result)
+{
+	struct gate *g = f->user;
+
+	g->probing = false;
+	if (result == RESULT_OK) {
+		g->heard_ms = clock_now_ms();
+		g->connect_failures = 0;
+	} else if (result == RESULT_UNREACHABLE) {
+		g->connect_failures++;
+	}
+}
+
+static const struct fetch_ops probe_ops = { .on_done = on_probe_done };
+
+/*
+ * Ask for a sign of life, but only of a server that gave none of late, and no
+ * oftener than its cost allows: some take 6 ms for each probe.
+ */
+static void probe(struct gate *g, int64_t now)
+{
+	int64_t every = MAX(PROBE_EVERY_MS,
+			    g->backend_server.probe_cost_ms * PROBE_SHARE);
+	g_autofree char *url = NULL;
+
+	if (!g->connect_failures && now - g->heard_ms < every)
+		return;
+	if (g->probing || now < g->next_probe_ms)
+		return;
+	g->next_probe_ms = now + (g->connect_failures ? every / 4 : every);
+	url = g_strdup_printf("http://%s/health",
+			      g->node->settings.backend_server);
+	g->probing = true;
+	COUNT(gate_probes);
+	fetch_start(&g->probe, &g->fetcher, "GET", url, NULL, NULL, 0,
+		    PROBE_TIMEOUT_MS, false, &probe_ops, g);
+}
+
+/* Timed duties: probes, queue deadlines, the backend server gone. */
+void gate_tick(struct gate *g)
+{
+	int64_t now = clock_now_ms();
+	struct queued q;
+
+	if (!g->fetcher_ready)
+		return;
+	follow_configuration(g);
+	while (queue_pop_expired(&g->queue, now, &q))
+		refuse(q.request, RESULT_TIMEOUT);
+	if (!g->backend_server.announced)
+		return;
+	probe(g, now);
+	if (g->connect_failures >= MAX_CONNECT_FAILURES) {
+		g_warning("backend server does not accept connections");
+		gate_leave(g);
+		node_backend_left(g->node);
+	}
+	pump(g);
+}
--- /dev/null
+++ b/net/gate.h
@@ -0,0 +1,71 @@
+#ifndef NET_GATE_H
+#define NET_GATE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <glib.h>
+
+#include "gate/ids.h"
+#include "gate/limit.h"
+#include "gate/queue.h"
+#include "net/fetch.h"
+#include "net/request-msg.h"
+
+/*
+ * The only way to the backend server beside this node. It admits, queues or
+ * refuses requests from entries, hands them over one by one within the limit,
+ * and sends the answers back.
+ */
+
+struct node;
+
+/* What the backend server said of itself. */
+struct backend_server {
+	bool announced;
+	uint32_t slots;
+	uint32_t connections;
+	int64_t probe_cost_ms;
+};
+
+struct gate {
+	struct node *node;
+	struct fetcher fetcher;
+	bool fetcher_ready;
+	struct backend_server backend_server;
+	struct limit limit;
+	struct queue queue;
+	struct ids ids;
+	GHashTable *requests; /* struct gate_request, by origin and id */
+	uint32_t n_running;
+	uint32_t *shard_load; /* in flight or waiting, per shard */
+	uint32_t n_shards;
+	bool draining;
+	int64_t version; /* configuration that the queue follows */
+	int64_t heard_ms; /* last sign of life of the backend server */
+	int64_t next_probe_ms;
+	uint32_t connect_failures;
+	struct fetch probe;
+	bool probing;
+	GRand *rand;
+};
+
+void gate_init(struct gate *g, struct node *node);
+void gate_finish(struct gate *g);
+
+/* The backend server came or left. */
+void gate_announce(struct gate *g, const struct backend_server *b);
+void gate_leave(struct gate *g);
+
+/*
+ * A message from an entry: over an inbound link, or from our own entry when
+ * identity is NULL.
+ */
+void gate_on_message(struct gate *g, const void *identity, size_t len,
+		     const struct request_msg *m);
+void gate_tick(struct gate *g);
+
+/* Requests in flight or waiting on a shard, and over all. */
+uint32_t gate_shard_load(const struct gate *g, uint32_t shard);
+bool gate_idle(const struct gate *g);
+
+#endif
--- /dev/null
+++ b/net/headers.c
@@ -0,0 +1,50 @@
+#include <strings.h>
+
+#include "net/headers.h"
+
+static const char *const hop_by_hop[] = {
+	"Connection", "Keep-Alive",	   "Proxy-Authenticate",
+	"TE",	      "Trailer",	   "Proxy-Authorization",
+	"Upgrade",    "Transfer-Encoding", "Proxy-Connection",
+	"Expect",     "Content-Length",
+};
+
+bool header_is_hop_by_hop(const char *name)
+{
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(hop_by_hop); i++)
+		if (!strcasecmp(name, hop_by_hop[i]))
+			return true;
+	return false;
+}
+
+/* The first value of a header, NULL when absent. */
+const char *header_find(const GPtrArray *headers, const char *name)
+{
+	guint i;
+
+	for (i = 0; headers && i + 1 < headers->len; i += 2)
+		if (!strcasecmp(g_ptr_array_index(headers, i), name))
+			return g_ptr_array_index(headers, i + 1);
+	return NULL;
+}
+
+GPtrArray *headers_new(void)
+{
+	return g_ptr_array_new_with_free_func(g_free);
+}
+
+/* Add a copy of a header. */
+void header_add(GPtrArray *headers, const char *name, const char *value)
+{
+	g_ptr_array_add(headers, g_strdup(name));
+	g_ptr_array_add(headers, g_strdup(value));
+}
+
+/* Add a header with a whole number. */
+void header_add_int(GPtrArray *headers, const char *name, gint64 value)
+{
+	g_ptr_array_add(headers, g_strdup(name));
+	g_ptr_array_add(headers, g_strdup_printf("%" G_GINT64_FORMAT, value));
+}
--- /dev/null
+++ b/net/httpd.c
@@ -0,0 +1,324 @@
+#include <arpa/inet.h>
+#include <string.h>
+#include <strings.h>
+
+#include "net/address.h"
+#include "net/httpd.h"
+#include "util/result.h"
+
+#define CONNECTION_LIMIT 4096
+#define IDLE_TIMEOUT_S 120
+#define STREAM_BLOCK_BYTES (64 * 1024)
+
+static void run(struct httpd *h)
+{
+	MHD_UNSIGNED_LONG_LONG ms;
+
+	h->dirty = false;
+	MHD_run(h->daemon);
+	if (MHD_get_timeout(h->daemon, &ms) != MHD_YES) {
+		ev_timer_stop(h->loop, &h->timer);
+		return;
+	}
+	h->timer.repeat = MAX(ms, 1) / 1000.0;
+	ev_timer_again(h->loop, &h->timer);
+}
+
+static void on_io(struct ev_loop *loop, ev_io *w, int events)
+{
+	(void)loop;
+	(void)events;
+	run(w->data);
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	(void)loop;
+	(void)events;
+	run(w->data);
+}
+
+static void on_prepare(struct ev_loop *loop, ev_prepare *w, int events)
+{
+	struct httpd *h = w->data;
+
+	(void)loop;
+	(void)events;
+	/* A resumed connection waits for MHD_run(), not for its socket. */
+	while (h->dirty)
+		run(h);
+}
+
+static struct httpd_request *
+request_new(struct httpd *h, struct MHD_Connection *c, const char *method)
+{
+	struct httpd_request *r = g_new0(struct httpd_request, 1);
+
+	r->httpd = h;
+	r->connection = c;
+	r->method = g_strdup(method);
+	r->body = g_byte_array_new();
+	return r;
+}
+
+static void request_free(struct httpd_request *r)
+{
+	g_free(r->method);
+	g_free(r->path);
+	g_free(r->url);
+	g_byte_array_unref(r->body);
+	if (r->pending)
+		g_byte_array_unref(r->pending);
+	if (r->response)
+		MHD_destroy_response(r->response);
+	g_free(r);
+}
+
+/* libmicrohttpd hands the raw target over only here, before it is split. */
+static void *on_uri(void *user, const char *uri, struct MHD_Connection *c)
+{
+	struct httpd_request *r = request_new(user, c, "");
+
+	r->url = g_strdup(uri);
+	return r;
+}
+
+static void take_body(struct httpd_request *r, const char *data, size_t *len)
+{
+	if (r->body->len + *len > r->httpd->max_body_bytes)
+		r->too_large = true;
+	if (!r->too_large)
+		g_byte_array_append(r->body, (const guint8 *)data, *len);
+	*len = 0;
+}
+
+static enum MHD_Result send_queued(struct httpd_request *r)
+{
+	enum MHD_Result ok;
+
+	ok = MHD_queue_response(r->connection, r->status, r->response);
+	MHD_destroy_response(r->response);
+	r->response = NULL;
+	return ok;
+}
+
+static enum MHD_Result on_access(void *user, struct MHD_Connection *c,
+				 const char *path, const char *method,
+				 const char *version, const char *data,
+				 size_t *len, void **state)
+{
+	struct httpd *h = user;
+	struct httpd_request *r = *state;
+
+	(void)c;
+	(void)version;
+	if (!r->path) {
+		r->path = g_strdup(path);
+		g_free(r->method);
+		r->method = g_strdup(method);
+		return MHD_YES;
+	}
+	if (*len) {
+		take_body(r, data, len);
+		return MHD_YES;
+	}
+	if (r->response)
+		return send_queued(r);
+	if (r->answered)
+		return MHD_YES;
+	if (r->too_large) {
+		httpd_reply_text(r, MHD_HTTP_CONTENT_TOO_LARGE,
+				 "the body is too large\n");
+		return send_queued(r);
+	}
+	h->ops->on_request(h->user, r);
+	if (r->response)
+		return send_queued(r);
+	MHD_suspend_connection(r->connection);
+	r->suspended = true;
+	return MHD_YES;
+}
+
+static void on_completed(void *user, struct MHD_Connection *c, void **state,
+			 enum MHD_RequestTerminationCode why)
+{
+	struct httpd *h = user;
+	struct httpd_request *r = *state;
+
+	(void)c;
+	(void)why;
+	if (!r)
+		return;
+	h->ops->on_closed(h->user, r);
+	request_free(r);
+	*state = NULL;
+}
+
+static struct MHD_Daemon *start(struct httpd *h, struct sockaddr_in *addr)
+{
+	return MHD_start_daemon(
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_TURBO, 0,
+		NULL, NULL, on_access, h, MHD_OPTION_SOCK_ADDR, addr,
+		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CONNECTION_LIMIT,
+		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_TIMEOUT_S,
+		MHD_OPTION_URI_LOG_CALLBACK, on_uri, h,
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, h, MHD_OPTION_END);
+}
+
+int httpd_init(struct httpd *h, struct ev_loop *loop, const char *address,
+	       uint64_t max_body_bytes, const struct httpd_ops *ops, void *user)
+{
+	const union MHD_DaemonInfo *info;
+	struct sockaddr_in addr;
+	int err = address_parse(address, &addr);
+
+	if (err)
+		return err;
+	memset(h, 0, sizeof(*h));
+	h->loop = loop;
+	h->ops = ops;
+	h->user = user;
+	h->max_body_bytes = max_body_bytes;
+	h->daemon = start(h, &addr);
+	if (!h->daemon)
+		return RESULT_IO;
+	info = MHD_get_daemon_info(h->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	ev_io_init(&h->io, on_io, info->epoll_fd, EV_READ);
+	ev_init(&h->timer, on_timer);
+	ev_prepare_init(&h->prepare, on_prepare);
+	h->io.data = h;
+	h->timer.data = h;
+	h->prepare.data = h;
+	ev_io_start(loop, &h->io);
+	ev_prepare_start(loop, &h->prepare);
+	return RESULT_OK;
+}
+
+/* Stop listening and drop what is open. */
+void httpd_finish(struct httpd *h)
+{
+	ev_io_stop(h->loop, &h->io);
+	ev_timer_stop(h->loop, &h->timer);
+	ev_prepare_stop(h->loop, &h->prepare);
+	MHD_stop_daemon(h->daemon);
+	h->daemon = NULL;
+}
+
+void httpd_drain(struct httpd *h)
+{
+	h->draining = true;
+}
+
+/* A request header by name, NULL when absent. */
+const char *httpd_header(const struct httpd_request *r, const char *name)
+{
+	return MHD_lookup_connection_value(r->connection, MHD_HEADER_KIND,
+					   name);
+}
+
+/* A query argument by name, NULL when absent. */
+const char *httpd_argument(const struct httpd_request *r, const char *name)
+{
+	return MHD_lookup_connection_value(r->connection, MHD_GET_ARGUMENT_KIND,
+					   name);
+}
+
+static void add_headers(struct httpd_request *r, const GPtrArray *headers)
+{
+	uint32_t i;
+
+	for (i = 0; headers && i + 1 < headers->len; i += 2)
+		MHD_add_response_header(r->response,
+					g_ptr_array_index(headers, i),
+					g_ptr_array_index(headers, i + 1));
+	if (r->httpd->draining)
+		MHD_add_response_header(r->response, "Connection", "close");
+}
+
+static void resume(struct httpd_request *r)
+{
+	if (!r->suspended)
+		return;
+	r->suspended = false;
+	r->httpd->dirty = true;
+	MHD_resume_connection(r->connection);
+}
+
+void httpd_reply(struct httpd_request *r, uint32_t status,
+		 const GPtrArray *headers, const void *body, size_t len)
+{
+	if (r->answered)
+		return;
+	r->answered = true;
+	r->status = status;
+	r->response = MHD_create_response_from_buffer(len, (void *)body,
+						      MHD_RESPMEM_MUST_COPY);
+	add_headers(r, headers);
+	resume(r);
+}
+
+/* Answer with a line of text. */
+void httpd_reply_text(struct httpd_request *r, uint32_t status,
+		      const char *text)
+{
+	httpd_reply(r, status, NULL, text, strlen(text));
+}
+
+static ssize_t on_read(void *user, uint64_t pos, char *out, size_t max)
+{
+	struct httpd_request *r = user;
+	size_t n = MIN(max, r->pending->len);
+
+	(void)pos;
+	if (!n) {
+		if (r->ended)
+			return r->failed ? MHD_CONTENT_READER_END_WITH_ERROR
+					 : MHD_CONTENT_READER_END_OF_STREAM;
+		MHD_suspend_connection(r->connection);
+		r->suspended = true;
+		return 0;
+	}
+	memcpy(out, r->pending->data, n);
+	g_byte_array_remove_range(r->pending, 0, n);
+	if (r->httpd->ops->on_drained)
+		r->httpd->ops->on_drained(r->httpd->user, r);
+	return n;
+}
+
+void httpd_stream(struct httpd_request *r, uint32_t status,
+		  const GPtrArray *headers, int64_t length)
+{
+	if (r->answered)
+		return;
+	r->answered = true;
+	r->streaming = true;
+	r->status = status;
+	r->pending = g_byte_array_new();
+	r->response = MHD_create_response_from_callback(
+		length < 0 ? MHD_SIZE_UNKNOWN : (uint64_t)length,
+		STREAM_BLOCK_BYTES, on_read, r, NULL);
+	add_headers(r, headers);
+	resume(r);
+}
+
+/* Add bytes to a streamed answer. */
+void httpd_push(struct httpd_request *r, const void *data, size_t len)
+{
+	g_byte_array_append(r->pending, data, len);
+	resume(r);
+}
+
+/* End a streamed answer; one that is not whole cuts the connection. */
+void httpd_end(struct httpd_request *r, bool whole)
+{
+	r->ended = true;
+	r->failed = !whole;
+	resume(r);
+}
+
+/* Bytes of a streamed answer that wait in memory. */
+size_t httpd_pending(const struct httpd_request *r)
+{
+	return r->pending ? r->pending->len : 0;
+}
--- /dev/null
+++ b/net/httpd.h
@@ -0,0 +1,89 @@
+#ifndef NET_HTTPD_H
+#define NET_HTTPD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <ev.h>
+#include <glib.h>
+#include <microhttpd.h>
+
+/*
+ * HTTP/1.1 server on the process's one loop, by libmicrohttpd without threads
+ * of its own. A request is handed over once its body is whole; the answer may
+ * come at any later time, at once or in pieces.
+ */
+
+struct httpd;
+struct httpd_request;
+
+struct httpd_ops {
+	/* A whole request; must be answered sooner or later. */
+	void (*on_request)(void *user, struct httpd_request *r);
+	/* The caller went away, or its answer is finished; r ends here. */
+	void (*on_closed)(void *user, struct httpd_request *r);
+	/* A streamed answer has room again. */
+	void (*on_drained)(void *user, struct httpd_request *r);
+};
+
+struct httpd {
+	struct ev_loop *loop;
+	struct MHD_Daemon *daemon;
+	ev_io io;
+	ev_timer timer;
+	ev_prepare prepare;
+	const struct httpd_ops *ops;
+	void *user;
+	uint64_t max_body_bytes;
+	bool dirty; /* a connection was resumed: run the daemon */
+	bool draining;
+};
+
+struct httpd_request {
+	struct httpd *httpd;
+	struct MHD_Connection *connection;
+	char *method;
+	char *path; /* decoded, without the query */
+	char *url; /* as it came, with the query */
+	GByteArray *body;
+	bool too_large;
+	bool suspended;
+	bool answered;
+	bool streaming;
+	bool ended;
+	bool failed;
+	struct MHD_Response *response; /* queued on resume */
+	uint32_t status;
+	GByteArray *pending; /* streamed bytes not yet taken */
+	void *user;
+};
+
+/*
+ * Listen on address ("127.0.0.1:8080"). max_body_bytes bounds what one
+ * request may hold in memory. Returns RESULT_OK, RESULT_INVALID for an
+ * address that is none, RESULT_IO when it cannot be bound.
+ */
+int httpd_init(struct httpd *h, struct ev_loop *loop, const char *address,
+	       uint64_t max_body_bytes, const struct httpd_ops *ops,
+	       void *user);
+void httpd_finish(struct httpd *h);
+
+/* Close connections after their next answer, for a graceful stop. */
+void httpd_drain(struct httpd *h);
+
+const char *httpd_header(const struct httpd_request *r, const char *name);
+const char *httpd_argument(const struct httpd_request *r, const char *name);
+
+/* Answer whole. headers: name and value in turn, or NULL. */
+void httpd_reply(struct httpd_request *r, uint32_t status,
+		 const GPtrArray *headers, const void *body, size_t len);
+void httpd_reply_text(struct httpd_request *r, uint32_t status,
+		      const char *text);
+
+/* Answer in pieces; length < 0: unknown. */
+void httpd_stream(struct httpd_request *r, uint32_t status,
+		  const GPtrArray *headers, int64_t length);
+void httpd_push(struct httpd_request *r, const void *data, size_t len);
+void httpd_end(struct httpd_request *r, bool whole);
+size_t httpd_pending(const struct httpd_request *r);
+
+#endif
--- /dev/null
+++ b/net/log-client.c
@@ -0,0 +1,325 @@
+#include <string.h>
+
+#include "net/clock.h"
+#include "net/log-client.h"
+#include "util/counters.h"
+#include "util/result.h"
+
+#define APPEND_TIMEOUT_MS 3000
+#define RETRY_MIN_MS 100
+#define RETRY_MAX_MS 2000
+#define DEFAULT_WAIT_MS 400
+#define LOG_CONNECTIONS 8
+#define MAX_APPENDS 64
+#define DOUBT_MS 10000
+
+static void start_read(struct log_client *c)
+{
+	if (c->reading)
+		return;
+	c->reading = true;
+	c->read_sent_ms = clock_now_ms();
+	c->read_from = c->trimmed ? c->scan_from : c->next;
+	COUNT(log_reads);
+	c->ops->read(c, c->read_from, c->wait_ms);
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	(void)loop;
+	(void)events;
+	start_read(w->data);
+}
+
+static void read_again(struct log_client *c, int64_t ms)
+{
+	ev_timer_stop(c->loop, &c->timer);
+	ev_timer_set(&c->timer, ms / 1000.0, 0);
+	ev_timer_start(c->loop, &c->timer);
+}
+
+/* Start reading from offset 0. */
+void log_client_init(struct log_client *c, struct ev_loop *loop,
+		     const char *address, const struct log_ops *ops,
+		     const struct log_handlers *handlers, void *user)
+{
+	memset(c, 0, sizeof(*c));
+	c->loop = loop;
+	c->ops = ops;
+	c->handlers = handlers;
+	c->user = user;
+	c->wait_ms = DEFAULT_WAIT_MS;
+	g_strlcpy(c->address, address, sizeof(c->address));
+	g_snprintf(c->writer, sizeof(c->writer), "%08x%08x", g_random_int(),
+		   g_random_int());
+	c->appends = g_ptr_array_new();
+	c->read_answer = g_string_new(NULL);
+	fetcher_init(&c->fetcher, loop, LOG_CONNECTIONS);
+	ev_init(&c->timer, on_timer);
+	c->timer.data = c;
+	read_again(c, 0);
+}
+
+static void append_free(struct log_append *a)
+{
+	g_ptr_array_remove_fast(a->client->appends, a);
+	g_string_free(a->body, TRUE);
+	g_string_free(a->answer, TRUE);
+	g_free(a);
+}
+
+/* Stop reading and drop appends under way. */
+void log_client_finish(struct log_client *c)
+{
+	ev_timer_stop(c->loop, &c->timer);
+	if (c->reading)
+		fetch_cancel(&c->read_fetch);
+	while (c->appends->len) {
+		struct log_append *a = g_ptr_array_index(c->appends, 0);
+
+		fetch_cancel(&a->fetch);
+		append_free(a);
+	}
+	g_ptr_array_unref(c->appends);
+	g_string_free(c->read_answer, TRUE);
+	fetcher_finish(&c->fetcher);
+}
+
+/* Whether the last read succeeded. */
+bool log_client_up(const struct log_client *c)
+{
+	return !c->failures;
+}
+
+void log_client_seek(struct log_client *c, int64_t next)
+{
+	c->trimmed = false;
+	c->next = next;
+}
+
+void log_client_scan(struct log_client *c, int64_t from)
+{
+	c->trimmed = true;
+	c->scan_from = from;
+}
+
+static void end_append(struct log_append *a, int result)
+{
+	struct log_client *c = a->client;
+	int kind = a->kind;
+	void *user = a->user;
+
+	append_free(a);
+	c->handlers->on_appended(c->user, kind, user, result);
+}
+
+static void found_in_log(struct log_client *c, const char *id)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->appends->len; i++) {
+		struct log_append *a = g_ptr_array_index(c->appends, i);
+
+		if (strcmp(a->id, id))
+			continue;
+		fetch_cancel(&a->fetch);
+		end_append(a, RESULT_OK);
+		return;
+	}
+}
+
+static void settle_doubts(struct log_client *c)
+{
+	uint32_t i;
+
+	/*
+	 * The log may lose an answer after the write took effect. Only a read
+	 * that began after the answer was lost, and reached the end without
+	 * meeting the record, shows that the append did not take effect.
+	 */
+	for (i = c->appends->len; i-- > 0;) {
+		struct log_append *a = g_ptr_array_index(c->appends, i);
+
+		if (a->in_doubt && c->read_sent_ms > a->doubt_ms)
+			end_append(a, RESULT_UNREACHABLE);
+	}
+}
+
+static void take_records(struct log_client *c, const struct log_batch *b)
+{
+	json_t *item;
+	size_t i;
+
+	json_array_foreach(b->records, i, item)
+	{
+		int64_t offset =
+			json_integer_value(json_object_get(item, "offset"));
+		const char *id = json_string_value(json_object_get(item, "id"));
+
+		if (!id || !json_object_get(item, "record"))
+			continue;
+		if (c->trimmed)
+			c->scan_from = offset + 1;
+		c->handlers->on_record(c->user, offset, id,
+				       json_object_get(item, "record"));
+		found_in_log(c, id);
+	}
+}
+
+void log_client_read_done(struct log_client *c, struct log_batch *b)
+{
+	int64_t reached;
+
+	c->reading = false;
+	if (b->result == RESULT_TRIMMED) {
+		c->failures = 0;
+		c->handlers->on_trimmed(c->user, b->first);
+		read_again(c, RETRY_MIN_MS);
+		return;
+	}
+	if (b->result) {
+		COUNT(log_failures);
+		c->failures++;
+		c->retry_ms =
+			CLAMP(c->retry_ms * 2, RETRY_MIN_MS, RETRY_MAX_MS);
+		read_again(c, g_random_int_range(c->retry_ms / 2,
+						 c->retry_ms + 1));
+		return;
+	}
+	c->failures = 0;
+	c->retry_ms = 0;
+	take_records(c, b);
+	reached = c->trimmed ? c->scan_from : c->next;
+	if (reached >= b->next) {
+		settle_doubts(c);
+		c->handlers->on_tail(c->user, c->read_sent_ms);
+	}
+	read_again(c, 0);
+}
+
+void log_client_appended(struct log_append *a, int result, bool sent)
+{
+	if (result == RESULT_OK) {
+		end_append(a, RESULT_OK);
+		return;
+	}
+	COUNT(log_failures);
+	if (!sent) {
+		end_append(a, RESULT_UNREACHABLE);
+		return;
+	}
+	COUNT(log_append_answers_lost);
+	a->in_doubt = true;
+	a->doubt_ms = clock_now_ms();
+}
+
+void log_client_append(struct log_client *c, int kind, void *append_user,
+		       json_t *record)
+{
+	struct log_append *a;
+	json_t *body;
+	char *text;
+
+	if (c->appends->len >= MAX_APPENDS) {
+		json_decref(record);
+		c->handlers->on_appended(c->user, kind, append_user,
+					 RESULT_OVERLOAD);
+		return;
+	}
+	a = g_new0(struct log_append, 1);
+	a->client = c;
+	a->kind = kind;
+	a->user = append_user;
+	a->began_ms = clock_now_ms();
+	a->answer = g_string_new(NULL);
+	g_snprintf(a->id, sizeof(a->id), "%s-%" G_GUINT64_FORMAT, c->writer,
+		   (guint64)c->n_appends++);
+	body = json_pack("{s:s,s:o}", "id", a->id, "record", record);
+	text = json_dumps(body, JSON_COMPACT);
+	a->body = g_string_new(text);
+	free(text);
+	json_decref(body);
+	g_ptr_array_add(c->appends, a);
+	COUNT(log_appends);
+	c->ops->append(c, a);
+}
+
+static bool on_read_data(struct fetch *f, const void *data, size_t len)
+{
+	struct log_client *c = f->user;
+
+	g_string_append_len(c->read_answer, data, len);
+	return true;
+}
+
+static void on_read_done(struct fetch *f, int result)
+{
+	struct log_client *c = f->user;
+	struct log_batch b = { .result = result };
+	json_t *answer = NULL;
+
+	if (!result && (f->status == 200 || f->status == 410))
+		answer = json_loadb(c->read_answer->str, c->read_answer->len, 0,
+				    NULL);
+	if (!answer) {
+		b.result = result ? result : RESULT_IO;
+	} else {
+		b.first = json_integer_value(json_object_get(answer, "first"));
+		b.next = json_integer_value(json_object_get(answer, "next"));
+		b.records = json_object_get(answer, "records");
+		b.result = f->status == 410 ? RESULT_TRIMMED : RESULT_OK;
+	}
+	log_client_read_done(c, &b);
+	json_decref(answer);
+}
+
+static const struct fetch_ops read_ops = {
+	.on_data = on_read_data,
+	.on_done = on_read_done,
+};
+
+static void http_read(struct log_client *c, int64_t from, int64_t wait_ms)
+{
+	g_autofree char *url =
+		g_strdup_printf("http://%s/read?from=%" G_GINT64_FORMAT
+				"&wait_ms=%" G_GINT64_FORMAT,
+				c->address, (gint64)from, (gint64)wait_ms);
+
+	g_string_set_size(c->read_answer, 0);
+	fetch_start(&c->read_fetch, &c->fetcher, "GET", url, NULL, NULL, 0,
+		    wait_ms + APPEND_TIMEOUT_MS, false, &read_ops, c);
+}
+
+static bool on_append_data(struct fetch *f, const void *data, size_t len)
+{
+	struct log_append *a = f->user;
+
+	g_string_append_len(a->answer, data, len);
+	return true;
+}
+
+static void on_append_done(struct fetch *f, int result)
+{
+	if (!result && f->status != 200)
+		result = RESULT_IO;
+	log_client_appended(f->user, result, f->sent);
+}
+
+static const struct fetch_ops append_ops = {
+	.on_data = on_append_data,
+	.on_done = on_append_done,
+};
+
+static void http_append(struct log_client *c, struct log_append *a)
+{
+	g_autofree char *url = g_strdup_printf("http://%s/append", c->address);
+
+	/* A connection of its own: libcurl must not send an append again. */
+	fetch_start(&a->fetch, &c->fetcher, "POST", url, NULL, a->body->str,
+		    a->body->len, APPEND_TIMEOUT_MS, true, &append_ops, a);
+}
+
+const struct log_ops log_http_ops = {
+	.read = http_read,
+	.append = http_append,
+};
--- /dev/null
+++ b/net/log-client.h
@@ -0,0 +1,108 @@
+#ifndef NET_LOG_CLIENT_H
+#define NET_LOG_CLIENT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <jansson.h>
+
+#include "net/fetch.h"
+
+/*
+ * The platform's log. A table of functions stands between the node and the
+ * protocol, so that the platform's own can take the place of the HTTP and
+ * JSON that the stand-in speaks.
+ */
+
+struct log_client;
+struct log_append;
+
+/* What came of one read. */
+struct log_batch {
+	int result; /* RESULT_TRIMMED: first says what is left */
+	int64_t first; /* oldest offset the log holds */
+	int64_t next; /* offset that the next append will get */
+	json_t *records; /* list of {offset, id, record} */
+};
+
+struct log_ops {
+	/* Ask for the records from an offset on, waiting for new ones. */
+	void (*read)(struct log_client *c, int64_t from, int64_t wait_ms);
+	/* Append; answered by log_client_appended(). */
+	void (*append)(struct log_client *c, struct log_append *a);
+};
+
+/* An append under way. */
+struct log_append {
+	struct log_client *client;
+	struct fetch fetch;
+	GString *body;
+	GString *answer;
+	char id[40];
+	int kind; /* the caller's own mark */
+	void *user;
+	bool in_doubt; /* sent, and no answer came */
+	int64_t doubt_ms;
+	int64_t began_ms;
+};
+
+struct log_handlers {
+	/* One record, in order. */
+	void (*on_record)(void *user, int64_t offset, const char *id,
+			  const json_t *record);
+	/* A read that began at sent_ms reached the end. */
+	void (*on_tail)(void *user, int64_t sent_ms);
+	/* The log no longer holds what we need; first is the oldest it has. */
+	void (*on_trimmed)(void *user, int64_t first);
+	/* An append ended. */
+	void (*on_appended)(void *user, int kind, void *append_user,
+			    int result);
+};
+
+struct log_client {
+	const struct log_ops *ops;
+	const struct log_handlers *handlers;
+	void *user;
+	struct fetcher fetcher;
+	struct ev_loop *loop;
+	char address[64];
+	char writer[24];
+	uint64_t n_appends;
+	struct fetch read_fetch;
+	GString *read_answer;
+	int64_t read_from;
+	int64_t read_sent_ms;
+	int64_t wait_ms; /* how long a read may wait for news */
+	bool reading;
+	bool trimmed; /* reading for a snapshot, from scan_from on */
+	int64_t scan_from;
+	int64_t next; /* next offset to be read */
+	int64_t retry_ms;
+	int64_t failures;
+	ev_timer timer;
+	GPtrArray *appends; /* struct log_append */
+};
+
+extern const struct log_ops log_http_ops;
+
+void log_client_init(struct log_client *c, struct ev_loop *loop,
+		     const char *address, const struct log_ops *ops,
+		     const struct log_handlers *handlers, void *user);
+void log_client_finish(struct log_client *c);
+
+/* Read on from an offset; also after a snapshot was loaded. */
+void log_client_seek(struct log_client *c, int64_t next);
+
+/* Read everything from an offset on, in search of a snapshot. */
+void log_client_scan(struct log_client *c, int64_t from);
+
+/* Append a record, which is stolen. */
+void log_client_append(struct log_client *c, int kind, void *append_user,
+		       json_t *record);
+
+/* For the ops: a read or an append has ended. */
+void log_client_read_done(struct log_client *c, struct log_batch *b);
+void log_client_appended(struct log_append *a, int result, bool sent);
+
+bool log_client_up(const struct log_client *c);
+
+#endif
--- /dev/null
+++ b/net/node.c
@@ -0,0 +1,523 @@
+#include <signal.h>
+#include <string.h>
+
+#include "net/clock.h"
+#include "net/node.h"
+#include "util/counters.h"
+#include "util/result.h"
+
+#define TICK_S 0.05
+#define SEED_EVERY_MS 500
+#define MAX_SNAPSHOT_PARTS 1024
+#define BOOT_ID_FILE "/proc/sys/kernel/random/boot_id"
+
+struct snapshot_parts {
+	uint32_t n_parts;
+	uint32_t n_have;
+	char **data;
+};
+
+struct scanned_record {
+	int64_t offset;
+	char *id;
+	json_t *record;
+};
+
+/* The message being handled, to answer over the link that it came by. */
+static const struct peer_source *current_source;
+
+static void parts_free(gpointer p)
+{
+	struct snapshot_parts *s = p;
+	uint32_t i;
+
+	for (i = 0; i < s->n_parts; i++)
+		g_free(s->data[i]);
+	g_free(s->data);
+	g_free(s);
+}
+
+static void scanned_free(gpointer p)
+{
+	struct scanned_record *r = p;
+
+	g_free(r->id);
+	json_decref(r->record);
+	g_free(r);
+}
+
+bool node_takes_work(const struct node *n)
+{
+	const struct member *m = fleet_member(&n->member.fleet, n->member.self);
+
+	return m && !n->member.resigning && !n->gate.draining &&
+	       fleet_member_takes_work(&n->member.fleet, m);
+}
+
+static const char *address_of(struct node *n, int64_t id)
+{
+	const struct member *m = fleet_member(&n->member.fleet, id);
+
+	if (m)
+		return m->peer;
+	if (!id && current_source)
+		return current_source->address;
+	return g_hash_table_lookup(n->addresses, &id);
+}
+
+static void op_send(void *user, int64_t to, const struct member_msg *msg)
+{
+	struct node *n = user;
+	const char *address = address_of(n, to);
+	GByteArray *out;
+
+	if (!address)
+		return;
+	out = g_byte_array_new();
+	member_msg_encode(msg, out);
+	if (current_source && current_source->identity &&
+	    !strcmp(current_source->address, address))
+		peers_answer(&n->peers, current_source->identity,
+			     current_source->identity_len, PLANE_MEMBER,
+			     out->data, out->len);
+	else
+		peers_send(&n->peers, address, PLANE_MEMBER, out->data,
+			   out->len);
+	g_byte_array_unref(out);
+}
+
+static void op_append(void *user, enum append_kind kind, json_t *record)
+{
+	struct node *n = user;
+
+	log_client_append(&n->log, kind, NULL, record);
+}
+
+static uint32_t op_in_flight(void *user, uint32_t shard)
+{
+	struct node *n = user;
+
+	return gate_shard_load(&n->gate, shard);
+}
+
+static void op_export_ids(void *user, uint32_t shard, GArray *out)
+{
+	struct node *n = user;
+
+	ids_export(&n->gate.ids, shard, clock_now_ms(), out);
+}
+
+static void op_import_ids(void *user, const int64_t *entry)
+{
+	struct node *n = user;
+
+	ids_import(&n->gate.ids, entry, clock_now_ms());
+}
+
+static void op_note(void *user, const char *what, int64_t subject)
+{
+	struct node *n = user;
+
+	g_info("member %" G_GINT64_FORMAT ": %s %" G_GINT64_FORMAT,
+	       (gint64)n->member.self, what, (gint64)subject);
+	if (!strcmp(what, NOTE_PROVED_STOPPED))
+		entry_on_member_stopped(&n->entry, subject);
+}
+
+static const struct member_ops member_ops = {
+	.send = op_send,
+	.append = op_append,
+	.in_flight = op_in_flight,
+	.export_ids = op_export_ids,
+	.import_ids = op_import_ids,
+	.note = op_note,
+};
+
+static void remember_address(struct node *n, const struct member *m)
+{
+	g_hash_table_replace(n->addresses, g_memdup2(&m->id, sizeof(m->id)),
+			     g_strdup(m->peer));
+}
+
+static void on_event(void *user, const struct fleet_event *ev)
+{
+	struct node *n = user;
+
+	audit_event(&n->audit, ev);
+	if (ev->type == FLEET_MEMBER_JOINED)
+		remember_address(n, ev->member);
+	if (ev->type == FLEET_MEMBER_GONE) {
+		entry_on_member_stopped(&n->entry, ev->member->id);
+		g_hash_table_remove(n->addresses, &ev->member->id);
+	}
+	operator_on_event(n, ev);
+}
+
+static void apply(struct node *n, int64_t offset, const char *id,
+		  const json_t *record)
+{
+	member_on_record(&n->member, offset, id, record, clock_now_ms());
+	audit_flush(&n->audit);
+}
+
+static void drop_scan(struct node *n)
+{
+	g_hash_table_remove_all(n->snapshots);
+	g_ptr_array_set_size(n->scanned, 0);
+}
+
+static void replay_scanned(struct node *n)
+{
+	uint32_t i;
+
+	for (i = 0; i < n->scanned->len; i++) {
+		struct scanned_record *r = g_ptr_array_index(n->scanned, i);
+
+		if (r->offset > n->member.fleet.applied)
+			apply(n, r->offset, r->id, r->record);
+	}
+	drop_scan(n);
+	log_client_seek(&n->log, n->member.fleet.applied + 1);
+}
+
+static void load_parts(struct node *n, const struct snapshot_parts *parts)
+{
+	GString *text = g_string_new(NULL);
+	json_t *state;
+	uint32_t i;
+	int err = RESULT_INVALID;
+
+	for (i = 0; i < parts->n_parts; i++)
+		g_string_append(text, parts->data[i]);
+	state = json_loadb(text->str, text->len, 0, NULL);
+	if (state)
+		err = member_load(&n->member, state, clock_now_ms());
+	json_decref(state);
+	g_string_free(text, TRUE);
+	if (err) {
+		g_warning("snapshot in the log not usable: %s",
+			  result_name(err));
+		return;
+	}
+	g_info("loaded the snapshot of offset %" G_GINT64_FORMAT,
+	       (gint64)n->member.fleet.applied);
+	replay_scanned(n);
+}
+
+static void take_snapshot_part(struct node *n, const json_t *record)
+{
+	int64_t upto = json_integer_value(json_object_get(record, "upto"));
+	int64_t part = json_integer_value(json_object_get(record, "part"));
+	int64_t n_parts = json_integer_value(json_object_get(record, "parts"));
+	const char *data = json_string_value(json_object_get(record, "data"));
+	struct snapshot_parts *s = g_hash_table_lookup(n->snapshots, &upto);
+
+	if (!data || n_parts < 1 || n_parts > MAX_SNAPSHOT_PARTS || part < 0 ||
+	    part >= n_parts || (s && s->n_parts != n_parts))
+		return;
+	if (!s) {
+		s = g_new0(struct snapshot_parts, 1);
+		s->n_parts = n_parts;
+		s->data = g_new0(char *, n_parts);
+		g_hash_table_insert(n->snapshots,
+				    g_memdup2(&upto, sizeof(upto)), s);
+	}
+	if (s->data[part])
+		return;
+	s->data[part] = g_strdup(data);
+	if (++s->n_have == s->n_parts)
+		load_parts(n, s);
+}
+
+static void scan_record(struct node *n, int64_t offset, const char *id,
+			const json_t *record)
+{
+	const char *type = json_string_value(json_object_get(record, "type"));
+	struct scanned_record *r = g_new(struct scanned_record, 1);
+
+	r->offset = offset;
+	r->id = g_strdup(id);
+	r->record = json_incref((json_t *)record);
+	g_ptr_array_add(n->scanned, r);
+	if (type && !strcmp(type, "snapshot"))
+		take_snapshot_part(n, record);
+}
+
+static void on_record(void *user, int64_t offset, const char *id,
+		      const json_t *record)
+{
+	struct node *n = user;
+
+	if (n->log.trimmed) {
+		scan_record(n, offset, id, record);
+		return;
+	}
+	if (offset > n->member.fleet.applied)
+		apply(n, offset, id, record);
+	n->log.next = n->member.fleet.applied + 1;
+}
+
+static void on_tail(void *user, int64_t sent_ms)
+{
+	struct node *n = user;
+
+	if (n->log.trimmed)
+		return;
+	member_on_log_tail(&n->member, sent_ms, clock_now_ms());
+}
+
+static void on_trimmed(void *user, int64_t first)
+{
+	struct node *n = user;
+
+	g_info("the log begins at offset %" G_GINT64_FORMAT
+	       "; looking for a snapshot",
+	       (gint64)first);
+	drop_scan(n);
+	log_client_scan(&n->log, first);
+}
+
+static void on_appended(void *user, int kind, void *append_user, int result)
+{
+	struct node *n = user;
+
+	if (kind == APPEND_OPERATOR)
+		operator_appended(n, append_user, result);
+	else if (kind < N_APPEND_KINDS)
+		member_append_done(&n->member, kind, result, clock_now_ms());
+}
+
+static const struct log_handlers log_handlers = {
+	.on_record = on_record,
+	.on_tail = on_tail,
+	.on_trimmed = on_trimmed,
+	.on_appended = on_appended,
+};
+
+static void on_member_message(struct node *n, const void *data, size_t len)
+{
+	struct member_msg msg;
+
+	if (member_msg_decode(&msg, data, len)) {
+		COUNT(peer_messages_malformed);
+		g_info("malformed member message from %s",
+		       current_source->address);
+		return;
+	}
+	member_on_message(&n->member, &msg, clock_now_ms());
+	audit_flush(&n->audit);
+	if (!n->log.trimmed && n->log.next <= n->member.fleet.applied)
+		n->log.next = n->member.fleet.applied + 1;
+	else if (n->log.trimmed &&
+		 n->member.fleet.applied + 1 >= n->log.scan_from)
+		log_client_seek(&n->log, n->member.fleet.applied + 1);
+	member_msg_finish(&msg);
+}
+
+static void on_request_message(struct node *n, const struct peer_source *from,
+			       const void *data, size_t len)
+{
+	struct request_msg m;
+
+	if (request_msg_decode(&m, data, len)) {
+		COUNT(peer_messages_malformed);
+		g_info("malformed request message from %s", from->address);
+		return;
+	}
+	if (m.type == REQ_ASK || m.type == REQ_CREDIT || m.type == REQ_CANCEL)
+		gate_on_message(&n->gate, from->identity, from->identity_len,
+				&m);
+	else
+		entry_on_message(&n->entry, &m);
+	request_msg_finish(&m);
+}
+
+static void on_peer(void *user, enum peer_plane plane,
+		    const struct peer_source *from, const void *data,
+		    size_t len)
+{
+	struct node *n = user;
+
+	if (plane == PLANE_REQUEST) {
+		on_request_message(n, from, data, len);
+		return;
+	}
+	current_source = from;
+	on_member_message(n, data, len);
+	current_source = NULL;
+}
+
+/* While the log cannot be read, any peer's copy of it will do. */
+static void ask_seeds(struct node *n, int64_t now)
+{
+	struct member_msg msg;
+	GByteArray *out;
+
+	if ((log_client_up(&n->log) && !n->log.trimmed) ||
+	    !n->settings.n_seeds || now < n->next_seed_ms)
+		return;
+	n->next_seed_ms = now + SEED_EVERY_MS;
+	member_msg_init(&msg, MSG_RECORDS_ASK);
+	msg.applied = n->member.fleet.applied;
+	msg.offset = n->member.fleet.applied + 1;
+	out = g_byte_array_new();
+	member_msg_encode(&msg, out);
+	peers_send(&n->peers,
+		   n->settings.seeds[n->next_seed++ % n->settings.n_seeds],
+		   PLANE_MEMBER, out->data, out->len);
+	g_byte_array_unref(out);
+}
+
+static void tick_stop(struct node *n)
+{
+	if (!member_has_left(&n->member))
+		return;
+	entry_drain(&n->entry);
+	if (!gate_idle(&n->gate) || !entry_idle(&n->entry))
+		return;
+	g_info("stopped, nothing in progress");
+	ev_break(n->loop, EVBREAK_ALL);
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct node *n = w->data;
+	int64_t now = clock_now_ms();
+
+	(void)loop;
+	(void)events;
+	member_tick(&n->member, now);
+	gate_tick(&n->gate);
+	ask_seeds(n, now);
+	operator_tick(n);
+	/* A node with its lease from peers need not keep asking the log. */
+	n->log.wait_ms = member_needs_log(&n->member) ? LOG_WAIT_SHORT_MS
+						      : LOG_WAIT_LONG_MS;
+	if (n->stopping)
+		tick_stop(n);
+}
+
+static void on_signal(struct ev_loop *loop, ev_signal *w, int events)
+{
+	struct node *n = w->data;
+
+	(void)loop;
+	(void)events;
+	if (n->stopping)
+		return;
+	g_info("asked to stop: finishing what is in progress");
+	n->stopping = true;
+	n->gate.draining = true;
+	member_set_wanted(&n->member, false, clock_now_ms());
+}
+
+void node_backend_announced(struct node *n)
+{
+	if (!n->stopping)
+		member_set_wanted(&n->member, true, clock_now_ms());
+}
+
+void node_backend_left(struct node *n)
+{
+	member_set_wanted(&n->member, false, clock_now_ms());
+}
+
+static void fill_member(struct member *m, const struct settings *s)
+{
+	g_autofree char *boot = NULL;
+
+	memset(m, 0, sizeof(*m));
+	g_strlcpy(m->host, s->host, sizeof(m->host));
+	g_strlcpy(m->data_centre, s->data_centre, sizeof(m->data_centre));
+	g_strlcpy(m->service, s->service, sizeof(m->service));
+	g_strlcpy(m->peer, s->peer_address, sizeof(m->peer));
+	g_strlcpy(m->caller, s->caller_address, sizeof(m->caller));
+	if (g_file_get_contents(BOOT_ID_FILE, &boot, NULL, NULL))
+		g_strlcpy(m->boot_id, g_strstrip(boot), sizeof(m->boot_id));
+}
+
+static void init_watchers(struct node *n)
+{
+	ev_timer_init(&n->tick, on_tick, 0, TICK_S);
+	ev_signal_init(&n->sigterm, on_signal, SIGTERM);
+	ev_signal_init(&n->sigint, on_signal, SIGINT);
+	n->tick.data = n;
+	n->sigterm.data = n;
+	n->sigint.data = n;
+	ev_timer_start(n->loop, &n->tick);
+	ev_signal_start(n->loop, &n->sigterm);
+	ev_signal_start(n->loop, &n->sigint);
+}
+
+static int cannot_listen(GString *errors, const char *address, int err)
+{
+	g_string_append_printf(errors, "cannot listen on %s: %s\n", address,
+			       result_name(err));
+	return err;
+}
+
+int node_init(struct node *n, const struct settings *s, struct ev_loop *loop,
+	      GString *errors)
+{
+	struct member_timing timing = MEMBER_TIMING_DEFAULT;
+	struct member me;
+	int err;
+
+	memset(n, 0, sizeof(*n));
+	n->settings = *s;
+	n->loop = loop;
+	n->started_ms = clock_now_ms();
+	/* First of all, for a second process here must find out by this. */
+	err = peers_init(&n->peers, loop, s->peer_address, on_peer, n);
+	if (err)
+		return cannot_listen(errors, s->peer_address, err);
+	timing.snapshot_interval_ms = s->snapshot_interval_ms;
+	timing.drift_ppm = s->drift_ppm;
+	fill_member(&me, s);
+	n->publishes = g_ptr_array_new();
+	n->addresses = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					     g_free, g_free);
+	n->snapshots = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					     g_free, parts_free);
+	n->scanned = g_ptr_array_new_with_free_func(scanned_free);
+	audit_init(&n->audit);
+	member_init(&n->member, &me, &timing, &member_ops, n, n->started_ms,
+		    g_random_int());
+	n->member.on_event = on_event;
+	n->member.on_event_user = n;
+	gate_init(&n->gate, n);
+	err = entry_init(&n->entry, n);
+	if (err)
+		return cannot_listen(errors, s->caller_address, err);
+	err = operator_init(n);
+	if (err)
+		return cannot_listen(errors, s->operator_address, err);
+	log_client_init(&n->log, loop, s->log, &log_http_ops, &log_handlers, n);
+	init_watchers(n);
+	return RESULT_OK;
+}
+
+/* Run until asked to stop and nothing is in progress. */
+void node_run(struct node *n)
+{
+	ev_run(n->loop, 0);
+}
+
+/* Release everything. */
+void node_finish(struct node *n)
+{
+	ev_timer_stop(n->loop, &n->tick);
+	ev_signal_stop(n->loop, &n->sigterm);
+	ev_signal_stop(n->loop, &n->sigint);
+	operator_finish(n);
+	gate_finish(&n->gate);
+	log_client_finish(&n->log);
+	entry_finish(&n->entry);
+	peers_finish(&n->peers);
+	member_finish(&n->member);
+	audit_finish(&n->audit);
+	g_hash_table_unref(n->addresses);
+	g_hash_table_unref(n->snapshots);
+	g_ptr_array_unref(n->scanned);
+	g_ptr_array_unref(n->publishes);
+}
--- /dev/null
+++ b/net/node.h
@@ -0,0 +1,89 @@
+#ifndef NET_NODE_H
+#define NET_NODE_H
+
+#include <ev.h>
+#include <stdbool.h>
+
+#include "audit/audit.h"
+#include "member/member.h"
+#include "net/entry.h"
+#include "net/gate.h"
+#include "net/httpd.h"
+#include "net/log-client.h"
+#include "net/peer.h"
+#include "settings/settings.h"
+
+/*
+ * How long a read of the log waits for news: short while reading the log is
+ * what keeps our lease.
+ */
+#define LOG_WAIT_SHORT_MS 300
+#define LOG_WAIT_LONG_MS 10000
+
+/* How far a caller's clock may be off from ours (docs/design/at-most-once). */
+#define CALLER_CLOCK_BOUND_MS 2000
+
+/* An operator's configuration on its way into the log. */
+struct publish {
+	struct httpd_request *http;
+	char id[32];
+	int64_t base;
+	int64_t began_ms;
+	bool appended; /* in the log; its fate is known once we apply it */
+	bool in_force;
+	int64_t version;
+	bool lost;
+};
+
+/* One process beside a backend server. */
+struct node {
+	struct settings settings;
+	struct ev_loop *loop;
+	struct member_node member;
+	struct peers peers;
+	struct log_client log;
+	struct entry entry;
+	struct gate gate;
+	struct httpd operator_httpd;
+	struct audit audit;
+	GPtrArray *publishes; /* struct publish */
+	GHashTable *addresses; /* last address of each member seen */
+	GHashTable *snapshots; /* upto -> struct snapshot_parts */
+	GPtrArray *scanned; /* records met while looking for a snapshot */
+	ev_timer tick;
+	ev_signal sigterm;
+	ev_signal sigint;
+	bool stopping;
+	int64_t next_seed_ms;
+	uint32_t next_seed;
+	int64_t started_ms;
+};
+
+/*
+ * Set up on caller's memory. Returns RESULT_OK, or RESULT_IO naming in
+ * errors the address that cannot be used.
+ */
+int node_init(struct node *n, const struct settings *s, struct ev_loop *loop,
+	      GString *errors);
+void node_run(struct node *n);
+void node_finish(struct node *n);
+
+/* Whether the gate here may take work that belongs to no shard. */
+bool node_takes_work(const struct node *n);
+
+/* The backend server came or went. */
+void node_backend_announced(struct node *n);
+void node_backend_left(struct node *n);
+
+/* net/operator.c */
+int operator_init(struct node *n);
+void operator_finish(struct node *n);
+void operator_tick(struct node *n);
+void operator_appended(struct node *n, struct publish *p, int result);
+void operator_on_event(struct node *n, const struct fleet_event *ev);
+
+/* The mark of an operator's append among the kinds of append. */
+#define APPEND_OPERATOR N_APPEND_KINDS
+#define APPEND_DECLARE_LOST (N_APPEND_KINDS + 1)
+
+#endif
--- /dev/null
+++ b/net/peer.c
@@ -0,0 +1,410 @@
+#include <string.h>
+#include <unistd.h>
+#include <zmq.h>
+
+#include "net/address.h"
+#include "net/clock.h"
+#include "net/peer.h"
+#include "util/counters.h"
+#include "util/result.h"
+
+#define MAX_MESSAGE_BYTES (80 * 1024 * 1024)
+#define HEARTBEAT_INTERVAL_MS 1000
+#define HEARTBEAT_TIMEOUT_MS 2500
+#define RECONNECT_MS 50
+#define RECONNECT_MAX_MS 1000
+#define QUEUE_MESSAGES 2000
+#define IDLE_CLOSE_MS 30000
+#define SWEEP_S 1.0
+
+struct peer_link {
+	struct peers *peers;
+	char *address;
+	void *dealer;
+	ev_io io;
+	bool dirty;
+	int64_t used_ms;
+	int64_t heard_ms;
+};
+
+static void set_int(void *socket, int option, int value)
+{
+	zmq_setsockopt(socket, option, &value, sizeof(value));
+}
+
+static void set_common(void *socket)
+{
+	int64_t max = MAX_MESSAGE_BYTES;
+
+	set_int(socket, ZMQ_LINGER, 0);
+	set_int(socket, ZMQ_SNDHWM, QUEUE_MESSAGES);
+	set_int(socket, ZMQ_RCVHWM, QUEUE_MESSAGES);
+	/*
+	 * A connection can go silent for good when something between the two
+	 * ends has lost track of it: sends go on to succeed and nothing comes
+	 * back. Unanswered pings make the library drop it and connect anew.
+	 */
+	set_int(socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS);
+	set_int(socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
+	set_int(socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
+	set_int(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+	zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max, sizeof(max));
+}
+
+static bool readable(void *socket)
+{
+	int events = 0;
+	size_t len = sizeof(events);
+
+	zmq_getsockopt(socket, ZMQ_EVENTS, &events, &len);
+	return events & ZMQ_POLLIN;
+}
+
+static int descriptor(void *socket)
+{
+	int fd = -1;
+	size_t len = sizeof(fd);
+
+	zmq_getsockopt(socket, ZMQ_FD, &fd, &len);
+	return fd;
+}
+
+static void deliver(struct peers *p, const struct peer_source *from,
+		    zmq_msg_t *body)
+{
+	size_t len = zmq_msg_size(body);
+	const char *data = zmq_msg_data(body);
+
+	if (g_hash_table_contains(p->blocked, from->address))
+		return;
+	if (!len || (data[0] != PLANE_MEMBER && data[0] != PLANE_REQUEST)) {
+		COUNT(peer_messages_malformed);
+		return;
+	}
+	COUNT(peer_messages_in);
+	COUNT_ADD(peer_bytes_in, len);
+	if (data[0] == PLANE_MEMBER)
+		COUNT_ADD(control_bytes_in, len);
+	p->handler(p->user, data[0], from, data + 1, len - 1);
+}
+
+/* A peer's identity is "ADDRESS/NONCE". */
+static char *address_of(const void *identity, size_t len)
+{
+	const char *slash = memchr(identity, '/', len);
+
+	return g_strndup(identity,
+			 slash ? (size_t)(slash - (const char *)identity)
+			       : len);
+}
+
+static bool receive_inbound(struct peers *p)
+{
+	zmq_msg_t identity;
+	zmq_msg_t body;
+	bool got;
+
+	zmq_msg_init(&identity);
+	zmq_msg_init(&body);
+	got = zmq_msg_recv(&identity, p->router, ZMQ_DONTWAIT) >= 0;
+	if (got && zmq_msg_more(&identity) &&
+	    zmq_msg_recv(&body, p->router, ZMQ_DONTWAIT) >= 0) {
+		g_autofree char *address = address_of(zmq_msg_data(&identity),
+						      zmq_msg_size(&identity));
+		struct peer_source from = {
+			.identity = zmq_msg_data(&identity),
+			.identity_len = zmq_msg_size(&identity),
+			.address = address,
+		};
+		bool more = zmq_msg_more(&body);
+
+		if (!more)
+			deliver(p, &from, &body);
+		while (more) {
+			/* No message of ours has more parts. */
+			zmq_msg_close(&body);
+			zmq_msg_init(&body);
+			zmq_msg_recv(&body, p->router, ZMQ_DONTWAIT);
+			more = zmq_msg_more(&body);
+		}
+	}
+	zmq_msg_close(&body);
+	zmq_msg_close(&identity);
+	return got;
+}
+
+static void pump_router(struct peers *p)
+{
+	p->router_dirty = false;
+	while (readable(p->router))
+		if (!receive_inbound(p))
+			break;
+}
+
+static bool receive_answer(struct peer_link *l)
+{
+	struct peer_source from = { .address = l->address };
+	zmq_msg_t body;
+	bool got;
+
+	zmq_msg_init(&body);
+	got = zmq_msg_recv(&body, l->dealer, ZMQ_DONTWAIT) >= 0;
+	if (got) {
+		l->heard_ms = clock_now_ms();
+		l->used_ms = l->heard_ms;
+		deliver(l->peers, &from, &body);
+	}
+	zmq_msg_close(&body);
+	return got;
+}
+
+/*
+ * A handler may close the link that it was called from, so look it up again
+ * after each message.
+ */
+static void pump_link(struct peers *p, const char *address)
+{
+	g_autofree char *key = g_strdup(address);
+	struct peer_link *l;
+
+	while ((l = g_hash_table_lookup(p->links, key))) {
+		l->dirty = false;
+		if (!readable(l->dealer) || !receive_answer(l))
+			return;
+	}
+}
+
+static void on_router(struct ev_loop *loop, ev_io *w, int events)
+{
+	(void)loop;
+	(void)events;
+	pump_router(w->data);
+}
+
+static void on_link(struct ev_loop *loop, ev_io *w, int events)
+{
+	struct peer_link *l = w->data;
+
+	(void)loop;
+	(void)events;
+	pump_link(l->peers, l->address);
+}
+
+/*
+ * The descriptor of a ZeroMQ socket signals edges, and a send may swallow one.
+ * What was sent on must be looked at before the loop sleeps, or messages that
+ * have come stay unread until the next one.
+ */
+static void on_prepare(struct ev_loop *loop, ev_prepare *w, int events)
+{
+	struct peers *p = w->data;
+
+	(void)loop;
+	(void)events;
+	while (p->router_dirty || p->dirty->len) {
+		struct peer_link *l;
+
+		if (p->router_dirty)
+			pump_router(p);
+		if (!p->dirty->len)
+			continue;
+		l = g_ptr_array_remove_index_fast(p->dirty, p->dirty->len - 1);
+		pump_link(p, l->address);
+	}
+}
+
+static void link_free(gpointer data)
+{
+	struct peer_link *l = data;
+
+	g_ptr_array_remove_fast(l->peers->dirty, l);
+	ev_io_stop(l->peers->loop, &l->io);
+	zmq_close(l->dealer);
+	g_free(l->address);
+	g_free(l);
+	COUNT(peer_links_closed);
+}
+
+static void on_sweep(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct peers *p = w->data;
+	int64_t now = clock_now_ms();
+	GHashTableIter it;
+	gpointer value;
+
+	(void)loop;
+	(void)events;
+	g_hash_table_iter_init(&it, p->links);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct peer_link *l = value;
+
+		if (now - l->used_ms > p->idle_close_ms)
+			g_hash_table_iter_remove(&it);
+	}
+}
+
+int peers_init(struct peers *p, struct ev_loop *loop, const char *address,
+	       peer_handler handler, void *user)
+{
+	g_autofree char *endpoint = g_strdup_printf("tcp://%s", address);
+	struct sockaddr_in addr;
+
+	memset(p, 0, sizeof(*p));
+	if (address_parse(address, &addr))
+		return RESULT_INVALID;
+	p->loop = loop;
+	p->handler = handler;
+	p->user = user;
+	p->idle_close_ms = IDLE_CLOSE_MS;
+	g_snprintf(p->identity, sizeof(p->identity), "%s/%08x", address,
+		   g_random_int());
+	p->context = zmq_ctx_new();
+	p->router = zmq_socket(p->context, ZMQ_ROUTER);
+	set_common(p->router);
+	set_int(p->router, ZMQ_ROUTER_HANDOVER, 1);
+	p->links =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, link_free);
+	p->dirty = g_ptr_array_new();
+	p->blocked =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	ev_io_init(&p->router_io, on_router, descriptor(p->router), EV_READ);
+	ev_prepare_init(&p->prepare, on_prepare);
+	ev_timer_init(&p->sweep, on_sweep, SWEEP_S, SWEEP_S);
+	p->router_io.data = p;
+	p->prepare.data = p;
+	p->sweep.data = p;
+	if (zmq_bind(p->router, endpoint)) {
+		peers_finish(p);
+		return RESULT_IO;
+	}
+	ev_io_start(loop, &p->router_io);
+	ev_prepare_start(loop, &p->prepare);
+	ev_timer_start(loop, &p->sweep);
+	return RESULT_OK;
+}
+
+/* Close every link and stop listening. */
+void peers_finish(struct peers *p)
+{
+	ev_io_stop(p->loop, &p->router_io);
+	ev_prepare_stop(p->loop, &p->prepare);
+	ev_timer_stop(p->loop, &p->sweep);
+	g_hash_table_unref(p->links);
+	g_hash_table_unref(p->blocked);
+	g_ptr_array_unref(p->dirty);
+	zmq_close(p->router);
+	zmq_ctx_term(p->context);
+}
+
+static struct peer_link *open_link(struct peers *p, const char *address)
+{
+	g_autofree char *endpoint = g_strdup_printf("tcp://%s", address);
+	struct peer_link *l = g_hash_table_lookup(p->links, address);
+
+	if (l)
+		return l;
+	l = g_new0(struct peer_link, 1);
+	l->peers = p;
+	l->address = g_strdup(address);
+	l->dealer = zmq_socket(p->context, ZMQ_DEALER);
+	set_common(l->dealer);
+	/* A new identity each time, so that answers to the old link are lost
+	 * rather than taken for answers on this one. */
+	g_snprintf(strrchr(p->identity, '/'), 10, "/%08x", g_random_int());
+	zmq_setsockopt(l->dealer, ZMQ_ROUTING_ID, p->identity,
+		       strlen(p->identity));
+	ev_io_init(&l->io, on_link, descriptor(l->dealer), EV_READ);
+	l->io.data = l;
+	if (zmq_connect(l->dealer, endpoint)) {
+		zmq_close(l->dealer);
+		g_free(l->address);
+		g_free(l);
+		return NULL;
+	}
+	ev_io_start(p->loop, &l->io);
+	l->used_ms = clock_now_ms();
+	g_hash_table_insert(p->links, l->address, l);
+	COUNT(peer_links_opened);
+	return l;
+}
+
+static int send_body(void *socket, enum peer_plane plane, const void *data,
+		     size_t len)
+{
+	zmq_msg_t body;
+	char *out;
+
+	zmq_msg_init_size(&body, len + 1);
+	out = zmq_msg_data(&body);
+	out[0] = plane;
+	memcpy(out + 1, data, len);
+	if (zmq_msg_send(&body, socket, ZMQ_DONTWAIT) < 0) {
+		zmq_msg_close(&body);
+		COUNT(peer_sends_dropped);
+		return RESULT_OVERLOAD;
+	}
+	COUNT(peer_messages_out);
+	COUNT_ADD(peer_bytes_out, len + 1);
+	if (plane == PLANE_MEMBER)
+		COUNT_ADD(control_bytes_out, len + 1);
+	return RESULT_OK;
+}
+
+int peers_send(struct peers *p, const char *address, enum peer_plane plane,
+	       const void *data, size_t len)
+{
+	struct peer_link *l;
+
+	if (g_hash_table_contains(p->blocked, address))
+		return RESULT_OK;
+	l = open_link(p, address);
+	if (!l)
+		return RESULT_UNREACHABLE;
+	l->used_ms = clock_now_ms();
+	if (!l->dirty)
+		g_ptr_array_add(p->dirty, l);
+	l->dirty = true;
+	return send_body(l->dealer, plane, data, len);
+}
+
+int peers_answer(struct peers *p, const void *identity, size_t identity_len,
+		 enum peer_plane plane, const void *data, size_t len)
+{
+	g_autofree char *address = address_of(identity, identity_len);
+
+	if (g_hash_table_contains(p->blocked, address))
+		return RESULT_OK;
+	p->router_dirty = true;
+	if (zmq_send(p->router, identity, identity_len,
+		     ZMQ_SNDMORE | ZMQ_DONTWAIT) < 0) {
+		COUNT(peer_sends_dropped);
+		return RESULT_OVERLOAD;
+	}
+	return send_body(p->router, plane, data, len);
+}
+
+void peers_replace(struct peers *p, const char *address)
+{
+	g_hash_table_remove(p->links, address);
+}
+
+int64_t peers_heard_ms(const struct peers *p, const char *address)
+{
+	struct peer_link *l = g_hash_table_lookup(p->links, address);
+
+	return l ? l->heard_ms : 0;
+}
+
+void peers_block(struct peers *p, const char *address, bool block)
+{
+	if (block)
+		g_hash_table_add(p->blocked, g_strdup(address));
+	else
+		g_hash_table_remove(p->blocked, address);
+}
+
+/* Links now open to peers. */
+uint32_t peers_n_links(const struct peers *p)
+{
+	return g_hash_table_size(p->links);
+}
--- /dev/null
+++ b/net/request-msg.h
@@ -0,0 +1,62 @@
+#ifndef NET_REQUEST_MSG_H
+#define NET_REQUEST_MSG_H
+
+#include <stdint.h>
+#include <glib.h>
+
+/*
+ * Messages between the entry that took a request and the gate that serves it.
+ * An answer is matched by the entry's origin and the attempt's number; its end
+ * carries length and digest, so that a cut or mixed-up answer shows.
+ */
+enum request_msg_type {
+	REQ_ASK = 1, /* a whole request */
+	REQ_CREDIT, /* number: bytes of the answer taken */
+	REQ_CANCEL, /* the entry wants no answer any more */
+	REQ_HEAD, /* status, headers and the first data of an answer */
+	REQ_DATA, /* more data */
+	REQ_REFUSED, /* not run; number: result, wait_ms: when to come back */
+	REQ_FAILED, /* may have run; number: result */
+	REQ_N_TYPES,
+};
+
+#define REQ_FLAG_END 1 /* last part of the answer */
+#define REQ_FLAG_KEYED 2 /* served only by the owner of the shard */
+
+struct request_msg {
+	enum request_msg_type type;
+	uint64_t origin; /* one entry process */
+	uint64_t id; /* one attempt of it */
+	int64_t to; /* asked: the member meant */
+	int64_t shard;
+	int64_t class_index;
+	int64_t version; /* configuration the class index belongs to */
+	int64_t deadline_ms; /* asked: time left */
+	int64_t flags;
+	int64_t status;
+	int64_t number;
+	int64_t wait_ms;
+	int64_t total; /* end: length of the whole body */
+	uint64_t digest; /* end: hash of the whole body */
+	int64_t load; /* what the gate has, in flight and waiting */
+	int64_t limit; /* and how much it works on at once */
+	const char *method;
+	const char *url;
+	const char *key;
+	const char *idempotency_key;
+	GPtrArray *headers; /* name and value in turn, or NULL */
+	const void *data; /* not owned; into the message when decoded */
+	size_t len;
+	GStringChunk *strings; /* decoded strings */
+};
+
+void request_msg_encode(const struct request_msg *m, GByteArray *out);
+
+/*
+ * Decode; data points into the input, the rest is owned until
+ * request_msg_finish(). Returns RESULT_OK or RESULT_INVALID.
+ */
+int request_msg_decode(struct request_msg *m, const void *data, size_t len);
+void request_msg_finish(struct request_msg *m);
+
+#endif
