member: a shard that comes and goes waits for its last requests

Cause: a shard being released, with a request still running, came back by an expulsion and left again by a planned move. Waiting for it again had overwritten "releasing", so the node told the next owner that nobody served it while the old request ran on.

A shard on the way out now always passes through "releasing".

- A node whose lease lapsed waited 4.5 s before it joined anew; by then its witnesses have long promised a stop.
It waits one lease now, and only when the log can be reached.
- One proposer table shared a timer between asking and resigning, so that a resigning node never handed over.

--- a/member/holds.c
+++ b/member/holds.c
@@ -145,8 +145,14 @@
 {
 	struct hold *h = &n->holds[i];
 
+	/*
+	 * A shard that came back while its last requests still ran, and goes
+	 * again, is not free before those have ended: hence not straight to
+	 * HOLD_NONE, which would have us tell the next owner so.
+	 */
 	if (h->state == HOLD_WAITING) {
-		h->state = HOLD_NONE;
+		h->state = rule_on(n, RULE_REQUESTS_END_FIRST) ? HOLD_RELEASING
+							       : HOLD_NONE;
 		h->has_ids = false;
 	}
 	if (h->state == HOLD_HELD) {
@@ -302,27 +308,36 @@
 	g_array_unref(shards);
 }
 
-/* Resigning and idle: give every successor the ids seen on its shards. */
-void holds_hand_over(struct member_node *n)
+static void hand_over_to(struct member_node *n, const GArray *heirs)
 {
-	GArray *to = witness_successors(n, n->self);
 	GArray *shards = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	uint32_t i, j;
 
-	for (i = 0; i < to->len; i++) {
+	for (i = 0; i < heirs->len; i++) {
+		int64_t heir = g_array_index(heirs, int64_t, i);
+
 		g_array_set_size(shards, 0);
 		for (j = 0; j < n->n_holds; j++) {
 			const struct shard *sh = shard_at(n, j);
 			int64_t s = j;
 
-			if (sh->owner == n->self &&
-			    sh->successor == g_array_index(to, int64_t, i))
+			if (sh->owner == n->self && sh->successor == heir)
 				g_array_append_val(shards, s);
 		}
-		send_release(n, g_array_index(to, int64_t, i), shards);
+		send_release(n, heir, shards);
 	}
 	g_array_unref(shards);
-	g_array_unref(to);
+}
+
+/* Resigning and idle: give every successor the ids seen on its shards. */
+void holds_hand_over(struct member_node *n)
+{
+	GArray *heirs = witness_successors(n, n->self);
+
+	if (!n->handed_over_ms)
+		n->handed_over_ms = n->now_ms;
+	hand_over_to(n, heirs);
+	g_array_unref(heirs);
 }
 
 /* Whether we serve no shard and let none go. */
@@ -422,6 +437,7 @@
 		      h->ids_fence == ev->fence_before;
 	if (ev->from && !fleet_member(&n->fleet, ev->from) && !handed_over)
 		expect_busy(n, h, ev->reason);
+	h->owner_before = ev->from;
 	if (ev->to != n->self || !n->self || h->state == HOLD_HELD)
 		return;
 	h->has_ids = !ev->from || handed_over;
@@ -504,6 +520,12 @@
 		h->fence = sh->fence;
 		h->clear = 0;
 	}
+	/* A leaving owner's word that the record of its leaving overtook. */
+	if ((msg->flags & RELEASE_HAS_IDS) && sh->owner == n->self &&
+	    msg->from == h->owner_before) {
+		h->has_ids = true;
+		h->blind_since_ms = 0;
+	}
 	if (msg->offset < sh->fence || h->state == HOLD_HELD)
 		return;
 	if ((msg->flags & RELEASE_HAS_IDS) && msg->from == sh->from) {
--- a/member/lease.c
+++ b/member/lease.c
@@ -142,17 +142,14 @@
 	return know >= w->n / 2 + 1;
 }
 
-static void send_ask(struct member_node *n, int64_t process)
+static void send_ask(struct member_node *n, int64_t process, int64_t to)
 {
-	const struct member *m = fleet_member_by_process(&n->fleet, process);
 	struct member_msg msg;
 
-	if (!m)
-		return;
 	member_msg_init(&msg, MSG_VOUCH_ASK);
 	msg.seq = n->now_ms;
 	msg.flags = process;
-	member_send(n, m->id, &msg);
+	member_send(n, to, &msg);
 	COUNT(vouches_sent);
 }
 
@@ -165,11 +162,23 @@
 	    witness_set_has(&m->old_witnesses, LOG_WITNESS)) {
 		for_each_member (&n->fleet, other, i)
 			if (other->id != n->self)
-				send_ask(n, other->process);
+				send_ask(n, other->process, other->id);
 		return;
 	}
-	for (i = 0; i < n->vouches->len; i++)
-		send_ask(n, g_array_index(n->vouches, struct vouch, i).witness);
+	for (i = 0; i < n->vouches->len; i++) {
+		struct vouch *v = &g_array_index(n->vouches, struct vouch, i);
+
+		/*
+		 * A witness that is a member no more still keeps its promises
+		 * and may vouch until we have settled on another. Two that
+		 * leave at once would cost us our lease otherwise.
+		 */
+		other = fleet_member_by_process(&n->fleet, v->witness);
+		if (other)
+			v->member = other->id;
+		if (v->member)
+			send_ask(n, v->witness, v->member);
+	}
 }
 
 /* Ask on the next tick rather than wait for the interval. */
--- a/member/member.c
+++ b/member/member.c
@@ -97,6 +97,7 @@
 	n->self = 0;
 	n->had_lease = false;
 	n->no_lease_since_ms = 0;
+	n->handed_over_ms = 0;
 	n->denied.n = 0;
 }
 
@@ -235,9 +236,10 @@
 	const struct member *m = fleet_member(&n->fleet, n->self);
 	uint32_t i;
 
-	if (!m || !n->resigning || !holds_idle(n) || n->now_ms < n->next_ask_ms)
+	if (!m || !n->resigning || !holds_idle(n) ||
+	    n->now_ms < n->next_resign_ms)
 		return;
-	n->next_ask_ms = n->now_ms + RESIGN_INTERVAL_MS;
+	n->next_resign_ms = n->now_ms + RESIGN_INTERVAL_MS;
 	holds_hand_over(n);
 	for (i = 0; i < m->witnesses.n; i++)
 		send_resign(n, m->witnesses.id[i]);
@@ -329,6 +331,19 @@
 	n->next_join_ms = n->now_ms;
 }
 
+bool member_is_needed(const struct member_node *n)
+{
+	struct member *m;
+	uint32_t i;
+
+	for_each_member (&n->fleet, m, i)
+		if (n->process && m->process != n->process &&
+		    (witness_set_has(&m->witnesses, n->process) ||
+		     witness_set_has(&m->old_witnesses, n->process)))
+			return true;
+	return false;
+}
+
 bool member_has_left(const struct member_node *n)
 {
 	if (!n->self)
--- a/member/member.h
+++ b/member/member.h
@@ -50,6 +50,7 @@
 	bool has_ids; /* the ids seen before us are known here */
 	int64_t ids_from; /* the owner that handed them over on leaving */
 	int64_t ids_fence; /* and the fence that it held the shard under */
+	int64_t owner_before; /* the owner that the log took the shard from */
 	int64_t fence; /* the shard's fence that clear belongs to */
 	/*
 	 * A backend server that lost its node may be busy with the shard until
@@ -63,6 +64,7 @@
 /* Our side of one witness of ours. */
 struct vouch {
 	int64_t witness; /* its process */
+	int64_t member; /* the member that the process was last */
 	int64_t sent_ms; /* sending time of the newest ask it answered */
 	int64_t applied; /* newest offset it reported */
 	bool denied; /* it has promised not to vouch again */
@@ -102,8 +104,8 @@
 	char *text;
 };
 
-/* What member_ops.note says of a member proved to have stopped. */
-#define NOTE_PROVED_STOPPED "proved to have stopped"
+/* What member_ops.note says of a member found to have stopped. */
+#define NOTE_STOPPED "known to have stopped"
 
 struct member_ops {
 	/* Send to a member; takes nothing over. */
@@ -132,6 +134,7 @@
 	bool want_member;
 	bool resigning; /* no new work; leave when what runs has ended */
 	bool log_caught_up; /* we have read to the log's end once */
+	bool log_up; /* the last read succeeded; the caller keeps this */
 	bool had_lease;
 	int64_t no_lease_since_ms; /* 0 while there is one */
 	struct witness_set unfit; /* witnesses that did not answer us */
@@ -142,6 +145,8 @@
 	int64_t next_vouch_ms;
 	int64_t next_join_ms;
 	int64_t next_ask_ms;
+	int64_t next_resign_ms;
+	int64_t handed_over_ms; /* first told our heirs that we leave; 0 not */
 	int64_t behind_since_ms; /* a peer is known to be ahead; 0 not */
 	int64_t ahead_peer;
 	int64_t ahead_applied;
@@ -225,6 +230,12 @@
 			   const struct fleet_service *s, uint32_t shard,
 			   int64_t *out, uint32_t max);
 
+/*
+ * Whether some member still names this process as its witness. A process that
+ * is to stop should stay until none does, or it takes a vouch from each.
+ */
+bool member_is_needed(const struct member_node *n);
+
 /* Whether all of our shards are given up, when resigning. */
 bool member_has_left(const struct member_node *n);
 
@@ -244,7 +255,8 @@
 	RULE_RESTART_WAITS = 1 << 8,
 	RULE_LOG_WITNESS_WAIT = 1 << 9,
 	RULE_PROMISE_IS_KEPT = 1 << 10,
-	N_MEMBER_RULES = 11,
+	RULE_REQUESTS_END_FIRST = 1 << 11,
+	N_MEMBER_RULES = 12,
 };
 
 #endif
--- a/member/propose.c
+++ b/member/propose.c
@@ -10,7 +10,9 @@
 #define BALANCE_RANK_STEP_MS 3000
 #define WITNESS_WAIT_MS 500
 #define RETRY_MS 500
-#define LEASELESS_LEASES 3
+#define LEASELESS_LEASES 1
+/* Time for our heirs to get the ids before the record that we left. */
+#define HAND_OVER_MS 50
 #define SPREAD_PER_MEMBER_MS 20
 #define SNAPSHOT_PART_BYTES (64 * 1024)
 #define LOG_WITNESSED_LAPSES 2
@@ -47,7 +49,7 @@
 static bool must_join_anew(const struct member_node *n)
 {
 	return lease_is_lost(n) ||
-	       (n->no_lease_since_ms &&
+	       (n->log_up && n->no_lease_since_ms &&
 		n->now_ms - n->no_lease_since_ms >
 			LEASELESS_LEASES * n->timing.lease_ms);
 }
@@ -134,7 +136,8 @@
 static bool expel_due(const struct member_node *n, const struct member *m)
 {
 	if (m->id == n->self)
-		return n->resigning && holds_idle(n);
+		return n->resigning && n->handed_over_ms &&
+		       n->now_ms - n->handed_over_ms >= HAND_OVER_MS;
 	if (log_witnessed_silent(n, m))
 		return true;
 	return takeover_proved(n, m->id) &&
--- a/member/takeover.c
+++ b/member/takeover.c
@@ -80,8 +80,10 @@
 
 static void add_stopped(struct member_node *n, int64_t id)
 {
-	if (fleet_member(&n->fleet, id) && !member_known_stopped(n, id))
-		g_array_append_val(n->stopped, id);
+	if (!fleet_member(&n->fleet, id) || member_known_stopped(n, id))
+		return;
+	g_array_append_val(n->stopped, id);
+	member_note(n, NOTE_STOPPED, id);
 }
 
 /* Take note of ids that a peer knows to have stopped; a hint for routing. */
@@ -123,7 +125,6 @@
 	if (takeover_proved(n, msg->subject)) {
 		add_stopped(n, msg->subject);
 		COUNT(takeovers);
-		member_note(n, NOTE_PROVED_STOPPED, msg->subject);
 	} else if (msg->offset > n->fleet.applied) {
 		sync_fetch(n, msg->from);
 	}
--- a/t/sim.c
+++ b/t/sim.c
@@ -310,8 +310,9 @@
 	struct sim *s = nd->sim;
 	int64_t next;
 
-	if (s->log_down_until > s->now || nd->log_cut ||
-	    nd->behind_until > s->now)
+	nd->member.log_up = s->log_down_until <= s->now && !nd->log_cut &&
+			    nd->behind_until <= s->now;
+	if (!nd->member.log_up)
 		return;
 	next = nd->member.fleet.applied + 1;
 	while (next < s->log->len) {
@@ -383,31 +384,18 @@
 	       !member_may_serve(&nd->member, shard, local(nd), &fence, &end);
 }
 
-/* Print a member's view of one subject's witnesses. */
-static void print_sets(struct sim_node *nd, int64_t subject)
+/* Print the records, for a failing seed. */
+static void print_log(struct sim *s)
 {
-	struct member *m = fleet_member(&nd->member.fleet, subject);
 	uint32_t i;
 
-	if (!m)
-		return;
-	g_print("  node %u applied %d sees %d witness_offset %d:", nd->slot,
-		(int)nd->member.fleet.applied, (int)subject,
-		(int)m->witness_offset);
-	for (i = 0; i < m->witnesses.n; i++)
-		g_print(" %d", (int)m->witnesses.id[i]);
-	g_print(" old");
-	for (i = 0; i < m->old_witnesses.n; i++)
-		g_print(" %d", (int)m->old_witnesses.id[i]);
-	for (i = 0; i < nd->member.proofs->len; i++) {
-		struct proof *p =
-			&g_array_index(nd->member.proofs, struct proof, i);
-
-		if (p->subject == subject)
-			g_print(" proof by %d frozen %d", (int)p->witness,
-				(int)p->frozen);
+	for (i = 0; i < s->log->len; i++) {
+		struct sim_log_record *r = g_ptr_array_index(s->log, i);
+		char *text = json_dumps(r->record, JSON_COMPACT);
+
+		g_print("record %u: %.300s\n", i, text);
+		free(text);
 	}
-	g_print("\n");
 }
 
 static void check(struct sim *s)
@@ -430,11 +418,8 @@
 					s->nodes[j].busy_until[i] > s->now
 						? "busy"
 						: "idle");
-		for (j = 0; s->verbose && j < SIM_NODES; j++)
-			if (serves(&s->nodes[j], i)) {
-				print_sets(&s->nodes[0], 4);
-				print_sets(&s->nodes[j], 4);
-			}
+		if (s->verbose && s->breaches == 1)
+			print_log(s);
 	}
 	for (j = 0; j < SIM_NODES; j++) {
 		struct sim_node *nd = &s->nodes[j];
--- a/t/test-member.c
+++ b/t/test-member.c
@@ -88,6 +88,76 @@
 	return 0;
 }
 
+static void put_behind(struct sim *s, int64_t process)
+{
+	int slot = sim_slot_of_process(s, process);
+
+	if (slot >= 0)
+		s->nodes[slot].behind_until = s->now + 20000;
+}
+
+/*
+ * A move that neither the old successor nor the owner's witnesses hear of,
+ * while the owner and the new owner do; then the owner dies.
+ */
+static uint64_t unheard_move(uint32_t seed, uint32_t rules)
+{
+	struct fleet_service *sv;
+	struct sim s;
+	const struct member *m;
+	uint64_t breaches;
+	int64_t a, b, c = 0;
+	uint32_t i, j;
+	json_t *r;
+
+	start_quietly(&s, seed, rules);
+	sv = fleet_service(sim_newest(&s), "records");
+	i = shard_with_common_heir(sv);
+	a = sv->shards[i].owner;
+	b = sv->shards[i].successor;
+	m = fleet_member(sim_newest(&s), a);
+	for (j = 0; j < 5; j++) {
+		int64_t id = s.nodes[j].member.self;
+
+		if (id != a && id != b &&
+		    !witness_set_has(&m->witnesses, s.nodes[j].member.process))
+			c = id;
+	}
+	for (j = 0; j < m->witnesses.n; j++)
+		put_behind(&s, m->witnesses.id[j]);
+	s.nodes[sim_slot(&s, b)].behind_until = s.now + 20000;
+	r = record_move("records", 0, "test");
+	record_move_add(r, i, c, b, sv->shards[i].fence);
+	if (!c)
+		json_decref(r);
+	else
+		sim_append(&s, r);
+	sim_run(&s, 600);
+	sim_kill(&s, sim_slot(&s, a));
+	s.log_down_until = s.now + 10000;
+	sim_run(&s, 6000);
+	breaches = s.breaches;
+	sim_finish(&s);
+	return breaches;
+}
+
+/*
+ * An owner releases a shard and dies before its witnesses heard of the move.
+ * Their promises then let the old successor, which has not heard either, serve
+ * a key that the new owner serves.
+ */
+static void test_unheard_move(void)
+{
+	uint64_t without = 0;
+	uint32_t seed;
+
+	for (seed = 1; seed <= 20; seed++) {
+		g_assert_cmpuint(unheard_move(seed, 0), ==, 0);
+		without += unheard_move(seed, RULE_WITNESSES_KNOW_MOVE);
+	}
+	g_assert_cmpuint(without, >, 0);
+}
+
 static int64_t other_member(struct sim *s, int64_t a, int64_t b, int64_t c)
 {
 	int64_t id;
@@ -154,6 +224,71 @@
 	g_assert_cmpuint(without, >, 0);
 }
 
+static void append_move(struct sim *s, uint32_t shard, int64_t owner,
+			int64_t successor)
+{
+	struct fleet_service *sv = fleet_service(sim_newest(s), "records");
+	json_t *r = record_move("records", 0, "test");
+
+	record_move_add(r, shard, owner, successor, sv->shards[shard].fence);
+	sim_append(s, r);
+}
+
+static uint64_t shard_comes_and_goes(uint32_t seed, uint32_t rules)
+{
+	struct fleet_service *sv;
+	struct member_node *na;
+	struct sim s;
+	int64_t a, b, c, d, end;
+	uint64_t breaches;
+	json_t *r;
+
+	start_quietly(&s, seed, rules);
+	sv = fleet_service(sim_newest(&s), "records");
+	a = sv->shards[0].owner;
+	b = sv->shards[0].successor;
+	c = other_member(&s, a, b, 0);
+	d = other_member(&s, a, b, c);
+	na = &s.nodes[sim_slot(&s, a)].member;
+	/* A long request runs on the shard, which moves to c and back. */
+	s.nodes[sim_slot(&s, a)].busy_until[0] = s.now + 6000;
+	append_move(&s, 0, c, a);
+	sim_run(&s, 1000);
+	r = record_expel(0, "test");
+	record_expel_add(r, fleet_member(sim_newest(&s), c));
+	sim_kill(&s, sim_slot(&s, c));
+	sim_append(&s, r);
+	na->quiet_until_ms = na->now_ms + 6000;
+	for (end = s.now + 3000; s.now < end;) {
+		sim_step(&s);
+		sv = fleet_service(sim_newest(&s), "records");
+		if (!sv->shards[0].from)
+			break;
+	}
+	append_move(&s, 0, d, b);
+	sim_run(&s, 2500);
+	breaches = s.breaches;
+	sim_finish(&s);
+	return breaches;
+}
+
+/*
+ * A shard leaves, comes back and leaves again while one slow request on it
+ * still runs. Told that nobody serves it, the next owner would run a second
+ * request beside the slow one.
+ */
+static void test_shard_comes_and_goes(void)
+{
+	uint64_t without = 0;
+	uint32_t seed;
+
+	for (seed = 1; seed <= 10; seed++) {
+		g_assert_cmpuint(shard_comes_and_goes(seed, 0), ==, 0);
+		without += shard_comes_and_goes(seed, RULE_REQUESTS_END_FIRST);
+	}
+	g_assert_cmpuint(without, >, 0);
+}
+
 static void set_witnesses(struct sim *s, const struct member *m,
 			  const int64_t *ids)
 {
@@ -249,7 +384,7 @@
 	"successor-catches-up", "release-before-hold",
 	"witnesses-know-move",	"old-witnesses-count",
 	"restart-waits",	"log-witness-wait",
-	"promise-is-kept",
+	"promise-is-kept",	"requests-end-first",
 };
 
 int main(int argc, char **argv)
@@ -263,10 +398,15 @@
 		first_seed = atoi(g_getenv("FIRST_SEED"));
 	g_test_add_func("/member/random-faults", test_random_faults);
 	g_test_add_func("/member/stale-successor", test_stale_successor);
+	g_test_add_func("/member/shard-comes-and-goes",
+			test_shard_comes_and_goes);
+	g_test_add_func("/member/unheard-move", test_unheard_move);
 	g_test_add_func("/member/returning-witness", test_returning_witness);
 	for (i = 0; i < G_N_ELEMENTS(rule_names); i++) {
-		/* These two have tests of their own, above. */
+		/* These have tests of their own, above. */
 		if (1u << i == RULE_SUCCESSOR_CATCHES_UP ||
+		    1u << i == RULE_WITNESSES_KNOW_MOVE ||
+		    1u << i == RULE_REQUESTS_END_FIRST ||
 		    1u << i == RULE_PROMISE_IS_KEPT)
 			continue;
 		g_autofree char *path = g_strdup_printf(
