--- a/Makefile
+++ b/Makefile
@@ -62,7 +62,16 @@
 test: binaries
 	OUT=$(OUT) t/run-tests
 
-demo: $(PROGRAMS:%=$(OUT)/bin/%)
+# Debian's packages; nothing is installed when all are there.
+PACKAGES = libev-dev libzmq3-dev libmicrohttpd-dev libcurl4-openssl-dev \
+	libjansson-dev libglib2.0-dev libmsgpack-dev libxxhash-dev gcc make \
+	pkg-config jq curl
+packages:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
+		{ apt-get update -qq && apt-get install -y -qq $(PACKAGES); }
+
+demo: packages
+	$(MAKE) $(PROGRAMS:%=$(OUT)/bin/%)
 	OUT=$(OUT) t/demo.sh
 
 bench: binaries
@@ -94,6 +103,6 @@
 clean:
 	rm -rf build
 
-.PHONY: all binaries test demo bench report soak check format clean
+.PHONY: packages all binaries test demo bench report soak check format clean
 .SECONDARY:
 -include $(shell find build -name '*.d' 2>/dev/null)
--- a/net/entry.c
+++ b/net/entry.c
@@ -11,7 +11,7 @@
 #include "util/result.h"
 
 #define TICK_S 0.005
-#define MAX_TRIES 12
+#define MAX_TRIES 24
 #define MAX_ATTEMPTS 2
 #define MAX_CANDIDATES 8
 #define MAX_MEMBERS 2048
@@ -24,7 +24,8 @@
 #define HEDGE_FACTOR 3.0
 #define HEDGE_MIN_MS 8.0
 #define AVOID_MS 50
-#define ROUND_WAIT_MS 60
+#define ROUND_WAIT_MS 50
+#define ROUND_WAIT_MAX_MS 400
 #define TRY_MIN_MS 60
 #define TRY_FACTOR 10
 #define SILENT_LINK_MS 3000
@@ -60,6 +61,7 @@
 	int64_t target_ms;
 	int64_t resume_ms; /* when to try again, 0 not waiting */
 	uint32_t tries;
+	uint32_t rounds; /* of all candidates, without one that serves */
 	uint32_t refusals; /* of the candidates in this round */
 	int64_t last_member;
 	int64_t refused_wait_ms;
@@ -339,6 +341,25 @@
 	return count;
 }
 
+/*
+ * The next candidate in turn that has not been silent of late; a dead owner
+ * would otherwise cost every other try its whole patience.
+ */
+static int64_t pick_candidate(struct entry_request *r, const int64_t *members,
+			      uint32_t count)
+{
+	int64_t now = clock_now_ms();
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		int64_t id = members[(r->refusals + i) % count];
+
+		if (chooser_view(&r->entry->chooser, id)->avoid_until_ms <= now)
+			return id;
+	}
+	return count ? members[r->refusals % count] : 0;
+}
+
 static int64_t pick_gate(struct entry_request *r, int64_t except)
 {
 	static int64_t members[MAX_MEMBERS];
@@ -351,17 +372,23 @@
 
 		count = member_candidates(n, s, r->shard, members,
 					  MAX_CANDIDATES);
-		return count ? members[r->refusals % count] : 0;
+		return pick_candidate(r, members, count);
 	}
 	count = gates_of_service(r, members);
 	return chooser_pick(&e->chooser, members, count, n->self, except,
 			    clock_now_ms());
 }
 
-static void wait_round(struct entry_request *r, int64_t ms)
+/*
+ * Wait before the next round of candidates, longer each time: all that wait for
+ * one lost owner would otherwise beset its successor until it may serve.
+ */
+static void wait_round(struct entry_request *r)
 {
+	int64_t ms = MIN(ROUND_WAIT_MS << MIN(r->rounds, 8), ROUND_WAIT_MAX_MS);
 	int64_t jitter = g_rand_int_range(r->entry->rand, 0, ms / 2 + 1);
 
+	r->rounds++;
 	r->resume_ms = clock_now_ms() + ms + jitter;
 }
 
@@ -383,7 +410,7 @@
 		if (r->tries >= MAX_TRIES)
 			reply_not_run(r, "nobody serves this now\n");
 		else
-			wait_round(r, ROUND_WAIT_MS);
+			wait_round(r);
 	}
 }
 
@@ -410,7 +437,7 @@
 		if (r->keyed && r->refusals % 2)
 			try_next(r);
 		else
-			wait_round(r, ROUND_WAIT_MS);
+			wait_round(r);
 		return;
 	}
 	chooser_refused(&e->chooser, r->last_member, AVOID_MS, now);
--- a/net/gate.c
+++ b/net/gate.c
@@ -491,6 +491,7 @@
 	header_add_int(r->headers, HEADER_DEADLINE_MS, left_ms);
 	if (r->keyed) {
 		header_add_int(r->headers, HEADER_FENCE, fence);
+		header_add_int(r->headers, HEADER_SHARD, r->shard);
 		header_add_int(r->headers, HEADER_GRANT_MS, lease_end_ms - now);
 	}
 	url = g_strdup_printf("http://%s%s", g->node->settings.backend_server,
--- a/net/headers.h
+++ b/net/headers.h
@@ -8,6 +8,7 @@
 
 #define HEADER_OUTCOME "Briargrade-Outcome"
 #define HEADER_FENCE "Briargrade-Fence"
+#define HEADER_SHARD "Briargrade-Shard"
 #define HEADER_GRANT_MS "Briargrade-Grant-Ms"
 #define HEADER_DEADLINE_MS "Briargrade-Deadline-Ms"
 #define HEADER_NOT_RUN "Briargrade-Not-Run"
--- a/net/node.c
+++ b/net/node.c
@@ -9,6 +9,8 @@
 #define TICK_S 0.05
 #define SEED_EVERY_MS 500
 #define MAX_SNAPSHOT_PARTS 1024
+#define STAY_LIMIT_MS 10000
+#define MAX_ADDRESSES 8192
 #define BOOT_ID_FILE "/proc/sys/kernel/random/boot_id"
 
 struct snapshot_parts {
@@ -120,7 +122,7 @@
 
 	g_info("member %" G_GINT64_FORMAT ": %s %" G_GINT64_FORMAT,
 	       (gint64)n->member.self, what, (gint64)subject);
-	if (!strcmp(what, NOTE_PROVED_STOPPED))
+	if (!strcmp(what, NOTE_STOPPED))
 		entry_on_member_stopped(&n->entry, subject);
 }
 
@@ -135,6 +137,9 @@
 
 static void remember_address(struct node *n, const struct member *m)
 {
+	/* Addresses of those long gone: only a witness just left matters. */
+	if (g_hash_table_size(n->addresses) >= MAX_ADDRESSES)
+		g_hash_table_remove_all(n->addresses);
 	g_hash_table_replace(n->addresses, g_memdup2(&m->id, sizeof(m->id)),
 			     g_strdup(m->peer));
 }
@@ -146,10 +151,8 @@
 	audit_event(&n->audit, ev);
 	if (ev->type == FLEET_MEMBER_JOINED)
 		remember_address(n, ev->member);
-	if (ev->type == FLEET_MEMBER_GONE) {
+	if (ev->type == FLEET_MEMBER_GONE)
 		entry_on_member_stopped(&n->entry, ev->member->id);
-		g_hash_table_remove(n->addresses, &ev->member->id);
-	}
 	operator_on_event(n, ev);
 }
 
@@ -370,8 +373,15 @@
 
 static void tick_stop(struct node *n)
 {
+	int64_t now = clock_now_ms();
+
 	if (!member_has_left(&n->member))
 		return;
+	if (!n->left_ms)
+		n->left_ms = now;
+	/* Those we vouch for need others first; not for ever, though. */
+	if (member_is_needed(&n->member) && now - n->left_ms < STAY_LIMIT_MS)
+		return;
 	entry_drain(&n->entry);
 	if (!gate_idle(&n->gate) || !entry_idle(&n->entry))
 		return;
@@ -386,6 +396,7 @@
 
 	(void)loop;
 	(void)events;
+	n->member.log_up = log_client_up(&n->log);
 	member_tick(&n->member, now);
 	gate_tick(&n->gate);
 	ask_seeds(n, now);
--- a/net/node.h
+++ b/net/node.h
@@ -54,6 +54,7 @@
 	ev_signal sigterm;
 	ev_signal sigint;
 	bool stopping;
+	int64_t left_ms; /* when all was given up, 0 not yet */
 	int64_t next_seed_ms;
 	uint32_t next_seed;
 	int64_t started_ms;
--- a/net/operator.c
+++ b/net/operator.c
@@ -60,8 +60,8 @@
 	for_each_member (&n->member.fleet, m, i)
 		json_array_append_new(
 			list,
-			json_pack("{s:I,s:s,s:s,s:s,s:s,s:i,s:b,s:b,s:o}", "id",
-				  (json_int_t)m->id, "host", m->host,
+			json_pack("{s:I,s:s,s:s,s:s,s:s,s:i,s:b,s:b,s:o,s:b}",
+				  "id", (json_int_t)m->id, "host", m->host,
 				  "data_centre", m->data_centre, "service",
 				  m->service, "peer", m->peer, "shards",
 				  owned(n, m), "takes_work",
@@ -69,7 +69,8 @@
 				  "known_stopped",
 				  member_known_stopped(&n->member, m->id),
 				  "witnesses",
-				  witness_set_to_json(&m->witnesses)));
+				  witness_set_to_json(&m->witnesses),
+				  "witnesses_settled", !m->old_witnesses.n));
 	return list;
 }
 
--- a/t/backend-standin.c
+++ b/t/backend-standin.c
@@ -35,7 +35,7 @@
 static struct httpd httpd;
 static GQueue *waiting; /* struct job */
 static GHashTable *ledger; /* id -> runs */
-static GHashTable *fences; /* key -> int64_t */
+static GHashTable *fences; /* shard -> int64_t */
 static uint32_t n_running;
 static uint64_t n_served, n_shed, n_overloads, n_cancelled, n_old_fence;
 static uint64_t most_in_cold;
@@ -171,19 +171,20 @@
 static bool fence_is_old(struct httpd_request *r)
 {
 	const char *text = httpd_header(r, HEADER_FENCE);
+	const char *shard = httpd_header(r, HEADER_SHARD);
 	int64_t fence = text ? g_ascii_strtoll(text, NULL, 10) : 0;
 	int64_t *seen;
 
-	if (!text || !check_grants)
+	if (!text || !shard || !check_grants)
 		return false;
-	seen = g_hash_table_lookup(fences, r->path);
+	seen = g_hash_table_lookup(fences, shard);
 	if (seen && *seen > fence) {
 		n_old_fence++;
 		return true;
 	}
 	if (!seen) {
 		seen = g_new0(int64_t, 1);
-		g_hash_table_insert(fences, g_strdup(r->path), seen);
+		g_hash_table_insert(fences, g_strdup(shard), seen);
 	}
 	*seen = fence;
 	return false;
--- a/t/lib.sh
+++ b/t/lib.sh
@@ -26,8 +26,8 @@
 	for pid in $PIDS; do
 		kill -CONT "$pid" 2>/dev/null
 		kill -9 "$pid" 2>/dev/null
+		wait "$pid" 2>/dev/null
 	done
-	wait 2>/dev/null
 	[ -n "${KEEP:-}" ] || rm -rf "$DIR"
 }
 trap cleanup EXIT
@@ -68,7 +68,7 @@
  "caller_address": "$(caller_of "$1")", "peer_address": "$(peer_of "$1")",
  "operator_address": "$(operator_of "$1")",
  "backend_server": "$(backend_of "$1")", "log": "$LOG_ADDRESS",
- "seeds": ["$(peer_of 0)", "$(peer_of 1)", "$(peer_of 2)"],
+ "seeds": [${SEED_LIST-"\"$(peer_of 0)\", \"$(peer_of 1)\""}],
  ${EXTRA_SETTINGS:-}
  "log_level": "info", "test_hooks": true}
 EOF
@@ -153,10 +153,17 @@
 	publish "$1" 0 >/dev/null || die "publish"
 	jq -r '.services[] | "\(.name) \(.shards)"' "$1" >"$DIR/services"
 	while read -r service shards; do
+		[[ " ${NODE_SERVICE[*]} " == *" $service "* ]] || continue
 		wait_for "shards of $service" all_held "$service" "$shards"
 	done <"$DIR/services"
 	wait_for "leases" all_leases
 	wait_for "balance" balanced
+	wait_for "witnesses" witnessed
+}
+# Every member's lease rests on witnesses, not on the log.
+witnessed() {
+	status_of 0 | jq -e 'all(.members[]; .witnesses_settled and
+		(.witnesses | length == 3))' >/dev/null
 }
 all_leases() { local i; for i in $NODES; do has_lease "$i" || return 1; done; }
 # Shares of one service differ by at most one among members that take work.
--- a/t/load.c
+++ b/t/load.c
@@ -83,13 +83,13 @@
 static void send_one(void)
 {
 	struct call *c = g_new0(struct call, 1);
-	const char *target = targets[n_sent % n_targets];
+	const char *target = targets[(n_sent / n_keys + n_sent) % n_targets];
 	g_autofree char *where = NULL;
 	g_autofree char *url = NULL;
 	GPtrArray *headers = headers_new();
 	const char *mark = strstr(path, "%d");
 
-	c->key = g_random_int_range(0, n_keys);
+	c->key = n_sent % n_keys;
 	where = mark ? g_strdup_printf("%.*s%u%s", (int)(mark - path), path,
 				       c->key, mark + 2)
 		     : g_strdup(path);
