member, state: shards under way leave an out data centre; ids stay known

A shard now has room for the predecessors of two moves, and the next owner clears both pairs. Planned moves still wait for the one before, so the room is there when a data centre goes. /state/data-centre-out-unsettled failed before.

An owner that never came to hold a shard lost its knowledge that no id had been seen on it, so the next one was blind for 30 s; and heirs could take over before the leaver's ids arrived. A leaver now waits for its heirs to say that they have them, 1 s at most.

--- a/member/holds.c
+++ b/member/holds.c
@@ -6,6 +6,7 @@
 #include "util/result.h"
 
 #define ASK_INTERVAL_MS 200
+#define HAND_OVER_MS 1000
 #define IDS_PER_ENTRY 4
 
 static struct shard *shard_at(const struct member_node *n, uint32_t i)
@@ -58,26 +59,57 @@
 	return lease_witnesses_applied(n, &m->witnesses, offset);
 }
 
-/* Whether nobody who held or could inherit the shard before still serves. */
-static bool predecessors_clear(const struct member_node *n, uint32_t i)
+/* The owner and successor before one of a shard's unsettled moves. */
+struct predecessors {
+	int64_t from;
+	int64_t successor;
+	uint8_t from_bit; /* CLEAR_*: from is known not to serve */
+	uint8_t successor_bit;
+};
+
+#define MAX_PREDECESSORS 2
+
+static void predecessors_of(const struct shard *sh,
+			    struct predecessors p[MAX_PREDECESSORS])
+{
+	p[0] = (struct predecessors){ sh->from, sh->from_successor, CLEAR_FROM,
+				      CLEAR_SUCCESSOR };
+	p[1] = (struct predecessors){ sh->earlier_from, sh->earlier_successor,
+				      CLEAR_EARLIER_FROM,
+				      CLEAR_EARLIER_SUCCESSOR };
+}
+
+static bool pair_clear(const struct member_node *n, uint32_t i,
+		       const struct predecessors *p)
 {
-	const struct shard *sh = shard_at(n, i);
 	const struct hold *h = &n->holds[i];
-	bool from = h->clear & CLEAR_FROM;
-	bool successor = h->clear & CLEAR_SUCCESSOR;
+	bool from = h->clear & p->from_bit;
+	bool successor = h->clear & p->successor_bit;
 
-	if (!sh->from || !rule_on(n, RULE_RELEASE_BEFORE_HOLD))
+	if (!p->from)
 		return true;
-	if (sh->from == n->self) {
+	if (p->from == n->self) {
 		from = true;
-		successor = successor || witnesses_know(n, sh->fence);
+		successor = successor ||
+			    witnesses_know(n, shard_at(n, i)->fence);
 	}
-	from = from || is_gone(n, sh->from);
-	successor = successor || sh->from_successor == n->self ||
-		    is_gone(n, sh->from_successor);
+	from = from || is_gone(n, p->from);
+	successor = successor || p->successor == n->self ||
+		    is_gone(n, p->successor);
 	return from && successor;
 }
 
+/* Whether nobody who held or could inherit the shard before still serves. */
+static bool predecessors_clear(const struct member_node *n, uint32_t i)
+{
+	struct predecessors p[MAX_PREDECESSORS];
+
+	if (!rule_on(n, RULE_RELEASE_BEFORE_HOLD))
+		return true;
+	predecessors_of(shard_at(n, i), p);
+	return pair_clear(n, i, &p[0]) && pair_clear(n, i, &p[1]);
+}
+
 /* Whether a shard that is ours needs no more word from its predecessors. */
 bool holds_cleared(const struct member_node *n, uint32_t i)
 {
@@ -107,7 +139,6 @@
 	int64_t shard = i;
 
 	n->holds[i].state = HOLD_NONE;
-	n->holds[i].has_ids = false;
 	n->holds[i].clear = 0;
 	g_array_append_val(n->releases, shard);
 	COUNT(shards_released);
@@ -153,7 +184,6 @@
 	if (h->state == HOLD_WAITING) {
 		h->state = rule_on(n, RULE_REQUESTS_END_FIRST) ? HOLD_RELEASING
 							       : HOLD_NONE;
-		h->has_ids = false;
 	}
 	if (h->state == HOLD_HELD) {
 		/*
@@ -205,17 +235,23 @@
 {
 	const struct shard *sh = shard_at(n, i);
 	const struct hold *h = &n->holds[i];
+	struct predecessors p[MAX_PREDECESSORS];
+	uint32_t k;
 
 	if (h->state != HOLD_WAITING && holds_cleared(n, i))
 		return;
 	if (sh->owner != n->self && h->state != HOLD_WAITING)
 		return;
-	if (sh->from != n->self && !(h->clear & CLEAR_FROM) &&
-	    !is_gone(n, sh->from))
-		add_ask(asks, sh->from, i);
-	if (sh->from && sh->from_successor != n->self &&
-	    !(h->clear & CLEAR_SUCCESSOR) && !is_gone(n, sh->from_successor))
-		add_ask(asks, sh->from_successor, i);
+	predecessors_of(sh, p);
+	for (k = 0; k < MAX_PREDECESSORS; k++) {
+		if (p[k].from != n->self && !(h->clear & p[k].from_bit) &&
+		    !is_gone(n, p[k].from))
+			add_ask(asks, p[k].from, i);
+		if (p[k].from && p[k].successor != n->self &&
+		    !(h->clear & p[k].successor_bit) &&
+		    !is_gone(n, p[k].successor))
+			add_ask(asks, p[k].successor, i);
+	}
 }
 
 static void send_asks(struct member_node *n)
@@ -253,34 +289,47 @@
 	n->ops->export_ids(n->ops_user, i, out);
 }
 
-static void send_release(struct member_node *n, int64_t to, GArray *shards)
+/* Whether what we know of a shard's ids has no gap. */
+static bool knows_ids(const struct member_node *n, uint32_t i)
+{
+	return n->holds[i].held_since_ms || n->holds[i].has_ids;
+}
+
+static void send_some(struct member_node *n, int64_t to, const GArray *shards,
+		      bool with_ids)
 {
-	int64_t newest = 0;
-	bool held = true;
 	struct member_msg msg;
+	int64_t newest = 0;
 	uint32_t i;
 
-	if (!shards->len)
-		return;
 	member_msg_init(&msg, MSG_RELEASE);
 	msg.offset = n->fleet.applied;
-	msg.list = g_array_ref(shards);
+	msg.flags = with_ids ? RELEASE_HAS_IDS : 0;
+	msg.list = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	msg.ids = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	for (i = 0; i < shards->len; i++) {
-		uint32_t s = g_array_index(shards, int64_t, i);
+		int64_t s = g_array_index(shards, int64_t, i);
 
+		if (knows_ids(n, s) != with_ids)
+			continue;
 		newest = MAX(newest, shard_at(n, s)->fence);
-		held = held && n->holds[s].held_since_ms;
+		g_array_append_val(msg.list, s);
 		export_shard(n, s, msg.ids);
 	}
 	if (witnesses_know(n, newest))
 		msg.flags |= RELEASE_CLEARS_SUCCESSOR;
-	if (held)
-		msg.flags |= RELEASE_HAS_IDS;
-	member_send(n, to, &msg);
+	if (msg.list->len)
+		member_send(n, to, &msg);
 	member_msg_finish(&msg);
 }
 
+static void send_release(struct member_node *n, int64_t to,
+			 const GArray *shards)
+{
+	send_some(n, to, shards, true);
+	send_some(n, to, shards, false);
+}
+
 static void tell_released(struct member_node *n)
 {
 	GArray *shards = n->releases;
@@ -340,6 +389,44 @@
 	g_array_unref(heirs);
 }
 
+/* An heir has taken our ids. */
+void holds_on_handed(struct member_node *n, const struct member_msg *msg)
+{
+	if (n->resigning)
+		g_array_append_val(n->handed, msg->from);
+}
+
+static bool has_our_ids(const struct member_node *n, int64_t heir)
+{
+	uint32_t i;
+
+	for (i = 0; i < n->handed->len; i++)
+		if (g_array_index(n->handed, int64_t, i) == heir)
+			return true;
+	return false;
+}
+
+/*
+ * Whether every heir has our ids, or has had time enough. Heirs that take over
+ * without them must answer "unknown" to each id that they do not know.
+ */
+bool holds_handed_over(const struct member_node *n)
+{
+	GArray *heirs;
+	bool all = true;
+	uint32_t i;
+
+	if (!n->handed_over_ms)
+		return false;
+	if (n->now_ms - n->handed_over_ms >= HAND_OVER_MS)
+		return true;
+	heirs = witness_successors(n, n->self);
+	for (i = 0; i < heirs->len; i++)
+		all = all && has_our_ids(n, g_array_index(heirs, int64_t, i));
+	g_array_unref(heirs);
+	return all;
+}
+
 /* Whether we serve no shard and let none go. */
 bool holds_idle(const struct member_node *n)
 {
@@ -463,7 +550,8 @@
 	for (i = 0; i < n->n_holds; i++) {
 		const struct shard *sh = shard_at(n, i);
 
-		if (sh->from == id || sh->from_successor == id)
+		if (sh->from == id || sh->from_successor == id ||
+		    sh->earlier_from == id || sh->earlier_successor == id)
 			expect_busy(n, &n->holds[i], reason);
 	}
 }
@@ -515,6 +603,8 @@
 {
 	const struct shard *sh = shard_at(n, i);
 	struct hold *h = &n->holds[i];
+	struct predecessors p[MAX_PREDECESSORS];
+	uint32_t k;
 
 	if (h->fence != sh->fence) {
 		h->fence = sh->fence;
@@ -537,26 +627,38 @@
 		h->ids_fence = sh->fence;
 		h->blind_since_ms = 0;
 	}
-	if (msg->from == sh->from)
-		h->clear |= CLEAR_FROM;
-	if (msg->from == sh->from && (msg->flags & RELEASE_CLEARS_SUCCESSOR))
-		h->clear |= CLEAR_SUCCESSOR;
-	if (msg->from == sh->from_successor)
-		h->clear |= CLEAR_SUCCESSOR;
+	predecessors_of(sh, p);
+	for (k = 0; k < MAX_PREDECESSORS; k++) {
+		if (msg->from == p[k].from)
+			h->clear |= p[k].from_bit;
+		if (msg->from == p[k].from &&
+		    (msg->flags & RELEASE_CLEARS_SUCCESSOR))
+			h->clear |= p[k].successor_bit;
+		if (msg->from == p[k].successor)
+			h->clear |= p[k].successor_bit;
+	}
 }
 
 /* A predecessor says that it does not serve some shards. */
 void holds_on_release(struct member_node *n, const struct member_msg *msg)
 {
+	struct member_msg answer;
+	bool handed = false;
 	uint32_t i;
 
 	for (i = 0; msg->list && i < msg->list->len; i++) {
 		int64_t s = g_array_index(msg->list, int64_t, i);
 
-		if (s >= 0 && s < n->n_holds)
-			on_shard_released(n, s, msg);
+		if (s < 0 || s >= n->n_holds)
+			continue;
+		on_shard_released(n, s, msg);
+		handed = handed || shard_at(n, s)->owner == msg->from;
 	}
 	take_ids(n, msg);
+	if (handed) {
+		member_msg_init(&answer, MSG_HANDED);
+		member_send(n, msg->from, &answer);
+	}
 	holds_tick(n);
 }
 
--- a/member/internal.h
+++ b/member/internal.h
@@ -67,6 +67,8 @@
 bool holds_cleared(const struct member_node *n, uint32_t shard);
 bool holds_idle(const struct member_node *n);
 void holds_hand_over(struct member_node *n);
+bool holds_handed_over(const struct member_node *n);
+void holds_on_handed(struct member_node *n, const struct member_msg *msg);
 
 /* propose.c */
 void propose_tick(struct member_node *n);
--- a/member/member.c
+++ b/member/member.c
@@ -40,6 +40,7 @@
 	n->proofs = g_array_new(FALSE, FALSE, sizeof(struct proof));
 	n->stopped = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	n->releases = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	n->handed = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	n->snapshot_parts = g_ptr_array_new_with_free_func(json_decref_p);
 	n->cache = g_queue_new();
 }
@@ -54,6 +55,7 @@
 	g_array_unref(n->proofs);
 	g_array_unref(n->stopped);
 	g_array_unref(n->releases);
+	g_array_unref(n->handed);
 	g_ptr_array_unref(n->snapshot_parts);
 	g_queue_free_full(n->cache, cached_record_free);
 	g_free(n->holds);
@@ -98,6 +100,7 @@
 	n->had_lease = false;
 	n->no_lease_since_ms = 0;
 	n->handed_over_ms = 0;
+	g_array_set_size(n->handed, 0);
 	n->denied.n = 0;
 }
 
@@ -241,6 +244,8 @@
 		return;
 	n->next_resign_ms = n->now_ms + RESIGN_INTERVAL_MS;
 	holds_hand_over(n);
+	if (!holds_handed_over(n))
+		return;
 	for (i = 0; i < m->witnesses.n; i++)
 		send_resign(n, m->witnesses.id[i]);
 	for (i = 0; i < m->old_witnesses.n; i++)
@@ -279,7 +284,8 @@
 static bool needs_own_id(enum member_msg_type type)
 {
 	return type == MSG_VOUCH || type == MSG_STOPPED ||
-	       type == MSG_RELEASE_ASK || type == MSG_RELEASE;
+	       type == MSG_RELEASE_ASK || type == MSG_RELEASE ||
+	       type == MSG_HANDED;
 }
 
 static bool needs_own_process(enum member_msg_type type)
@@ -294,7 +300,7 @@
 	[MSG_STOPPED] = takeover_on_stopped, [MSG_RESIGN] = witness_on_resign,
 	[MSG_RECORDS_ASK] = sync_on_ask,     [MSG_RECORDS] = sync_on_records,
 	[MSG_STATE] = sync_on_state,	     [MSG_RELEASE_ASK] = holds_on_ask,
-	[MSG_RELEASE] = holds_on_release,
+	[MSG_RELEASE] = holds_on_release,    [MSG_HANDED] = holds_on_handed,
 };
 
 void member_on_message(struct member_node *n, const struct member_msg *msg,
@@ -379,5 +385,6 @@
 		count = add_candidate(n, sh->owner, out, count, max);
 	count = add_candidate(n, sh->successor, out, count, max);
 	count = add_candidate(n, sh->from_successor, out, count, max);
+	count = add_candidate(n, sh->earlier_from, out, count, max);
 	return add_candidate(n, sh->owner, out, count, max);
 }
--- a/member/member.h
+++ b/member/member.h
@@ -41,6 +41,9 @@
 
 #define CLEAR_FROM 1
 #define CLEAR_SUCCESSOR 2
+/* The same for the move before, when that was not settled. */
+#define CLEAR_EARLIER_FROM 4
+#define CLEAR_EARLIER_SUCCESSOR 8
 
 /* What this node does about one shard of its service. */
 struct hold {
@@ -146,6 +149,7 @@
 	int64_t next_join_ms;
 	int64_t next_ask_ms;
 	int64_t next_resign_ms;
+	GArray *handed; /* int64_t heirs that have our ids */
 	int64_t handed_over_ms; /* first told our heirs that we leave; 0 not */
 	int64_t behind_since_ms; /* a peer is known to be ahead; 0 not */
 	int64_t ahead_peer;
--- a/member/msg.h
+++ b/member/msg.h
@@ -47,6 +47,8 @@
 	 * struct seen_id in gate/ids.h.
 	 */
 	MSG_RELEASE,
+	/* An heir has the ids of a leaving owner's shards. */
+	MSG_HANDED,
 	MSG_N_TYPES,
 };
 
--- a/member/propose.c
+++ b/member/propose.c
@@ -11,8 +11,6 @@
 #define WITNESS_WAIT_MS 500
 #define RETRY_MS 500
 #define LEASELESS_LEASES 1
-/* Time for our heirs to get the ids before the record that we left. */
-#define HAND_OVER_MS 50
 #define SPREAD_PER_MEMBER_MS 20
 #define SNAPSHOT_PART_BYTES (64 * 1024)
 #define LOG_WITNESSED_LAPSES 2
@@ -136,8 +134,7 @@
 static bool expel_due(const struct member_node *n, const struct member *m)
 {
 	if (m->id == n->self)
-		return n->resigning && n->handed_over_ms &&
-		       n->now_ms - n->handed_over_ms >= HAND_OVER_MS;
+		return n->resigning && holds_handed_over(n);
 	if (log_witnessed_silent(n, m))
 		return true;
 	return takeover_proved(n, m->id) &&
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -343,9 +343,11 @@
 	int64_t from = sh->owner;
 	int64_t from_successor = sh->successor;
 
-	/* One unsettled move at a time: its two predecessors fit no more. */
-	if (sh->from || owner == successor)
+	/* There is room for the predecessors of two moves, not of more. */
+	if (sh->earlier_from || owner == successor)
 		return RESULT_STALE;
+	sh->earlier_from = sh->from;
+	sh->earlier_successor = sh->from_successor;
 	if (owner != from)
 		set_owner(f, s, i, owner, offset, record, reason);
 	sh->successor = successor;
@@ -369,6 +371,9 @@
 		return RESULT_INVALID;
 	if (s->shards[i].fence != base || !fleet_member(f, owner))
 		return RESULT_STALE;
+	/* Moves that can wait leave room for one that can not. */
+	if (s->shards[i].from)
+		return RESULT_STALE;
 	if (successor && !fleet_member(f, successor))
 		return RESULT_STALE;
 	return move_shard(f, s, i, owner, successor, offset, r,
@@ -410,6 +415,8 @@
 				continue;
 			sh->from = 0;
 			sh->from_successor = 0;
+			sh->earlier_from = 0;
+			sh->earlier_successor = 0;
 		}
 	}
 	emit_member(f, FLEET_SETTLED, offset, m, r, "settled");
@@ -478,7 +485,7 @@
 		int64_t to = sh->owner;
 		int64_t heir = sh->successor;
 
-		if (!to || sh->from)
+		if (!to)
 			continue;
 		if (!member_takes_work(f, to))
 			to = member_takes_work(f, heir)
--- a/state/fleet.h
+++ b/state/fleet.h
@@ -72,6 +72,9 @@
 	 */
 	int64_t from;
 	int64_t from_successor;
+	/* The same of a move before that one, when that was not settled. */
+	int64_t earlier_from;
+	int64_t earlier_successor;
 };
 
 struct fleet_service {
--- a/state/snapshot.c
+++ b/state/snapshot.c
@@ -5,7 +5,8 @@
 #include "state/records.h"
 #include "util/result.h"
 
-#define SNAPSHOT_FORMAT 1
+#define SNAPSHOT_FORMAT 2
+#define SHARD_NUMBERS 7
 
 static json_t *member_to_json(const struct member *m)
 {
@@ -27,8 +28,13 @@
 
 	for (i = 0; i < s->n_shards; i++) {
 		const struct shard *sh = &s->shards[i];
-		int64_t v[] = { sh->owner, sh->successor, sh->fence, sh->from,
-				sh->from_successor };
+		int64_t v[] = { sh->owner,
+				sh->successor,
+				sh->fence,
+				sh->from,
+				sh->from_successor,
+				sh->earlier_from,
+				sh->earlier_successor };
 		uint32_t j;
 
 		for (j = 0; j < G_N_ELEMENTS(v); j++)
@@ -117,7 +123,7 @@
 	int64_t n = json_integer_value(json_object_get(o, "n_shards"));
 	uint32_t i;
 
-	if (n <= 0 || json_array_size(list) != (size_t)n * 5)
+	if (n <= 0 || json_array_size(list) != (size_t)n * SHARD_NUMBERS)
 		return RESULT_INVALID;
 	if (f->n_services == CONFIGURATION_MAX_SERVICES)
 		return RESULT_INVALID;
@@ -126,13 +132,18 @@
 	s->shards = g_new0(struct shard, n);
 	for (i = 0; i < n; i++) {
 		struct shard *sh = &s->shards[i];
-		int64_t *field[] = { &sh->owner, &sh->successor, &sh->fence,
-				     &sh->from, &sh->from_successor };
+		int64_t *field[] = { &sh->owner,
+				     &sh->successor,
+				     &sh->fence,
+				     &sh->from,
+				     &sh->from_successor,
+				     &sh->earlier_from,
+				     &sh->earlier_successor };
 		uint32_t j;
 
 		for (j = 0; j < G_N_ELEMENTS(field); j++)
 			*field[j] = json_integer_value(
-				json_array_get(list, i * 5 + j));
+				json_array_get(list, i * SHARD_NUMBERS + j));
 	}
 	f->n_services++;
 	return RESULT_OK;
--- a/t/test-state.c
+++ b/t/test-state.c
@@ -151,6 +151,34 @@
 	fleet_finish(&f);
 }
 
+/*
+ * The data centre goes out while moves into it are not settled, and the log is
+ * down from then on. Shards left behind would keep it in service for as long
+ * as the log is away.
+ */
+static void test_data_centre_out_unsettled(void)
+{
+	struct fleet f;
+	json_t *r;
+	uint32_t i;
+
+	set_up(&f);
+	r = record_move("records", 3, "test");
+	for (i = 0; i < 8; i++)
+		record_move_add(r, i, i % 2 ? 3 : 2, 4,
+				f.services[0].shards[i].fence);
+	g_assert_cmpint(fleet_apply(&f, 4, "", r), ==, RESULT_OK);
+	json_decref(r);
+	applied_next = 5;
+	g_assert_cmpint(configure(&f, 0, false), ==, RESULT_OK);
+	g_assert_cmpuint(owned(&f, 2), ==, 0);
+	for (i = 0; i < 8; i += 2) {
+		g_assert_cmpint(f.services[0].shards[i].from, ==, 2);
+		g_assert_cmpint(f.services[0].shards[i].earlier_from, ==, 2);
+	}
+	fleet_finish(&f);
+}
+
 static void test_stale_move_is_dropped(void)
 {
 	struct fleet f;
@@ -254,6 +282,8 @@
 	g_test_add_func("/state/successor", test_successor_inherits);
 	g_test_add_func("/state/data-centre-out",
 			test_data_centre_out_moves_shards);
+	g_test_add_func("/state/data-centre-out-unsettled",
+			test_data_centre_out_unsettled);
 	g_test_add_func("/state/stale-move", test_stale_move_is_dropped);
 	g_test_add_func("/state/balance", test_balance_moves_little);
 	g_test_add_func("/state/snapshot", test_snapshot_is_whole);
