gate, route: stalls noticed while they last; baseline to measure against

What did it: the gate watches the age of its oldest request and tells the entries that lately sent to it, refuses work that others can take, and entries hedge at 1.6 times the usual latency within 5% of requests. Looking at each entry's own outstanding work alone was not enough: each had to lose a request or two to every stall.

Only silence counts for keyed requests now, and a silent owner's heir is asked beside it instead of cancelling.

--- a/gate/limit.h
+++ b/gate/limit.h
@@ -14,27 +14,60 @@
 #define LIMIT_COLD 2
 
 struct limit {
+	const struct limit_ops *ops;
 	uint32_t max; /* slots the backend server announced */
 	double now; /* requests allowed in flight */
 	double base_ms; /* usual latency when not overloaded, 0 unknown */
 	double recent_ms; /* latency of the last few answers */
 	uint32_t n_recent; /* answers since the last reset */
-	uint32_t bad_in_row; /* answers shed, failed or far too slow */
+	uint32_t bad_episodes; /* in a row, without a good answer between */
+	bool cold; /* ramping up after a cold start */
+	bool stalled; /* nothing comes back: start no more than a few */
+	bool proving; /* nor after a stall, until one answer was good */
+	int64_t proving_since_ms;
 	bool was_full; /* the limit was reached since the last step */
+	int64_t bad_since_ms; /* begin of the last bad episode */
 	int64_t next_step_ms; /* no growth before */
-	int64_t next_cut_ms; /* no further cut before */
 	uint64_t n_cold_starts;
 };
 
+/*
+ * How the limit moves. The fixed one, always all slots, is there to measure
+ * the adaptive one against.
+ */
+struct limit_ops {
+	const char *name;
+	void (*init)(struct limit *l, int64_t now_ms);
+	void (*answered)(struct limit *l, double latency_ms, int64_t started_ms,
+			 int64_t now_ms);
+	void (*bad)(struct limit *l, int64_t started_ms, int64_t now_ms);
+	void (*watch)(struct limit *l, int64_t oldest_ms, int64_t now_ms);
+};
+
+extern const struct limit_ops limit_adaptive;
+extern const struct limit_ops limit_fixed;
+
+/* The ops of a name, NULL when there are none. */
+const struct limit_ops *limit_ops_by_name(const char *name);
+
 enum limit_outcome {
 	LIMIT_ANSWERED,
 	LIMIT_SHED, /* the server refused for load */
 	LIMIT_FAILED, /* connection broken or timed out */
 };
 
-void limit_init(struct limit *l, uint32_t max, int64_t now_ms);
+void limit_init(struct limit *l, const struct limit_ops *ops, uint32_t max,
+		int64_t now_ms);
 bool limit_allows(struct limit *l, uint32_t in_flight);
+
+/*
+ * Take in how one request went, which was started at started_ms: what was
+ * under way when things went wrong is no further evidence.
+ */
 void limit_done(struct limit *l, enum limit_outcome outcome, double latency_ms,
-		int64_t now_ms);
+		int64_t started_ms, int64_t now_ms);
+
+/* Take in how long the oldest request in flight has waited; 0 none. */
+void limit_watch(struct limit *l, int64_t oldest_ms, int64_t now_ms);
 
 #endif
--- a/net/entry.c
+++ b/net/entry.c
@@ -21,14 +21,15 @@
 #define RETRY_RESERVE 50
 #define HEDGE_SHARE 0.05
 #define HEDGE_RESERVE 10
-#define HEDGE_FACTOR 3.0
-#define HEDGE_MIN_MS 8.0
+#define HEDGE_FACTOR 1.6
+#define HEDGE_MIN_MS 2.0
 #define AVOID_MS 50
 #define ROUND_WAIT_MS 50
 #define ROUND_WAIT_MAX_MS 400
 #define TRY_MIN_MS 60
 #define TRY_FACTOR 10
 #define SILENT_LINK_MS 3000
+#define SILENT_GATE_MS 250
 #define CREDIT_BYTES (32 * 1024)
 #define RETRY_AFTER_SPREAD_S 2
 
@@ -354,7 +355,8 @@
 	for (i = 0; i < count; i++) {
 		int64_t id = members[(r->refusals + i) % count];
 
-		if (chooser_view(&r->entry->chooser, id)->avoid_until_ms <= now)
+		if (chooser_view(&r->entry->chooser, id)->silent_until_ms <=
+		    now)
 			return id;
 	}
 	return count ? members[r->refusals % count] : 0;
@@ -573,6 +575,10 @@
 				    : NULL;
 	struct entry_request *r;
 
+	if (m->type == REQ_STALLED) {
+		chooser_refused(&e->chooser, m->to, m->wait_ms, clock_now_ms());
+		return;
+	}
 	/*
 	 * Answers to attempts given up, or to an earlier process at this
 	 * address, must not reach another caller.
@@ -635,6 +641,30 @@
 		   left / 2);
 }
 
+/*
+ * The owner of a key says nothing. It may be slow or lost: the attempt there
+ * goes on, and whoever would inherit the key is asked beside it, round by
+ * round. Cancelling instead would make of every short stall a long one.
+ */
+static void ask_heir(struct entry_request *r, const struct attempt *a,
+		     double age_ms, int64_t now)
+{
+	struct gate_view *v = chooser_view(&r->entry->chooser, a->member);
+	int64_t member;
+
+	if (!r->repeatable || age_ms < try_ms(r, a) || now < r->resume_ms ||
+	    now - v->heard_ms < SILENT_GATE_MS || n_open_attempts(r) > 1 ||
+	    r->tries >= MAX_TRIES)
+		return;
+	v->silent_until_ms = now + SILENT_GATE_MS;
+	member = pick_gate(r, a->member);
+	wait_round(r);
+	if (!member || member == a->member)
+		return;
+	r->tries++;
+	send_attempt(r, member, false);
+}
+
 static void check_attempt(struct entry_request *r, struct attempt *a,
 			  int64_t now)
 {
@@ -653,6 +683,10 @@
 			reply_unknown(r);
 		return;
 	}
+	if (r->keyed) {
+		ask_heir(r, a, age_ms, now);
+		return;
+	}
 	if (r->repeatable && age_ms > try_ms(r, a) && r->tries < MAX_TRIES &&
 	    n_open_attempts(r) == 1 && budget_spend(&e->retries)) {
 		cancel_attempt(e, a, true);
@@ -670,8 +704,9 @@
 
 	if (r->done || r->streaming)
 		return;
-	if (r->resume_ms && now >= r->resume_ms) {
-		try_next(r);
+	if (!n_open_attempts(r)) {
+		if (r->resume_ms && now >= r->resume_ms)
+			try_next(r);
 		return;
 	}
 	for (i = 0; i < MAX_ATTEMPTS && !r->done; i++)
@@ -790,7 +825,7 @@
 	e->attempts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    g_free);
 	e->requests = g_ptr_array_new();
-	chooser_init(&e->chooser, g_random_int());
+	chooser_init(&e->chooser, node->settings.choice, g_random_int());
 	budget_init(&e->retries, RETRY_SHARE, RETRY_RESERVE);
 	budget_init(&e->hedges, HEDGE_SHARE, HEDGE_RESERVE);
 	ev_init(&e->tick, on_tick);
--- a/net/gate.c
+++ b/net/gate.c
@@ -20,6 +20,10 @@
 #define MAX_CONNECT_FAILURES 3
 #define MIN_WAIT_MS 100
 #define NO_SHARD (-1)
+#define WATCH_S 0.003
+#define STALL_NOTE_MS 40
+#define ENTRY_RECENT_MS 2000
+#define MAX_ENTRIES 2048
 
 enum gate_state {
 	GATE_WAITING, /* in the queue */
@@ -58,6 +62,7 @@
 };
 
 static void pump(struct gate *g);
+static void on_watch(struct ev_loop *loop, ev_timer *w, int events);
 
 static guint request_hash(gconstpointer p)
 {
@@ -102,9 +107,15 @@
 	g->version = -1;
 	g->requests = g_hash_table_new(request_hash, request_equal);
 	g->rand = g_rand_new();
+	g->entries = g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
+					   (GDestroyNotify)g_bytes_unref,
+					   g_free);
+	ev_init(&g->watch, on_watch);
+	g->watch.repeat = WATCH_S;
+	g->watch.data = g;
 	queue_init(&g->queue, QUEUE_PER_SLOT);
 	ids_init(&g->ids, MAX_IDS);
-	limit_init(&g->limit, 1, clock_now_ms());
+	limit_init(&g->limit, node->settings.limit, 1, clock_now_ms());
 }
 
 /* Release; requests still here are dropped without an answer. */
@@ -125,6 +136,8 @@
 	g_hash_table_unref(g->requests);
 	queue_finish(&g->queue);
 	ids_finish(&g->ids);
+	ev_timer_stop(g->node->loop, &g->watch);
+	g_hash_table_unref(g->entries);
 	g_free(g->shard_load);
 	g_rand_free(g->rand);
 }
@@ -143,7 +156,8 @@
 	g->fetcher_ready = true;
 	g->queue.max = b->slots * QUEUE_PER_SLOT;
 	/* A server that announces itself again has started again: cold. */
-	limit_init(&g->limit, b->slots, clock_now_ms());
+	limit_init(&g->limit, g->node->settings.limit, b->slots,
+		   clock_now_ms());
 	COUNT(gate_cold_starts);
 	g_info("backend server announced%s: %u slots, %u connections",
 	       again ? " again" : "", b->slots, b->connections);
@@ -431,7 +445,8 @@
 	double ms = (clock_now_us() - r->started_us) / 1000.0;
 
 	g->n_running--;
-	limit_done(&g->limit, result_outcome(r, result), ms, now);
+	limit_done(&g->limit, result_outcome(r, result), ms,
+		   r->started_us / 1000, now);
 	note_seen(r, result);
 	if (result == RESULT_UNREACHABLE)
 		g->connect_failures++;
@@ -501,6 +516,8 @@
 	r->pending = g_byte_array_new();
 	XXH64_reset(&r->digest, 0);
 	g->n_running++;
+	if (!ev_is_active(&g->watch))
+		ev_timer_again(g->node->loop, &g->watch);
 	COUNT(gate_admitted);
 	/*
 	 * libcurl sends a request again by itself when a kept connection
@@ -512,6 +529,76 @@
 		    &backend_ops, r);
 }
 
+static int64_t oldest_in_flight_ms(struct gate *g, int64_t now_us)
+{
+	int64_t oldest = now_us;
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, g->requests);
+	while (g_hash_table_iter_next(&it, &p, NULL)) {
+		const struct gate_request *r = p;
+
+		/* One whose head has come waits for its reader, not for us. */
+		if (r->state == GATE_RUNNING && !r->fetch.head_done)
+			oldest = MIN(oldest, r->started_us);
+	}
+	return (now_us - oldest) / 1000;
+}
+
+/*
+ * Tell the entries that lately sent work here. Each would otherwise find out
+ * by losing a request or two of its own to the stall.
+ */
+static void note_stall(struct gate *g, int64_t now)
+{
+	struct request_msg m = { .type = REQ_STALLED,
+				 .to = g->node->member.self,
+				 .wait_ms = STALL_NOTE_MS };
+	GHashTableIter it;
+	gpointer identity, heard;
+
+	if (now < g->next_stall_note_ms)
+		return;
+	g->next_stall_note_ms = now + STALL_NOTE_MS / 2;
+	emit(g, NULL, &m);
+	g_hash_table_iter_init(&it, g->entries);
+	while (g_hash_table_iter_next(&it, &identity, &heard)) {
+		if (now - *(int64_t *)heard > ENTRY_RECENT_MS)
+			g_hash_table_iter_remove(&it);
+		else
+			emit(g, identity, &m);
+	}
+}
+
+static void on_watch(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct gate *g = w->data;
+
+	(void)events;
+	limit_watch(&g->limit, oldest_in_flight_ms(g, clock_now_us()),
+		    clock_now_ms());
+	if (g->limit.stalled)
+		note_stall(g, clock_now_ms());
+	if (!g->n_running) {
+		limit_watch(&g->limit, 0, clock_now_ms());
+		ev_timer_stop(loop, w);
+	}
+	pump(g);
+}
+
+static void remember_entry(struct gate *g, const void *identity, size_t len)
+{
+	int64_t now = clock_now_ms();
+
+	if (!identity)
+		return;
+	if (g_hash_table_size(g->entries) >= MAX_ENTRIES)
+		g_hash_table_remove_all(g->entries);
+	g_hash_table_replace(g->entries, g_bytes_new(identity, len),
+			     g_memdup2(&now, sizeof(now)));
+}
+
 static void pump(struct gate *g)
 {
 	struct queued q;
@@ -590,6 +677,14 @@
 			    .request = r };
 	struct queued *victim;
 
+	/*
+	 * Others of the service can take this one; here it would share the
+	 * stall of those in flight.
+	 */
+	if (g->limit.stalled && !r->keyed) {
+		refuse(r, RESULT_OVERLOAD);
+		return;
+	}
 	/* Late already: refused now, its caller can still go elsewhere. */
 	if (!queue_can_meet(&g->queue, r->arrived_ms, q.due_ms, q.deadline_ms,
 			    g->limit.now)) {
@@ -638,6 +733,7 @@
 			g_bytes_unref(id);
 		return;
 	}
+	remember_entry(g, identity, len);
 	r = request_new(g, identity, len, m, k);
 	if (!may_serve(r, &fence, &lease_end_ms)) {
 		refuse(r, RESULT_NOT_OWNER);
--- a/net/gate.h
+++ b/net/gate.h
@@ -46,6 +46,9 @@
 	uint32_t connect_failures;
 	struct fetch probe;
 	bool probing;
+	ev_timer watch; /* runs while requests are in flight */
+	int64_t next_stall_note_ms;
+	GHashTable *entries; /* GBytes identity -> int64_t last heard */
 	GRand *rand;
 };
 
--- a/net/request-msg.h
+++ b/net/request-msg.h
@@ -17,6 +17,7 @@
 	REQ_DATA, /* more data */
 	REQ_REFUSED, /* not run; number: result, wait_ms: when to come back */
 	REQ_FAILED, /* may have run; number: result */
+	REQ_STALLED, /* the backend server stalls; wait_ms: avoid it so long */
 	REQ_N_TYPES,
 };
 
--- a/route/choose.c
+++ b/route/choose.c
@@ -11,8 +11,11 @@
 #define HOME_BONUS 0.8
 
 /* Start knowing no gate; seed makes the choices repeatable. */
-void chooser_init(struct chooser *c, uint32_t seed)
+void chooser_init(struct chooser *c, const struct chooser_ops *ops,
+		  uint32_t seed)
 {
+	c->ops = ops;
+	c->turn = 0;
 	c->views = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					 g_free);
 	c->rand = g_rand_new_with_seed(seed);
@@ -83,8 +86,10 @@
 	struct gate_view *v = chooser_view(c, member);
 
 	one_less(v, now_ms);
-	if (silent)
-		v->avoid_until_ms = now_ms + SILENT_AVOID_MS;
+	if (!silent)
+		return;
+	v->avoid_until_ms = now_ms + SILENT_AVOID_MS;
+	v->silent_until_ms = v->avoid_until_ms;
 }
 
 void chooser_refused(struct chooser *c, int64_t member, int64_t avoid_ms,
@@ -119,8 +124,8 @@
 	return v->member == home ? c * HOME_BONUS : c;
 }
 
-int64_t chooser_pick(struct chooser *c, const int64_t *members, uint32_t n,
-		     int64_t home, int64_t except, int64_t now_ms)
+static int64_t pick_two(struct chooser *c, const int64_t *members, uint32_t n,
+			int64_t home, int64_t except, int64_t now_ms)
 {
 	int64_t ids[2] = { 0, 0 };
 	uint32_t usable = 0;
@@ -146,3 +151,35 @@
 		       ? ids[0]
 		       : ids[1];
 }
+
+static int64_t pick_turns(struct chooser *c, const int64_t *members, uint32_t n,
+			  int64_t home, int64_t except, int64_t now_ms)
+{
+	uint32_t i;
+
+	(void)home;
+	(void)now_ms;
+	for (i = 0; i < n; i++) {
+		int64_t id = members[c->turn++ % n];
+
+		if (id != except)
+			return id;
+	}
+	return 0;
+}
+
+const struct chooser_ops chooser_two = { "two", pick_two };
+const struct chooser_ops chooser_turns = { "turns", pick_turns };
+
+const struct chooser_ops *chooser_ops_by_name(const char *name)
+{
+	if (!strcmp(name, chooser_two.name))
+		return &chooser_two;
+	return strcmp(name, chooser_turns.name) ? NULL : &chooser_turns;
+}
+
+int64_t chooser_pick(struct chooser *c, const int64_t *members, uint32_t n,
+		     int64_t home, int64_t except, int64_t now_ms)
+{
+	return c->ops->pick(c, members, n, home, except, now_ms);
+}
--- a/route/choose.h
+++ b/route/choose.h
@@ -17,16 +17,35 @@
 	double limit; /* as the gate last said */
 	double latency_ms; /* smoothed */
 	int64_t heard_ms;
-	int64_t avoid_until_ms;
+	int64_t avoid_until_ms; /* it said so, or was silent */
+	int64_t silent_until_ms; /* it was silent, and may be lost */
 	int64_t waiting_since_ms; /* oldest without an answer, 0 none */
 };
 
+struct chooser;
+
+/* How a gate is chosen; by turns is there to measure the other against. */
+struct chooser_ops {
+	const char *name;
+	int64_t (*pick)(struct chooser *c, const int64_t *members, uint32_t n,
+			int64_t home, int64_t except, int64_t now_ms);
+};
+
+extern const struct chooser_ops chooser_two;
+extern const struct chooser_ops chooser_turns;
+
+/* The ops of a name, NULL when there are none. */
+const struct chooser_ops *chooser_ops_by_name(const char *name);
+
 struct chooser {
+	const struct chooser_ops *ops;
+	uint32_t turn;
 	GHashTable *views; /* int64_t member -> struct gate_view */
 	GRand *rand;
 };
 
-void chooser_init(struct chooser *c, uint32_t seed);
+void chooser_init(struct chooser *c, const struct chooser_ops *ops,
+		  uint32_t seed);
 void chooser_finish(struct chooser *c);
 struct gate_view *chooser_view(struct chooser *c, int64_t member);
 void chooser_forget(struct chooser *c, int64_t member);
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -21,6 +21,10 @@
 				      "snapshot_interval_ms",
 				      "drift_ppm",
 				      "hedge",
+				      "limit",
+				      "choice",
+				      "limit",
+				      "choice",
 				      "test_hooks",
 				      NULL };
 
@@ -101,6 +105,20 @@
 		json_check_fail(c, "$.log_format", "must be text or json");
 }
 
+static void read_policy(struct json_check *c, const json_t *o,
+			struct settings *s)
+{
+	s->hedge = json_check_bool(c, o, "$", "hedge", true);
+	s->limit = limit_ops_by_name(
+		json_check_string(c, o, "$", "limit", "adaptive", 15));
+	s->choice = chooser_ops_by_name(
+		json_check_string(c, o, "$", "choice", "two", 15));
+	if (!s->limit)
+		json_check_fail(c, "$.limit", "must be adaptive or fixed");
+	if (!s->choice)
+		json_check_fail(c, "$.choice", "must be two or turns");
+}
+
 static void read_all(struct settings *s, const json_t *o, struct json_check *c)
 {
 	memset(s, 0, sizeof(*s));
@@ -120,7 +138,7 @@
 	s->snapshot_interval_ms = json_check_int(
 		c, o, "$", "snapshot_interval_ms", 600000, 1000, 86400000);
 	s->drift_ppm = json_check_int(c, o, "$", "drift_ppm", 10000, 0, 100000);
-	s->hedge = json_check_bool(c, o, "$", "hedge", true);
+	read_policy(c, o, s);
 	s->test_hooks = json_check_bool(c, o, "$", "test_hooks", false);
 }
 
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -5,6 +5,8 @@
 #include <stdint.h>
 #include <glib.h>
 
+#include "gate/limit.h"
+#include "route/choose.h"
 #include "settings/configuration.h"
 
 #define SETTINGS_ADDRESS_MAX 63
@@ -28,6 +30,8 @@
 	int64_t snapshot_interval_ms;
 	int64_t drift_ppm;
 	bool hedge;
+	const struct limit_ops *limit;
+	const struct chooser_ops *choice;
 	bool test_hooks; /* allow a test to cut links */
 };
 
--- a/t/test-gate.c
+++ b/t/test-gate.c
@@ -15,18 +15,18 @@
 	int64_t now;
 	uint32_t i;
 
-	limit_init(&l, 20, 0);
+	limit_init(&l, &limit_adaptive, 20, 0);
 	g_assert_true(limit_allows(&l, 1));
 	g_assert_false(limit_allows(&l, 2));
-	for (now = 1; now <= 200; now++) {
+	for (now = 1; now <= 1000; now++) {
 		for (i = 0; i < 20; i++)
 			limit_allows(&l, (uint32_t)l.now);
-		limit_done(&l, LIMIT_ANSWERED, 1, now);
+		limit_done(&l, LIMIT_ANSWERED, 1, now, now);
 	}
 	g_assert_cmpfloat(l.now, <=, 6);
-	for (; now <= 3000; now++) {
+	for (; now <= 8000; now++) {
 		limit_allows(&l, (uint32_t)l.now);
-		limit_done(&l, LIMIT_ANSWERED, 1, now);
+		limit_done(&l, LIMIT_ANSWERED, 1, now, now);
 	}
 	g_assert_cmpfloat(l.now, ==, 20);
 }
@@ -40,30 +40,56 @@
 	struct limit l;
 	int64_t now;
 
-	limit_init(&l, 20, 0);
-	for (now = 1; now <= 3000; now++) {
+	limit_init(&l, &limit_adaptive, 20, 0);
+	for (now = 1; now <= 8000; now++) {
 		limit_allows(&l, (uint32_t)l.now);
-		limit_done(&l, LIMIT_ANSWERED, 1, now);
+		limit_done(&l, LIMIT_ANSWERED, 1, now, now);
 	}
-	for (; now <= 3010; now++)
-		limit_done(&l, LIMIT_ANSWERED, 50, now);
+	for (; now <= 8010; now++)
+		limit_done(&l, LIMIT_ANSWERED, 50, now, now);
 	g_assert_cmpfloat(l.now, <=, LIMIT_COLD);
 	g_assert_cmpuint(l.n_cold_starts, >=, 1);
 }
 
+/*
+ * A neighbour that nobody sees stalls the server for a moment; all that was in
+ * flight comes back late together. That must not cost a whole cold start.
+ */
+static void test_limit_forgives_a_stall(void)
+{
+	struct limit l;
+	int64_t now;
+	int i;
+
+	limit_init(&l, &limit_adaptive, 20, 0);
+	for (now = 1; now <= 8000; now++) {
+		limit_allows(&l, (uint32_t)l.now);
+		limit_done(&l, LIMIT_ANSWERED, 1, now, now);
+	}
+	limit_watch(&l, 100, now);
+	g_assert_false(limit_allows(&l, LIMIT_COLD));
+	for (i = 0; i < 20; i++)
+		limit_done(&l, LIMIT_ANSWERED, 150, now - 150, now);
+	limit_watch(&l, 0, now);
+	g_assert_false(limit_allows(&l, LIMIT_COLD));
+	limit_done(&l, LIMIT_ANSWERED, 1, now, now + 1);
+	g_assert_true(limit_allows(&l, LIMIT_COLD));
+	g_assert_cmpfloat(l.now, >=, 10);
+	g_assert_cmpuint(l.n_cold_starts, ==, 0);
+}
+
 static void test_limit_follows_shedding(void)
 {
 	struct limit l;
 	int64_t now;
 
-	limit_init(&l, 20, 0);
-	for (now = 1; now <= 3000; now++) {
+	limit_init(&l, &limit_adaptive, 20, 0);
+	for (now = 1; now <= 8000; now++) {
 		limit_allows(&l, (uint32_t)l.now);
-		limit_done(&l, LIMIT_ANSWERED, 1, now);
+		limit_done(&l, LIMIT_ANSWERED, 1, now, now);
 	}
-	limit_done(&l, LIMIT_SHED, 0, now);
-	g_assert_cmpfloat(l.now, <, 15);
-	g_assert_cmpfloat(l.now, >, 10);
+	limit_done(&l, LIMIT_SHED, 0, now, now);
+	g_assert_cmpfloat(l.now, ==, 10);
 }
 
 static void test_queue_order(void)
@@ -208,6 +234,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/limit/cold", test_limit_starts_cold);
 	g_test_add_func("/limit/cold-again", test_limit_notices_cold);
+	g_test_add_func("/limit/stall", test_limit_forgives_a_stall);
 	g_test_add_func("/limit/shed", test_limit_follows_shedding);
 	g_test_add_func("/queue/order", test_queue_order);
 	g_test_add_func("/queue/by-target", test_queue_refuses_by_target);
--- a/t/test-route.c
+++ b/t/test-route.c
@@ -43,7 +43,7 @@
 	struct chooser c;
 	int i;
 
-	chooser_init(&c, 1);
+	chooser_init(&c, &chooser_two, 1);
 	for (i = 0; i < 4; i++) {
 		chooser_sent(&c, ids[i], 0);
 		chooser_answered(&c, ids[i], 2, 1, 10, 2);
@@ -61,7 +61,7 @@
 	struct chooser c;
 	int i;
 
-	chooser_init(&c, 2);
+	chooser_init(&c, &chooser_two, 2);
 	for (i = 0; i < 4; i++) {
 		chooser_sent(&c, ids[i], 0);
 		chooser_answered(&c, ids[i], 2 + 0.1 * i, 1, 10, 2);
@@ -77,7 +77,7 @@
 	int64_t ids[] = { 1, 2 };
 	struct chooser c;
 
-	chooser_init(&c, 3);
+	chooser_init(&c, &chooser_two, 3);
 	g_assert_cmpint(chooser_pick(&c, ids, 2, 0, 1, 0), ==, 2);
 	g_assert_cmpint(chooser_pick(&c, ids, 1, 0, 1, 0), ==, 0);
 	chooser_finish(&c);
