--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 RULE_OBJ = $(patsubst %.c,$(OUT)/rules/%.o,$(wildcard member/*.c))
 OTHER_OBJ = $(filter-out $(OUT)/member/%,$(LIB_OBJ))
 
-PROGRAMS = briargrade log-standin backend-standin load
+PROGRAMS = briargrade log-standin backend-standin load slope
 TESTS = test-member test-state test-gate test-route test-settings test-net
 BINARIES = $(PROGRAMS:%=$(OUT)/bin/%) $(TESTS:%=$(OUT)/bin/%)
 SOURCES = $(wildcard *.c builtin/*.[ch] t/*.[ch] \
@@ -70,6 +70,10 @@
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
 		{ apt-get update -qq && apt-get install -y -qq $(PACKAGES); }
 
+# The tests that need no other process.
+unit: binaries
+	UNIT_ONLY=1 OUT=$(OUT) t/run-tests
+
 demo: packages
 	$(MAKE) $(PROGRAMS:%=$(OUT)/bin/%)
 	OUT=$(OUT) t/demo.sh
@@ -103,6 +107,6 @@
 clean:
 	rm -rf build
 
-.PHONY: packages all binaries test demo bench report soak check format clean
+.PHONY: unit packages all binaries test demo bench report soak check format clean
 .SECONDARY:
 -include $(shell find build -name '*.d' 2>/dev/null)
--- a/state/assign.c
+++ b/state/assign.c
@@ -11,29 +11,41 @@
 	return !strcmp(m->service, s->name) && fleet_member_takes_work(f, m);
 }
 
-/* How many shards a member holds or would inherit: its load if it were it. */
-static uint32_t claims(const struct fleet_service *s, int64_t id)
+/*
+ * Count, before a run of picks for one service, what each of its members holds
+ * or would inherit. Counting anew for each pick would take seconds for a data
+ * centre's loss at 1,500 nodes.
+ */
+void assign_prepare(const struct fleet *f, const struct fleet_service *s)
 {
-	uint32_t n = 0;
+	struct member *m;
 	uint32_t i;
 
-	for (i = 0; i < s->n_shards; i++)
-		n += (s->shards[i].owner == id) +
-		     (s->shards[i].successor == id);
-	return n;
+	for_each_member (f, m, i) {
+		m->claims = 0;
+		m->candidate = serves(f, s, m);
+	}
+	for (i = 0; i < s->n_shards; i++) {
+		m = fleet_member(f, s->shards[i].owner);
+		if (m)
+			m->claims++;
+		m = fleet_member(f, s->shards[i].successor);
+		if (m)
+			m->claims++;
+	}
 }
 
 /*
  * Choose who should hold or inherit a shard: a member of the service that
  * takes work, other than owner and avoid, in another data centre than owner
  * where there is one, with the fewest claims so far, by rendezvous hash among
- * equals. Returns 0 when nobody can.
+ * equals. Returns 0 when nobody can. assign_prepare() comes first.
  */
-int64_t assign_pick(const struct fleet *f, const struct fleet_service *s,
-		    uint32_t shard, int64_t owner, int64_t avoid)
+int64_t assign_pick(const struct fleet *f, uint32_t shard, int64_t owner,
+		    int64_t avoid)
 {
 	const struct member *home = fleet_member(f, owner);
-	const struct member *best = NULL;
+	struct member *best = NULL;
 	bool best_away = false;
 	uint32_t best_claims = 0;
 	uint64_t best_hash = 0;
@@ -41,24 +53,26 @@
 	uint32_t i;
 
 	for_each_member (f, m, i) {
-		uint64_t h = hash_pair(m->host, shard);
-		uint32_t n;
+		uint64_t h;
 		bool away;
 
-		if (m->id == owner || m->id == avoid || !serves(f, s, m))
+		if (!m->candidate || m->id == owner || m->id == avoid)
 			continue;
 		away = !home || strcmp(home->data_centre, m->data_centre);
-		n = claims(s, m->id);
 		if (best && (away < best_away ||
-			     (away == best_away &&
-			      (n > best_claims ||
-			       (n == best_claims && h <= best_hash)))))
+			     (away == best_away && m->claims > best_claims)))
+			continue;
+		h = hash_pair(m->host, shard);
+		if (best && away == best_away && m->claims == best_claims &&
+		    h <= best_hash)
 			continue;
 		best = m;
 		best_away = away;
-		best_claims = n;
+		best_claims = m->claims;
 		best_hash = h;
 	}
+	if (best)
+		best->claims++;
 	return best ? best->id : 0;
 }
 
@@ -194,7 +208,7 @@
 {
 	int64_t old = s->shards[shard].successor;
 
-	return old && old != owner ? old : assign_pick(f, s, shard, owner, 0);
+	return old && old != owner ? old : assign_pick(f, shard, owner, 0);
 }
 
 static int64_t stranded_shard(const struct fleet *f,
@@ -226,6 +240,7 @@
 	json_t *record = NULL;
 	uint32_t n;
 
+	assign_prepare(f, s);
 	for (n = 0; n < max_moves; n++) {
 		struct load *most = extreme(loads, true);
 		struct load *least = extreme(loads, false);
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -185,18 +185,19 @@
 {
 	uint32_t i;
 
+	assign_prepare(f, s);
 	for (i = 0; i < s->n_shards; i++) {
 		struct shard *sh = &s->shards[i];
 
 		if (!sh->owner) {
-			int64_t to = assign_pick(f, s, i, 0, 0);
+			int64_t to = assign_pick(f, i, 0, 0);
 
 			if (to)
 				set_owner(f, s, i, to, offset, record,
 					  "unowned shard");
 		}
 		if (sh->owner && !sh->successor)
-			sh->successor = assign_pick(f, s, i, sh->owner, 0);
+			sh->successor = assign_pick(f, i, sh->owner, 0);
 	}
 }
 
@@ -217,7 +218,7 @@
 
 		sh->successor = 0;
 		if (!heir)
-			heir = assign_pick(f, s, i, 0, gone);
+			heir = assign_pick(f, i, 0, gone);
 		set_owner(f, s, i, heir, offset, record, reason);
 	}
 	if (sh->successor == gone) {
@@ -232,7 +233,7 @@
 		emit(f, &ev, record);
 	}
 	if (sh->owner && !sh->successor)
-		sh->successor = assign_pick(f, s, i, sh->owner, gone);
+		sh->successor = assign_pick(f, i, sh->owner, gone);
 }
 
 static void remove_member(struct fleet *f, int64_t id, int64_t offset,
@@ -244,10 +245,14 @@
 
 	g_array_remove_index(f->members,
 			     m - &g_array_index(f->members, struct member, 0));
-	for (i = 0; i < f->n_services; i++)
+	for (i = 0; i < f->n_services; i++) {
+		if (strcmp(f->services[i].name, copy.service))
+			continue;
+		assign_prepare(f, &f->services[i]);
 		for (j = 0; j < f->services[i].n_shards; j++)
 			inherit(f, &f->services[i], j, id, offset, record,
 				reason);
+	}
 	emit_member(f, FLEET_MEMBER_GONE, offset, &copy, record, reason);
 }
 
@@ -480,6 +485,7 @@
 	 * go, so that nodes which learn of it from each other, with the log
 	 * down right after, can still carry it out.
 	 */
+	assign_prepare(f, s);
 	for (i = 0; i < s->n_shards; i++) {
 		struct shard *sh = &s->shards[i];
 		int64_t to = sh->owner;
@@ -490,11 +496,11 @@
 		if (!member_takes_work(f, to))
 			to = member_takes_work(f, heir)
 				     ? heir
-				     : assign_pick(f, s, i, 0, to);
+				     : assign_pick(f, i, 0, to);
 		if (!to)
 			continue;
 		if (heir == to || !member_takes_work(f, heir))
-			heir = assign_pick(f, s, i, to, 0);
+			heir = assign_pick(f, i, to, 0);
 		if (to != sh->owner || (heir && heir != sh->successor))
 			move_shard(f, s, i, to, heir, offset, record,
 				   "data centre out of service");
--- a/state/fleet.h
+++ b/state/fleet.h
@@ -60,6 +60,9 @@
 	/* The set before, until the member settles the new one. */
 	struct witness_set old_witnesses;
 	int64_t witness_offset; /* record that set the witnesses */
+	/* Scratch of assign_prepare(), no part of the state. */
+	uint32_t claims;
+	bool candidate;
 };
 
 struct shard {
@@ -156,8 +159,9 @@
 	     (i)++)
 
 /* state/assign.c: deterministic choices over the state. */
-int64_t assign_pick(const struct fleet *f, const struct fleet_service *s,
-		    uint32_t shard, int64_t owner, int64_t avoid);
+void assign_prepare(const struct fleet *f, const struct fleet_service *s);
+int64_t assign_pick(const struct fleet *f, uint32_t shard, int64_t owner,
+		    int64_t avoid);
 void assign_witnesses(const struct fleet *f, const struct member *subject,
 		      const struct witness_set *avoid, struct witness_set *out);
 json_t *assign_balance(const struct fleet *f, const struct fleet_service *s,
--- /dev/null
+++ b/t/slope.c
@@ -0,0 +1,169 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <malloc.h>
+
+#include "member/internal.h"
+#include "net/clock.h"
+#include "state/records.h"
+
+/*
+ * What the state costs by the number of nodes and shards: memory, the size of
+ * a snapshot, the time for the records that matter, and for a member's tick.
+ * docs/CAPACITY.md draws its slopes from here.
+ */
+
+#define N_SERVICES 8
+#define N_DATA_CENTRES 13
+#define TICKS 200
+
+static struct member_node node;
+
+static void op_send(void *user, int64_t to, const struct member_msg *msg)
+{
+	(void)user;
+	(void)to;
+	(void)msg;
+}
+
+static void op_append(void *user, enum append_kind kind, json_t *record)
+{
+	(void)user;
+	(void)kind;
+	json_decref(record);
+}
+
+static uint32_t op_in_flight(void *user, uint32_t shard)
+{
+	(void)user;
+	(void)shard;
+	return 0;
+}
+
+static void op_export(void *user, uint32_t shard, GArray *out)
+{
+	(void)user;
+	(void)shard;
+	(void)out;
+}
+
+static void op_import(void *user, const int64_t *entry)
+{
+	(void)user;
+	(void)entry;
+}
+
+static void op_note(void *user, const char *what, int64_t subject)
+{
+	(void)user;
+	(void)what;
+	(void)subject;
+}
+
+static const struct member_ops ops = { op_send,	  op_append, op_in_flight,
+				       op_export, op_import, op_note };
+
+static double apply(json_t *r)
+{
+	int64_t t = clock_now_us();
+
+	member_on_record(&node, node.fleet.applied + 1, "", r, 1000);
+	json_decref(r);
+	return (clock_now_us() - t) / 1000.0;
+}
+
+static json_t *document(int shards, int out)
+{
+	json_t *services = json_array();
+	json_t *dcs = json_array();
+	int i;
+
+	for (i = 0; i < N_SERVICES; i++)
+		json_array_append_new(services,
+				      json_pack("{s:o,s:i}", "name",
+						json_sprintf("s%d", i),
+						"shards", shards));
+	for (i = 0; i < N_DATA_CENTRES; i++)
+		json_array_append_new(dcs, json_pack("{s:o,s:b}", "name",
+						     json_sprintf("d%d", i),
+						     "in_service", i != out));
+	return json_pack("{s:o,s:[],s:o}", "services", services, "classes",
+			 "data_centres", dcs);
+}
+
+static json_t *configuration(int shards, int out)
+{
+	json_t *doc = document(shards, out);
+	json_t *r = record_configuration(node.fleet.configuration_version, doc,
+					 "op", "");
+
+	json_decref(doc);
+	return r;
+}
+
+static json_t *join(int i)
+{
+	struct member m;
+
+	memset(&m, 0, sizeof(m));
+	g_snprintf(m.host, sizeof(m.host), "host-%d", i);
+	g_snprintf(m.peer, sizeof(m.peer), "10.0.%d.%d:7000", i / 256, i % 256);
+	g_snprintf(m.data_centre, sizeof(m.data_centre), "d%d",
+		   i % N_DATA_CENTRES);
+	g_snprintf(m.service, sizeof(m.service), "s%d", i % N_SERVICES);
+	assign_witnesses(&node.fleet, &m, NULL, &m.witnesses);
+	if (!i)
+		g_strlcpy(m.nonce, "me", sizeof(m.nonce));
+	return record_join(&m);
+}
+
+static double expel_data_centre(void)
+{
+	json_t *r = record_expel(1, "lost");
+	struct member *m;
+	uint32_t i;
+
+	for_each_member (&node.fleet, m, i)
+		if (!strcmp(m->data_centre, "d3"))
+			record_expel_add(r, m);
+	return apply(r);
+}
+
+int main(int argc, char **argv)
+{
+	struct member_timing timing = MEMBER_TIMING_DEFAULT;
+	int n = argc > 1 ? atoi(argv[1]) : 1500;
+	int shards = argc > 2 ? atoi(argv[2]) : 4096;
+	struct member me;
+	struct mallinfo2 before = mallinfo2();
+	double joins = 0, configured, out, lost;
+	json_t *state;
+	char *text;
+	int64_t t;
+	int i;
+
+	memset(&me, 0, sizeof(me));
+	g_strlcpy(me.host, "host-0", sizeof(me.host));
+	g_strlcpy(me.service, "s0", sizeof(me.service));
+	g_strlcpy(me.nonce, "me", sizeof(me.nonce));
+	member_init(&node, &me, &timing, &ops, NULL, 1000, 1);
+	for (i = 0; i < n; i++)
+		joins += apply(join(i));
+	configured = apply(configuration(shards, -1));
+	t = clock_now_us();
+	for (i = 0; i < TICKS; i++)
+		member_tick(&node, 1000 + i * 50);
+	printf("nodes %d shards %d x %d: resident heap %.1f MB, join %.2f ms, "
+	       "first configuration %.0f ms, tick %.0f us",
+	       n, N_SERVICES, shards,
+	       (mallinfo2().uordblks + mallinfo2().hblkhd - before.uordblks) /
+		       1e6,
+	       joins / n, configured, (double)(clock_now_us() - t) / TICKS);
+	out = apply(configuration(shards, 2));
+	lost = expel_data_centre();
+	state = fleet_snapshot(&node.fleet);
+	text = json_dumps(state, JSON_COMPACT);
+	printf(", data centre out %.0f ms, lost %.0f ms, snapshot %.2f MB\n",
+	       out, lost, strlen(text) / 1e6);
+	return 0;
+}
