--- a/net/entry.c
+++ b/net/entry.c
@@ -1,9 +1,8 @@
 #include <string.h>
-#define XXH_STATIC_LINKING_ONLY /* the state has a size */
-#include <xxhash.h>
 
 #include "net/clock.h"
 #include "net/entry.h"
+#include "net/entry-request.h"
 #include "net/gate.h"
 #include "net/headers.h"
 #include "net/node.h"
@@ -12,11 +11,9 @@
 
 #define TICK_S 0.005
 #define MAX_TRIES 24
-#define MAX_ATTEMPTS 2
 #define MAX_CANDIDATES 8
 #define MAX_MEMBERS 2048
 #define MAX_REQUESTS 8192
-#define MAX_KEY_LEN 512
 #define RETRY_SHARE 0.1
 #define RETRY_RESERVE 50
 #define HEDGE_SHARE 0.05
@@ -33,46 +30,6 @@
 #define CREDIT_BYTES (32 * 1024)
 #define RETRY_AFTER_SPREAD_S 2
 
-struct attempt {
-	uint64_t id;
-	struct entry_request *request; /* NULL once it does not matter */
-	int64_t member;
-	char address[64];
-	int64_t sent_us;
-	bool hedge;
-};
-
-struct entry_request {
-	struct entry *entry;
-	struct httpd_request *http;
-	const struct class_settings *class; /* valid for this version only */
-	int64_t version;
-	bool repeatable;
-	bool keyed;
-	bool streaming;
-	bool hedged;
-	bool done;
-	char *key;
-	const char *id_header;
-	char service[NAME_MAX_LEN + 1];
-	uint32_t shard;
-	GPtrArray *headers;
-	int64_t received_ms;
-	int64_t deadline_ms;
-	int64_t target_ms;
-	int64_t resume_ms; /* when to try again, 0 not waiting */
-	uint32_t tries;
-	uint32_t rounds; /* of all candidates, without one that serves */
-	uint32_t refusals; /* of the candidates in this round */
-	int64_t last_member;
-	int64_t refused_wait_ms;
-	struct attempt *attempts[MAX_ATTEMPTS];
-	struct attempt *winner;
-	int64_t received_bytes;
-	int64_t credited_bytes;
-	XXH64_state_t digest;
-};
-
 static void try_next(struct entry_request *r);
 
 static uint32_t n_open_attempts(const struct entry_request *r)
@@ -162,7 +119,8 @@
 	g_ptr_array_unref(headers);
 }
 
-static void reply_not_run(struct entry_request *r, const char *text)
+/* Answer for good that the request did not run. */
+void entry_reply_not_run(struct entry_request *r, const char *text)
 {
 	COUNT(requests_not_run);
 	reply(r, 503, OUTCOME_NOT_RUN, r->refused_wait_ms, text);
@@ -175,46 +133,6 @@
 	      "no whole answer came; the request may have run\n");
 }
 
-static void reject(struct entry_request *r, uint32_t status, const char *text)
-{
-	COUNT(requests_rejected);
-	reply(r, status, NULL, -1, text);
-}
-
-static char *path_segment(const char *path, uint32_t n)
-{
-	const char *p = path;
-	const char *end;
-
-	while (n--) {
-		if (*p != '/')
-			return NULL;
-		p++;
-		if (!n)
-			break;
-		p = strchr(p, '/');
-		if (!p)
-			return NULL;
-	}
-	end = strchr(p, '/');
-	return g_strndup(p, end ? (size_t)(end - p) : strlen(p));
-}
-
-static char *find_key(struct httpd_request *http,
-		      const struct service_settings *s)
-{
-	switch (s->key_place) {
-	case KEY_PATH:
-		return path_segment(http->path, s->key_segment);
-	case KEY_QUERY:
-		return g_strdup(httpd_argument(http, s->key_name));
-	case KEY_HEADER:
-		return g_strdup(httpd_header(http, s->key_name));
-	default:
-		return NULL;
-	}
-}
-
 static enum MHD_Result copy_header(void *user, enum MHD_ValueKind kind,
 				   const char *name, const char *value)
 {
@@ -226,50 +144,11 @@
 	return MHD_YES;
 }
 
-/* Class, key and shard of a request; false once it has been answered. */
-static bool classify(struct entry_request *r)
+/* Answer that the request itself is at fault. */
+void entry_reject(struct entry_request *r, uint32_t status, const char *text)
 {
-	struct entry *e = r->entry;
-	const struct fleet *f = &e->node->member.fleet;
-	const struct service_settings *ss;
-	struct fleet_service *s;
-	const char *id = httpd_header(r->http, HEADER_IDEMPOTENCY);
-
-	if (!f->document) {
-		r->refused_wait_ms = 1000;
-		reply_not_run(r, "no configuration is in force yet\n");
-		return false;
-	}
-	r->class = configuration_match(&f->configuration, r->http->method,
-				       r->http->path);
-	if (!r->class) {
-		reject(r, 404, "no class matches this method and path\n");
-		return false;
-	}
-	ss = &f->configuration.services[r->class->service];
-	s = fleet_service(f, ss->name);
-	r->version = f->configuration_version;
-	r->repeatable = r->class->repeatable;
-	r->target_ms = r->class->target_ms;
-	r->deadline_ms = r->received_ms + r->class->deadline_ms;
-	r->id_header = id;
-	g_strlcpy(r->service, ss->name, sizeof(r->service));
-	r->key = find_key(r->http, ss);
-	if (ss->key_place != KEY_NONE &&
-	    (!r->key || !r->key[0] || strlen(r->key) > MAX_KEY_LEN)) {
-		reject(r, 400, "the request names no key, or one too long\n");
-		return false;
-	}
-	if (id && strlen(id) > MAX_KEY_LEN) {
-		reject(r, 400, "the idempotency key is too long\n");
-		return false;
-	}
-	r->keyed = r->key || (!r->repeatable && id);
-	if (r->keyed)
-		r->shard = shard_of_key(s, r->key ? r->key : id);
-	if (!r->key)
-		r->key = g_strdup("");
-	return true;
+	COUNT(requests_rejected);
+	reply(r, status, NULL, -1, text);
 }
 
 static bool send_attempt(struct entry_request *r, int64_t member, bool hedge)
@@ -403,14 +282,14 @@
 		return;
 	r->resume_ms = 0;
 	if (now >= r->deadline_ms) {
-		reply_not_run(r, "no gate took the request in time\n");
+		entry_reply_not_run(r, "no gate took the request in time\n");
 		return;
 	}
 	member = pick_gate(r, r->refusals ? r->last_member : 0);
 	r->tries++;
 	if (!member || !send_attempt(r, member, false)) {
 		if (r->tries >= MAX_TRIES)
-			reply_not_run(r, "nobody serves this now\n");
+			entry_reply_not_run(r, "nobody serves this now\n");
 		else
 			wait_round(r);
 	}
@@ -426,7 +305,7 @@
 	if (n_open_attempts(r))
 		return;
 	if (r->tries >= MAX_TRIES || now >= r->deadline_ms) {
-		reply_not_run(r, "refused, not run\n");
+		entry_reply_not_run(r, "refused, not run\n");
 		return;
 	}
 	if (m->number == RESULT_NOT_OWNER) {
@@ -444,7 +323,7 @@
 	}
 	chooser_refused(&e->chooser, r->last_member, AVOID_MS, now);
 	if (r->keyed || !budget_spend(&e->retries)) {
-		reply_not_run(r, "refused, not run\n");
+		entry_reply_not_run(r, "refused, not run\n");
 		return;
 	}
 	COUNT(requests_retried);
@@ -763,10 +642,10 @@
 	g_ptr_array_add(e->requests, r);
 	if (e->requests->len > MAX_REQUESTS) {
 		r->refused_wait_ms = 1000;
-		reply_not_run(r, "too many requests at once\n");
+		entry_reply_not_run(r, "too many requests at once\n");
 		return;
 	}
-	if (!classify(r))
+	if (!entry_classify(r))
 		return;
 	r->headers = headers_new();
 	MHD_get_connection_values(http->connection, MHD_HEADER_KIND,
--- /dev/null
+++ b/net/gate-request.h
@@ -0,0 +1,55 @@
+#ifndef NET_GATE_REQUEST_H
+#define NET_GATE_REQUEST_H
+
+#define XXH_STATIC_LINKING_ONLY /* the state has a size */
+#include <xxhash.h>
+
+#include "net/gate.h"
+
+/* A request at the gate, and what net/gate*.c share. */
+
+enum gate_state {
+	GATE_WAITING, /* in the queue */
+	GATE_RUNNING, /* handed to the backend server */
+};
+
+struct gate_request {
+	struct gate *gate;
+	GBytes *identity; /* of the entry's link, NULL our own entry */
+	uint64_t origin;
+	uint64_t id;
+	enum gate_state state;
+	const char *method;
+	char *text; /* method, url and key */
+	const char *url;
+	const char *key;
+	uint64_t seen_hash; /* 0: no idempotency key */
+	GPtrArray *headers;
+	GByteArray *body;
+	uint32_t class_index;
+	bool repeatable;
+	bool keyed;
+	int64_t shard;
+	int64_t arrived_ms;
+	int64_t started_us;
+	int64_t deadline_ms;
+	int64_t resend_window_ms;
+	struct fetch fetch;
+	GByteArray *pending; /* answer not yet sent on */
+	bool head_sent;
+	bool shed;
+	int64_t total;
+	int64_t uncredited;
+	XXH64_state_t digest;
+	GString *kept; /* a short answer, for a repeated id */
+};
+
+/* Start what may be started. */
+void gate_pump(struct gate *g);
+void gate_emit(struct gate *g, GBytes *identity, struct request_msg *m);
+
+/* net/gate-health.c: stalls and signs of life of the backend server. */
+void gate_on_watch(struct ev_loop *loop, ev_timer *w, int events);
+void gate_probe(struct gate *g, int64_t now_ms);
+
+#endif
--- a/net/gate.c
+++ b/net/gate.c
@@ -1,9 +1,7 @@
 #include <string.h>
-#define XXH_STATIC_LINKING_ONLY /* the state has a size */
-#include <xxhash.h>
 
 #include "net/clock.h"
-#include "net/gate.h"
+#include "net/gate-request.h"
 #include "net/headers.h"
 #include "net/node.h"
 #include "util/counters.h"
@@ -14,56 +12,12 @@
 #define WINDOW_BYTES (4 * BLOCK_BYTES)
 #define QUEUE_PER_SLOT 4
 #define MAX_IDS 65536
-#define PROBE_EVERY_MS 2000
-#define PROBE_SHARE 200
-#define PROBE_TIMEOUT_MS 1000
 #define MAX_CONNECT_FAILURES 3
 #define MIN_WAIT_MS 100
 #define NO_SHARD (-1)
 #define WATCH_S 0.003
-#define STALL_NOTE_MS 40
-#define ENTRY_RECENT_MS 2000
 #define MAX_ENTRIES 2048
 
-enum gate_state {
-	GATE_WAITING, /* in the queue */
-	GATE_RUNNING, /* handed to the backend server */
-};
-
-struct gate_request {
-	struct gate *gate;
-	GBytes *identity; /* of the entry's link, NULL our own entry */
-	uint64_t origin;
-	uint64_t id;
-	enum gate_state state;
-	const char *method;
-	char *text; /* method, url and key */
-	const char *url;
-	const char *key;
-	uint64_t seen_hash; /* 0: no idempotency key */
-	GPtrArray *headers;
-	GByteArray *body;
-	uint32_t class_index;
-	bool repeatable;
-	bool keyed;
-	int64_t shard;
-	int64_t arrived_ms;
-	int64_t started_us;
-	int64_t deadline_ms;
-	int64_t resend_window_ms;
-	struct fetch fetch;
-	GByteArray *pending; /* answer not yet sent on */
-	bool head_sent;
-	bool shed;
-	int64_t total;
-	int64_t uncredited;
-	XXH64_state_t digest;
-	GString *kept; /* a short answer, for a repeated id */
-};
-
-static void pump(struct gate *g);
-static void on_watch(struct ev_loop *loop, ev_timer *w, int events);
-
 static guint request_hash(gconstpointer p)
 {
 	const struct gate_request *r = p;
@@ -110,7 +64,7 @@
 	g->entries = g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
 					   (GDestroyNotify)g_bytes_unref,
 					   g_free);
-	ev_init(&g->watch, on_watch);
+	ev_init(&g->watch, gate_on_watch);
 	g->watch.repeat = WATCH_S;
 	g->watch.data = g;
 	queue_init(&g->queue, QUEUE_PER_SLOT);
@@ -180,7 +134,8 @@
 	return !g_hash_table_size(g->requests);
 }
 
-static void emit(struct gate *g, GBytes *identity, struct request_msg *m)
+/* Send to an entry, our own when identity is NULL. */
+void gate_emit(struct gate *g, GBytes *identity, struct request_msg *m)
 {
 	GByteArray *out;
 	gsize len;
@@ -204,7 +159,7 @@
 {
 	m->origin = r->origin;
 	m->id = r->id;
-	emit(r->gate, r->identity, m);
+	gate_emit(r->gate, r->identity, m);
 }
 
 /*
@@ -465,7 +420,7 @@
 		COUNT(gate_backend_failed);
 		fail(r, result);
 	}
-	pump(g);
+	gate_pump(g);
 }
 
 static const struct fetch_ops backend_ops = {
@@ -529,64 +484,6 @@
 		    &backend_ops, r);
 }
 
-static int64_t oldest_in_flight_ms(struct gate *g, int64_t now_us)
-{
-	int64_t oldest = now_us;
-	GHashTableIter it;
-	gpointer p;
-
-	g_hash_table_iter_init(&it, g->requests);
-	while (g_hash_table_iter_next(&it, &p, NULL)) {
-		const struct gate_request *r = p;
-
-		/* One whose head has come waits for its reader, not for us. */
-		if (r->state == GATE_RUNNING && !r->fetch.head_done)
-			oldest = MIN(oldest, r->started_us);
-	}
-	return (now_us - oldest) / 1000;
-}
-
-/*
- * Tell the entries that lately sent work here. Each would otherwise find out
- * by losing a request or two of its own to the stall.
- */
-static void note_stall(struct gate *g, int64_t now)
-{
-	struct request_msg m = { .type = REQ_STALLED,
-				 .to = g->node->member.self,
-				 .wait_ms = STALL_NOTE_MS };
-	GHashTableIter it;
-	gpointer identity, heard;
-
-	if (now < g->next_stall_note_ms)
-		return;
-	g->next_stall_note_ms = now + STALL_NOTE_MS / 2;
-	emit(g, NULL, &m);
-	g_hash_table_iter_init(&it, g->entries);
-	while (g_hash_table_iter_next(&it, &identity, &heard)) {
-		if (now - *(int64_t *)heard > ENTRY_RECENT_MS)
-			g_hash_table_iter_remove(&it);
-		else
-			emit(g, identity, &m);
-	}
-}
-
-static void on_watch(struct ev_loop *loop, ev_timer *w, int events)
-{
-	struct gate *g = w->data;
-
-	(void)events;
-	limit_watch(&g->limit, oldest_in_flight_ms(g, clock_now_us()),
-		    clock_now_ms());
-	if (g->limit.stalled)
-		note_stall(g, clock_now_ms());
-	if (!g->n_running) {
-		limit_watch(&g->limit, 0, clock_now_ms());
-		ev_timer_stop(loop, w);
-	}
-	pump(g);
-}
-
 static void remember_entry(struct gate *g, const void *identity, size_t len)
 {
 	int64_t now = clock_now_ms();
@@ -599,7 +496,7 @@
 			     g_memdup2(&now, sizeof(now)));
 }
 
-static void pump(struct gate *g)
+void gate_pump(struct gate *g)
 {
 	struct queued q;
 
@@ -700,7 +597,7 @@
 		g_free(victim);
 		refuse(v, RESULT_OVERLOAD);
 	}
-	pump(g);
+	gate_pump(g);
 }
 
 static void on_ask(struct gate *g, const void *identity, size_t len,
@@ -728,7 +625,7 @@
 		GBytes *id = identity ? g_bytes_new(identity, len) : NULL;
 
 		COUNT(gate_refused_not_owner);
-		emit(g, id, &no);
+		gate_emit(g, id, &no);
 		if (id)
 			g_bytes_unref(id);
 		return;
@@ -758,7 +655,7 @@
 				NULL, 0);
 	}
 	request_free(r);
-	pump(g);
+	gate_pump(g);
 }
 
 void gate_on_message(struct gate *g, const void *identity, size_t len,
@@ -785,44 +682,6 @@
 	}
 }
 
-static void on_probe_done(struct fetch *f, int result)
-{
-	struct gate *g = f->user;
-
-	g->probing = false;
-	if (result == RESULT_OK) {
-		g->heard_ms = clock_now_ms();
-		g->connect_failures = 0;
-	} else if (result == RESULT_UNREACHABLE) {
-		g->connect_failures++;
-	}
-}
-
-static const struct fetch_ops probe_ops = { .on_done = on_probe_done };
-
-/*
- * Ask for a sign of life, but only of a server that gave none of late, and no
- * oftener than its cost allows: some take 6 ms for each probe.
- */
-static void probe(struct gate *g, int64_t now)
-{
-	int64_t every = MAX(PROBE_EVERY_MS,
-			    g->backend_server.probe_cost_ms * PROBE_SHARE);
-	g_autofree char *url = NULL;
-
-	if (!g->connect_failures && now - g->heard_ms < every)
-		return;
-	if (g->probing || now < g->next_probe_ms)
-		return;
-	g->next_probe_ms = now + (g->connect_failures ? every / 4 : every);
-	url = g_strdup_printf("http://%s/health",
-			      g->node->settings.backend_server);
-	g->probing = true;
-	COUNT(gate_probes);
-	fetch_start(&g->probe, &g->fetcher, "GET", url, NULL, NULL, 0,
-		    PROBE_TIMEOUT_MS, false, &probe_ops, g);
-}
-
 /* Timed duties: probes, queue deadlines, the backend server gone. */
 void gate_tick(struct gate *g)
 {
@@ -836,11 +695,11 @@
 		refuse(q.request, RESULT_TIMEOUT);
 	if (!g->backend_server.announced)
 		return;
-	probe(g, now);
+	gate_probe(g, now);
 	if (g->connect_failures >= MAX_CONNECT_FAILURES) {
 		g_warning("backend server does not accept connections");
 		gate_leave(g);
 		node_backend_left(g->node);
 	}
-	pump(g);
+	gate_pump(g);
 }
--- a/t/bench.sh
+++ b/t/bench.sh
@@ -5,25 +5,8 @@
 cd "$TOP" || exit 1
 SECTIONS=${*:-hops throughput idle recovery configuration}
 TIMES=${TIMES:-5}
-median() { sort -n | awk '{v[NR]=$1} END{print NR ? v[int((NR+1)/2)] : "-"}'; }
-pick() { tr ' ' '\n' | grep -A1 "^$1\$" | tail -n 1; }
-wants() { [[ " $SECTIONS " == *" $1 "* ]]; }
 now_ms() { date +%s%3N; }
 
-# stop_fleet: ends what start_fleet started, for the next section.
-stop_fleet() {
-	local pid
-	for pid in $PIDS; do
-		kill -9 "$pid" 2>/dev/null
-		wait "$pid" 2>/dev/null
-	done
-	PIDS= NODES=
-	NODE_SERVICE=()
-	BASE_PORT=$((BASE_PORT + 4000))
-	LOG_ADDRESS=127.0.0.1:$BASE_PORT
-	rm -f "$DIR"/*.log
-}
-
 rss_kb() { awk '$1=="VmRSS:"{print $2}' "/proc/$1/status"; }
 cpu_ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
 
@@ -42,9 +25,8 @@
 	done
 	echo "1,000 lookups/s, medians of $TIMES runs in turn"
 	for n in p50_ms p99_ms; do
-		echo "  $n direct $(pick $n <"$DIR/direct" | median)" \
-			"routed $(for v in $(grep -o "$n [0-9.]*" "$DIR/routed" |
-				cut -d' ' -f2); do echo "$v"; done | median)"
+		echo "  $n direct $(pick $n "$DIR/direct" | median)" \
+			"routed $(pick $n "$DIR/routed" | median)"
 	done
 	stop_fleet
 }
--- a/t/lib.sh
+++ b/t/lib.sh
@@ -209,3 +209,22 @@
 		"$DIR/head" | tr -d '\r'
 	echo
 }
+
+# For measuring scripts.
+median() { sort -n | awk '{v[NR]=$1} END{print NR ? v[int((NR+1)/2)] : "-"}'; }
+wants() { [[ " $SECTIONS " == *" $1 "* ]]; }
+# pick NAME FILE: every value that follows a name.
+pick() { grep -o "$1 [0-9.]*" "$2" | cut -d' ' -f2; }
+# stop_fleet: ends what start_fleet and start_log started; other ports follow.
+stop_fleet() {
+	local pid
+	for pid in $PIDS; do
+		kill -9 "$pid" 2>/dev/null
+		wait "$pid" 2>/dev/null
+	done
+	PIDS= NODES=
+	NODE_SERVICE=()
+	BASE_PORT=$((BASE_PORT + 500))
+	LOG_ADDRESS=127.0.0.1:$BASE_PORT
+	rm -f "$DIR"/*.log
+}
--- a/t/report.sh
+++ b/t/report.sh
@@ -9,10 +9,6 @@
 SECONDS_EACH=${SECONDS_EACH:-6}
 TIMES=${TIMES:-3}
 PLAIN='"hedge": false, "limit": "fixed", "choice": "turns",'
-median() { sort -n | awk '{v[NR]=$1} END{print NR ? v[int((NR+1)/2)] : "-"}'; }
-pick() { grep -o "$1 [0-9.]*" "$2" | cut -d' ' -f2; }
-wants() { [[ " $SECTIONS " == *" $1 "* ]]; }
-
 # site NAME: services, data centres and sizes of one of the brief's workloads.
 site() {
 	if [ "$1" = kinwaku ]; then
@@ -28,18 +24,6 @@
 	fi
 }
 
-stop_fleet() {
-	local pid
-	for pid in $PIDS; do
-		kill -9 "$pid" 2>/dev/null
-		wait "$pid" 2>/dev/null
-	done
-	PIDS= NODES=
-	NODE_SERVICE=()
-	BASE_PORT=$((BASE_PORT + 500))
-	LOG_ADDRESS=127.0.0.1:$BASE_PORT
-}
-
 # fleet POLICY SERVICES WORK_MS [OPTION...]
 fleet() {
 	local policy=$1 services=$2 work=$3
