t: the backend server stand-in reports its load, late

Servers report load that lags by a second or more. The gate does without such reports, since it alone connects to its server; the stand-in has one so that a policy that trusts it can be measured against.

--- a/t/backend-standin.c
+++ b/t/backend-standin.c
@@ -21,6 +21,7 @@
 #define MAX_BODY (8 * 1024 * 1024)
 #define OVERLOAD_FACTOR 2
 #define COLD_CAPACITY 2
+#define LOAD_LAG_MS 1000
 
 struct job {
 	struct httpd_request *r;
@@ -252,6 +253,22 @@
 	httpd_reply_text(r, 200, text);
 }
 
+/* The load report tells how things were up to a second ago. */
+static void on_load(struct httpd_request *r)
+{
+	static int64_t reported_ms;
+	static uint32_t reported;
+	int64_t now = clock_now_ms();
+	g_autofree char *text = NULL;
+
+	if (now - reported_ms >= LOAD_LAG_MS) {
+		reported_ms = now;
+		reported = n_running;
+	}
+	text = g_strdup_printf("running %u\n", reported);
+	httpd_reply_text(r, 200, text);
+}
+
 static void tell_node(const char *path)
 {
 	json_t *o = json_pack("{s:s,s:I,s:I,s:I}", "service", service, "slots",
@@ -312,6 +329,8 @@
 		on_ledger(r);
 	else if (!strcmp(r->path, "/stats"))
 		on_stats(r);
+	else if (!strcmp(r->path, "/load"))
+		on_load(r);
 	else
 		on_work(r, !strcmp(r->path, "/health"));
 }
