state: an expulsion proved by old witnesses is dropped after a settle

A young member's witness was the log; it chose three others and settled. A node that had not read the settle record found it silent and appended its expulsion with the witness offset that was still in force, so replay took it. No one waited a lease, since the log was no witness any more, and the next owner served beside it.

Ruled out: a promise broken by a witness. Only one of the three had promised, and it kept to it.

--- a/state/fleet.c
+++ b/state/fleet.c
@@ -410,8 +410,15 @@
 		return RESULT_NO_SUCH;
 	if (upto >= offset)
 		return RESULT_INVALID;
-	if (m->witness_offset <= upto)
+	/*
+	 * A node that has not read this record may be appending an expulsion
+	 * proved by the old witnesses, the log itself among them. They count
+	 * no more, so its proof must not pass for one of the new ones.
+	 */
+	if (m->old_witnesses.n && m->witness_offset <= upto) {
 		m->old_witnesses.n = 0;
+		m->witness_offset = offset;
+	}
 	for (i = 0; i < f->n_services; i++) {
 		for (j = 0; j < f->services[i].n_shards; j++) {
 			struct shard *sh = &f->services[i].shards[j];
--- a/t/test-state.c
+++ b/t/test-state.c
@@ -261,6 +261,33 @@
 	fleet_finish(&f);
 }
 
+/*
+ * A node that is behind finds a member silent whose witness was the log, and
+ * appends its expulsion after the member has settled on other witnesses. Taken
+ * for proved, it would give the shards away while the member serves them.
+ */
+static void test_expulsion_by_old_witnesses(void)
+{
+	struct witness_set w = { .n = 3, .id = { 3, 4, 5 } };
+	struct fleet f;
+	json_t *expel;
+	json_t *r;
+
+	set_up(&f);
+	r = record_witnesses(2, fleet_member(&f, 2)->witness_offset, &w);
+	g_assert_cmpint(fleet_apply(&f, 4, "", r), ==, RESULT_OK);
+	json_decref(r);
+	expel = record_expel(3, "lease lapsed");
+	record_expel_add(expel, fleet_member(&f, 2));
+	r = record_settle(2, 4);
+	g_assert_cmpint(fleet_apply(&f, 5, "", r), ==, RESULT_OK);
+	json_decref(r);
+	g_assert_cmpint(fleet_apply(&f, 6, "", expel), ==, RESULT_STALE);
+	g_assert_nonnull(fleet_member(&f, 2));
+	json_decref(expel);
+	fleet_finish(&f);
+}
+
 static void test_gap(void)
 {
 	json_t *r = json_object();
@@ -288,6 +315,8 @@
 	g_test_add_func("/state/balance", test_balance_moves_little);
 	g_test_add_func("/state/snapshot", test_snapshot_is_whole);
 	g_test_add_func("/state/broken-records", test_broken_records);
+	g_test_add_func("/state/expulsion-by-old-witnesses",
+			test_expulsion_by_old_witnesses);
 	g_test_add_func("/state/gap", test_gap);
 	return g_test_run();
 }
