member: silence to the log proves nothing while a change is unsettled

A member of three witnesses changed to the log as its witness (record 75) but had not read that record itself, and served on by the three. A node that had read it found the member silent, and expelled it by the log's rule; those who took over waited a lease, which does not bound a lease that the three go on renewing.

Ruled out, by printing both states at the breach: an early acquisition (the taker's wait had ended 14 ms before), and a broken promise.

The log's rule now also wants a majority of promises from each other set that still counts.

--- a/member/internal.h
+++ b/member/internal.h
@@ -50,6 +50,8 @@
 void takeover_tick(struct member_node *n);
 void takeover_on_stopped(struct member_node *n, const struct member_msg *msg);
 bool takeover_proved(const struct member_node *n, int64_t subject);
+bool takeover_set_silent(const struct member_node *n, int64_t subject,
+			 const struct witness_set *w);
 int64_t takeover_proved_since(const struct member_node *n, int64_t subject);
 void takeover_learn(struct member_node *n, const GArray *ids);
 void takeover_forget(struct member_node *n, int64_t subject);
--- a/member/propose.c
+++ b/member/propose.c
@@ -119,6 +119,14 @@
 	if (!witness_set_has(&m->witnesses, LOG_WITNESS) &&
 	    !witness_set_has(&m->old_witnesses, LOG_WITNESS))
 		return false;
+	/*
+	 * While a change to or from the log is not settled, the member may not
+	 * have read of it and serve by its other witnesses alone.
+	 */
+	if (!takeover_set_silent(n, m->id, &m->witnesses) ||
+	    (m->old_witnesses.n &&
+	     !takeover_set_silent(n, m->id, &m->old_witnesses)))
+		return false;
 	for (i = 0; i < n->watches->len; i++) {
 		const struct watch *w =
 			&g_array_index(n->watches, struct watch, i);
--- a/member/takeover.c
+++ b/member/takeover.c
@@ -36,6 +36,20 @@
 	return stopped >= w->n / 2 + 1;
 }
 
+/*
+ * Whether one set of a member's witnesses is no obstacle to its expulsion by
+ * the log: it is the log, or a majority of it promised.
+ */
+bool takeover_set_silent(const struct member_node *n, int64_t subject,
+			 const struct witness_set *w)
+{
+	int64_t frozen = -1;
+
+	return witness_set_has(w, LOG_WITNESS) ||
+	       (set_stopped(n, subject, w, &frozen) &&
+		frozen <= n->fleet.applied);
+}
+
 /*
  * Whether a member is proved to have stopped for good: a majority of its
  * witnesses, of both sets while a change is not settled, promised so, and we
