net, member: drop what nothing reads

Three leftovers: a count of listeners, the start time of an append, and a constant that stands in propose.c, where it is used.

--- a/member/witness.c
+++ b/member/witness.c
@@ -5,7 +5,6 @@
 #include "util/invariant.h"
 
 #define TELL_INTERVAL_MS 500
-#define LOG_WITNESSED_LAPSES 2
 
 static struct watch *find_watch(const struct member_node *n, int64_t subject)
 {
--- a/net/entry.h
+++ b/net/entry.h
@@ -29,7 +29,6 @@
 	uint64_t origin;
 	uint64_t next_id;
 	ev_timer tick;
-	uint32_t n_listening;
 };
 
 int entry_init(struct entry *e, struct node *node);
--- a/net/log-client.c
+++ b/net/log-client.c
@@ -230,7 +230,6 @@
 	a->client = c;
 	a->kind = kind;
 	a->user = append_user;
-	a->began_ms = clock_now_ms();
 	a->answer = g_string_new(NULL);
 	g_snprintf(a->id, sizeof(a->id), "%s-%" G_GUINT64_FORMAT, c->writer,
 		   (guint64)c->n_appends++);
--- a/net/log-client.h
+++ b/net/log-client.h
@@ -42,7 +42,6 @@
 	void *user;
 	bool in_doubt; /* sent, and no answer came */
 	int64_t doubt_ms;
-	int64_t began_ms;
 };
 
 struct log_handlers {
