node: what ties the parts together moves out of net/

net/ held 5,100 of 17,000 lines: transports, and beside them entry, gate, operator and node, which decide and tie things together. The latter move to node/, so that net/ keeps libev, HTTP, ZeroMQ and the log's client alone.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 LIBS = $(shell pkg-config --libs $(PKGS)) -lev -lm
 
 PURE = util state member gate route settings audit
-LIB_SRC = $(foreach d,$(PURE) net,$(wildcard $(d)/*.c))
+LIB_SRC = $(foreach d,$(PURE) net node,$(wildcard $(d)/*.c))
 CMD_SRC = briargrade.c $(wildcard builtin/*.c)
 LIB_OBJ = $(LIB_SRC:%.c=$(OUT)/%.o)
 CMD_OBJ = $(CMD_SRC:%.c=$(OUT)/%.o)
@@ -32,7 +32,7 @@
 TESTS = test-member test-state test-gate test-route test-settings test-net
 BINARIES = $(PROGRAMS:%=$(OUT)/bin/%) $(TESTS:%=$(OUT)/bin/%)
 SOURCES = $(wildcard *.c builtin/*.[ch] t/*.[ch] \
-	$(foreach d,$(PURE) net,$(d)/*.[ch]))
+	$(foreach d,$(PURE) net node,$(d)/*.[ch]))
 
 all: $(OUT)/bin/briargrade
 
--- a/builtin/run.c
+++ b/builtin/run.c
@@ -3,7 +3,7 @@
 
 #include "builtin/builtin.h"
 #include "builtin/options.h"
-#include "net/node.h"
+#include "node/node.h"
 #include "util/log.h"
 #include "util/result.h"
 
--- a/net/entry-classify.c
+++ b/node/entry-classify.c
@@ -1,8 +1,8 @@
 #include <string.h>
 
-#include "net/entry-request.h"
+#include "node/entry-request.h"
 #include "net/headers.h"
-#include "net/node.h"
+#include "node/node.h"
 
 #define MAX_KEY_LEN 512
 
--- a/net/entry-request.h
+++ b/node/entry-request.h
@@ -1,15 +1,15 @@
-#ifndef NET_ENTRY_REQUEST_H
-#define NET_ENTRY_REQUEST_H
+#ifndef NODE_ENTRY_REQUEST_H
+#define NODE_ENTRY_REQUEST_H
 
 #include <stdbool.h>
 #include <stdint.h>
 #define XXH_STATIC_LINKING_ONLY /* the state has a size */
 #include <xxhash.h>
 
-#include "net/entry.h"
+#include "node/entry.h"
 #include "settings/configuration.h"
 
-/* A caller's request and the attempts made for it; only for net/entry*.c. */
+/* A caller's request and the attempts made for it; only for node/entry*.c. */
 
 #define MAX_ATTEMPTS 2
 
--- a/net/entry.c
+++ b/node/entry.c
@@ -1,11 +1,11 @@
 #include <string.h>
 
 #include "net/clock.h"
-#include "net/entry.h"
-#include "net/entry-request.h"
-#include "net/gate.h"
+#include "node/entry.h"
+#include "node/entry-request.h"
+#include "node/gate.h"
 #include "net/headers.h"
-#include "net/node.h"
+#include "node/node.h"
 #include "util/counters.h"
 #include "util/result.h"
 
--- a/net/entry.h
+++ b/node/entry.h
@@ -1,5 +1,5 @@
-#ifndef NET_ENTRY_H
-#define NET_ENTRY_H
+#ifndef NODE_ENTRY_H
+#define NODE_ENTRY_H
 
 #include <stdint.h>
 #include <glib.h>
--- a/net/gate-health.c
+++ b/node/gate-health.c
@@ -1,6 +1,6 @@
 #include "net/clock.h"
-#include "net/gate-request.h"
-#include "net/node.h"
+#include "node/gate-request.h"
+#include "node/node.h"
 #include "util/counters.h"
 #include "util/result.h"
 
--- a/net/gate-request.h
+++ b/node/gate-request.h
@@ -1,12 +1,12 @@
-#ifndef NET_GATE_REQUEST_H
-#define NET_GATE_REQUEST_H
+#ifndef NODE_GATE_REQUEST_H
+#define NODE_GATE_REQUEST_H
 
 #define XXH_STATIC_LINKING_ONLY /* the state has a size */
 #include <xxhash.h>
 
-#include "net/gate.h"
+#include "node/gate.h"
 
-/* A request at the gate, and what net/gate*.c share. */
+/* A request at the gate, and what node/gate*.c share. */
 
 enum gate_state {
 	GATE_WAITING, /* in the queue */
@@ -48,7 +48,7 @@
 void gate_pump(struct gate *g);
 void gate_emit(struct gate *g, GBytes *identity, struct request_msg *m);
 
-/* net/gate-health.c: stalls and signs of life of the backend server. */
+/* node/gate-health.c: stalls and signs of life of the backend server. */
 void gate_on_watch(struct ev_loop *loop, ev_timer *w, int events);
 void gate_probe(struct gate *g, int64_t now_ms);
 
--- a/net/gate.c
+++ b/node/gate.c
@@ -1,9 +1,9 @@
 #include <string.h>
 
 #include "net/clock.h"
-#include "net/gate-request.h"
+#include "node/gate-request.h"
 #include "net/headers.h"
-#include "net/node.h"
+#include "node/node.h"
 #include "util/counters.h"
 #include "util/invariant.h"
 #include "util/result.h"
--- a/net/gate.h
+++ b/node/gate.h
@@ -1,5 +1,5 @@
-#ifndef NET_GATE_H
-#define NET_GATE_H
+#ifndef NODE_GATE_H
+#define NODE_GATE_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/net/node.c
+++ b/node/node.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "net/clock.h"
-#include "net/node.h"
+#include "node/node.h"
 #include "util/counters.h"
 #include "util/result.h"
 
--- a/net/node.h
+++ b/node/node.h
@@ -1,13 +1,13 @@
-#ifndef NET_NODE_H
-#define NET_NODE_H
+#ifndef NODE_NODE_H
+#define NODE_NODE_H
 
 #include <ev.h>
 #include <stdbool.h>
 
 #include "audit/audit.h"
 #include "member/member.h"
-#include "net/entry.h"
-#include "net/gate.h"
+#include "node/entry.h"
+#include "node/gate.h"
 #include "net/httpd.h"
 #include "net/log-client.h"
 #include "net/peer.h"
@@ -76,7 +76,7 @@
 void node_backend_announced(struct node *n);
 void node_backend_left(struct node *n);
 
-/* net/operator.c */
+/* node/operator.c */
 int operator_init(struct node *n);
 void operator_finish(struct node *n);
 void operator_tick(struct node *n);
--- a/net/operator.c
+++ b/node/operator.c
@@ -3,7 +3,7 @@
 
 #include "net/clock.h"
 #include "net/headers.h"
-#include "net/node.h"
+#include "node/node.h"
 #include "state/records.h"
 #include "util/counters.h"
 #include "util/result.h"
