--- a/audit/audit.c
+++ b/audit/audit.c
@@ -3,11 +3,20 @@
 #include "audit/audit.h"
 #include "util/result.h"
 
+static void moves_free(gpointer p)
+{
+	struct audit_moves *m = p;
+
+	g_free(m->why);
+	g_string_free(m->shards, TRUE);
+	g_free(m);
+}
+
 /* Set up an empty trail. */
 void audit_init(struct audit *a)
 {
 	memset(a, 0, sizeof(*a));
-	a->moved_shards = g_string_new(NULL);
+	a->moves = g_ptr_array_new_with_free_func(moves_free);
 }
 
 /* Release the lines. */
@@ -17,8 +26,7 @@
 
 	for (i = 0; i < AUDIT_LINES; i++)
 		g_free(a->lines[i].text);
-	g_string_free(a->moved_shards, TRUE);
-	g_free(a->moved_why);
+	g_ptr_array_unref(a->moves);
 }
 
 static void add_line(struct audit *a, char *text)
@@ -32,38 +40,82 @@
 	g_info("audit: %s", text);
 }
 
+static void end_run(struct audit_moves *m)
+{
+	if (m->last > m->first)
+		g_string_append_printf(m->shards, "-%u", m->last);
+}
+
 void audit_flush(struct audit *a)
 {
-	if (!a->n_moved)
-		return;
-	add_line(a, g_strdup_printf("offset %" G_GINT64_FORMAT
-				    ": %s shards %s: owner %" G_GINT64_FORMAT
-				    " -> %" G_GINT64_FORMAT " (%s)",
-				    (gint64)a->moved_offset, a->moved_service,
-				    a->moved_shards->str, (gint64)a->moved_from,
-				    (gint64)a->moved_to, a->moved_why));
-	a->n_moved = 0;
-	g_string_set_size(a->moved_shards, 0);
+	uint32_t i;
+
+	for (i = 0; i < a->moves->len; i++) {
+		struct audit_moves *m = g_ptr_array_index(a->moves, i);
+
+		end_run(m);
+		add_line(a, g_strdup_printf("offset %" G_GINT64_FORMAT
+					    ": %s shards %s: owner "
+					    "%" G_GINT64_FORMAT
+					    " -> %" G_GINT64_FORMAT " (%s)",
+					    (gint64)m->offset, m->service,
+					    m->shards->str, (gint64)m->from,
+					    (gint64)m->to, m->why));
+	}
+	g_ptr_array_set_size(a->moves, 0);
+}
+
+static struct audit_moves *find_moves(struct audit *a,
+				      const struct fleet_event *ev)
+{
+	uint32_t i;
+
+	for (i = 0; i < a->moves->len; i++) {
+		struct audit_moves *m = g_ptr_array_index(a->moves, i);
+
+		if (m->from == ev->from && m->to == ev->to &&
+		    !strcmp(m->service, ev->service))
+			return m;
+	}
+	return NULL;
+}
+
+static struct audit_moves *new_moves(const struct fleet_event *ev)
+{
+	struct audit_moves *m = g_new0(struct audit_moves, 1);
+
+	m->offset = ev->offset;
+	m->from = ev->from;
+	m->to = ev->to;
+	g_strlcpy(m->service, ev->service, sizeof(m->service));
+	m->why = g_strdup_printf("%s%s%s", ev->reason, ev->by[0] ? ", by " : "",
+				 ev->by);
+	m->shards = g_string_new(NULL);
+	return m;
 }
 
 static void on_moved(struct audit *a, const struct fleet_event *ev)
 {
-	if (a->n_moved &&
-	    (a->moved_offset != ev->offset || a->moved_from != ev->from ||
-	     a->moved_to != ev->to || strcmp(a->moved_service, ev->service)))
+	struct audit_moves *m;
+
+	if (a->moves->len &&
+	    ((struct audit_moves *)a->moves->pdata[0])->offset != ev->offset)
 		audit_flush(a);
-	if (!a->n_moved++) {
-		a->moved_offset = ev->offset;
-		a->moved_from = ev->from;
-		a->moved_to = ev->to;
-		g_strlcpy(a->moved_service, ev->service,
-			  sizeof(a->moved_service));
-		g_free(a->moved_why);
-		a->moved_why = g_strdup_printf(
-			"%s%s%s", ev->reason, ev->by[0] ? ", by " : "", ev->by);
+	m = find_moves(a, ev);
+	if (m && ev->shard == m->last + 1) {
+		m->last = ev->shard;
+		return;
+	}
+	if (m) {
+		end_run(m);
+		g_string_append_c(m->shards, ',');
+	} else {
+		m = new_moves(ev);
+		g_ptr_array_add(a->moves, m);
 	}
-	g_string_append_printf(a->moved_shards, "%s%u",
-			       a->n_moved > 1 ? "," : "", ev->shard);
+	g_string_append_printf(m->shards, "%u", ev->shard);
+	m->first = ev->shard;
+	m->last = ev->shard;
 }
 
 static const char *member_text(const struct fleet_event *ev)
--- a/audit/audit.h
+++ b/audit/audit.h
@@ -20,17 +20,22 @@
 	char *text;
 };
 
+struct audit_moves {
+	int64_t offset;
+	char service[NAME_MAX_LEN + 1];
+	int64_t from;
+	int64_t to;
+	char *why;
+	GString *shards;
+	uint32_t first; /* of the shards in a row that end the list so far */
+	uint32_t last;
+};
+
 struct audit {
 	struct audit_line lines[AUDIT_LINES];
 	int64_t next;
-	/* Consecutive moves of one record make one line. */
-	int64_t moved_offset;
-	char moved_service[NAME_MAX_LEN + 1];
-	int64_t moved_from;
-	int64_t moved_to;
-	char *moved_why;
-	GString *moved_shards;
-	uint32_t n_moved;
+	/* Moves of one record, a line for each pair of owners. */
+	GPtrArray *moves; /* struct audit_moves */
 };
 
 void audit_init(struct audit *a);
--- /dev/null
+++ b/gate/cold.h
@@ -0,0 +1,38 @@
+#ifndef GATE_COLD_H
+#define GATE_COLD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * How many requests a backend server in cold start may be sent in any second.
+ * A server just started is slow, and one that gets its full load then crashes.
+ * Only the gate beside it sends to it, so the gate's own count is the whole
+ * truth, but for what a process before this one sent. Times are passed in.
+ */
+
+/* Sendings remembered; a second of more than that needs no limit of ours. */
+#define COLD_MAX_SENT 1024
+
+struct cold {
+	int64_t until_ms; /* cold before, 0 when warm */
+	double per_s; /* requests a second that it bears, 0: any */
+	int64_t sent_ms[COLD_MAX_SENT]; /* a ring of the last sendings */
+	uint32_t next;
+};
+
+/*
+ * Begin. What a process before this one sent in the last second is unknown, so
+ * the first second counts as used up.
+ */
+void cold_init(struct cold *c, int64_t now_ms);
+
+/* The server says that it stays cold for left_ms more; 0 that it is warm. */
+void cold_set(struct cold *c, int64_t left_ms, double per_s, int64_t now_ms);
+bool cold_now(const struct cold *c, int64_t now_ms);
+
+/* Whether one more request may be sent now. */
+bool cold_allows(const struct cold *c, int64_t now_ms);
+void cold_sent(struct cold *c, int64_t now_ms);
+
+#endif
--- a/member/holds.c
+++ b/member/holds.c
@@ -574,7 +574,10 @@
 
 		if (s < 0 || s >= n->n_holds || entitled(n, s, &step))
 			continue;
-		if (n->holds[s].state == HOLD_NONE)
+		/* Backend servers may hold what an earlier process gave. */
+		if (n->holds[s].state == HOLD_NONE &&
+		    (!n->ops->in_flight(n->ops_user, s) ||
+		     !rule_on(n, RULE_REQUESTS_END_FIRST)))
 			g_array_append_val(free_shards, s);
 	}
 	send_release(n, msg->from, free_shards);
@@ -678,3 +681,12 @@
 	*lease_end_ms = end;
 	return RESULT_OK;
 }
+
+bool member_awaits(const struct member_node *n, uint32_t shard)
+{
+	uint8_t step;
+
+	if (shard >= n->n_holds)
+		return false;
+	return n->holds[shard].state != HOLD_HELD && entitled(n, shard, &step);
+}
--- a/member/member.c
+++ b/member/member.c
@@ -59,6 +59,7 @@
 	g_ptr_array_unref(n->snapshot_parts);
 	g_queue_free_full(n->cache, cached_record_free);
 	g_free(n->holds);
+	json_decref(n->published);
 	memset(n, 0, sizeof(*n));
 }
 
@@ -106,6 +107,8 @@
 
 static void on_joined(struct member_node *n, const struct member *m)
 {
+	if (!strcmp(m->service, n->me.service))
+		n->last_join_ms = n->now_ms;
 	if (strcmp(m->nonce, n->me.nonce) || strcmp(m->host, n->me.host))
 		return;
 	member_leave_incarnation(n);
@@ -207,6 +210,21 @@
 	return err;
 }
 
+void member_set_published(struct member_node *n, int64_t source, json_t *doc,
+			  int64_t now_ms)
+{
+	n->now_ms = MAX(n->now_ms, now_ms);
+	json_decref(n->published);
+	n->published = json_incref(doc);
+	n->published_source = source;
+	n->published_since_ms = n->now_ms;
+}
+
+void member_set_life(struct member_node *n, const char *life)
+{
+	g_strlcpy(n->me.life, life, sizeof(n->me.life));
+}
+
 bool member_needs_log(const struct member_node *n)
 {
 	const struct member *m = fleet_member(&n->fleet, n->self);
--- a/member/member.h
+++ b/member/member.h
@@ -97,6 +97,8 @@
 	APPEND_WITNESSES,
 	APPEND_BALANCE,
 	APPEND_SNAPSHOT,
+	APPEND_PLACE,
+	APPEND_PUBLISHED,
 	N_APPEND_KINDS,
 };
 
@@ -156,6 +158,11 @@
 	int64_t ahead_applied;
 	int64_t balance_since_ms;
 	int64_t snapshot_seen_ms;
+	int64_t last_join_ms; /* somebody of our service joined */
+	int64_t unplaced_since_ms; /* our service has shards of nobody; 0 not */
+	json_t *published; /* what operators published elsewhere, or NULL */
+	int64_t published_source;
+	int64_t published_since_ms;
 	int64_t next_append_ms[N_APPEND_KINDS];
 	bool append_pending[N_APPEND_KINDS];
 	GPtrArray *snapshot_parts; /* json_t * still to be appended */
@@ -206,6 +213,16 @@
 /* Ask to be a member, or to leave once what runs has ended. */
 void member_set_wanted(struct member_node *n, bool wanted, int64_t now_ms);
 
+/*
+ * What operators published in a stream of their own, read up to source, as a
+ * configuration document; members bring it into the log in turn.
+ */
+void member_set_published(struct member_node *n, int64_t source, json_t *doc,
+			  int64_t now_ms);
+
+/* Name the life of our backend server, before asking to be a member. */
+void member_set_life(struct member_node *n, const char *life);
+
 /* Replace the state by a snapshot from the log; results as fleet_load(). */
 int member_load(struct member_node *n, const json_t *snapshot, int64_t now_ms);
 
@@ -223,6 +240,9 @@
 int member_may_serve(const struct member_node *n, uint32_t shard,
 		     int64_t now_ms, int64_t *fence, int64_t *lease_end_ms);
 
+/* Whether a shard is ours by the log, and others may still be serving it. */
+bool member_awaits(const struct member_node *n, uint32_t shard);
+
 /* Whether a member is known to have stopped though the log still lists it. */
 bool member_known_stopped(const struct member_node *n, int64_t id);
 
--- a/member/propose.c
+++ b/member/propose.c
@@ -14,6 +14,14 @@
 #define SPREAD_PER_MEMBER_MS 20
 #define SNAPSHOT_PART_BYTES (64 * 1024)
 #define LOG_WITNESSED_LAPSES 2
+/* After another's append came first: read it, then decide again. */
+#define CONFLICT_MS 30
+/* Whom operators' changes wait for, one after the other: they are urgent. */
+#define PUBLISH_STEP_MS 150
+#define PUBLISH_STRANGER_MS 400
+/* Backend servers announce themselves within about a second of each other. */
+#define PLACE_QUIET_MS 1200
+#define PLACE_LATEST_MS 4000
 
 /*
  * Appends spread over a time that grows with the fleet, so that an outage of
@@ -41,6 +49,14 @@
 		n->next_append_ms[kind] = n->now_ms + RETRY_MS;
 		return;
 	}
+	if (kind == APPEND_SNAPSHOT)
+		g_ptr_array_set_size(n->snapshot_parts, 0);
+	if (result == RESULT_CONFLICT) {
+		n->next_append_ms[kind] =
+			n->now_ms + g_rand_int_range(n->rand, 0, CONFLICT_MS);
+		n->next_join_ms = MIN(n->next_join_ms, n->now_ms);
+		return;
+	}
 	n->next_append_ms[kind] = n->now_ms + RETRY_MS + spread_ms(n);
 }
 
@@ -351,6 +367,58 @@
 	g_ptr_array_remove_index(n->snapshot_parts, 0);
 }
 
+static bool any_unowned(const struct fleet_service *s)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->n_shards; i++)
+		if (!s->shards[i].owner)
+			return true;
+	return false;
+}
+
+/* Give ranges that nobody owns to the members, once these have gathered. */
+static void propose_place(struct member_node *n)
+{
+	const struct fleet_service *s = member_service(n);
+	int64_t wait;
+
+	if (!s || !s->key_numbers || !n->self || n->resigning ||
+	    !any_unowned(s)) {
+		n->unplaced_since_ms = 0;
+		return;
+	}
+	if (!n->unplaced_since_ms)
+		n->unplaced_since_ms = n->now_ms;
+	wait = MIN(assign_rank(&n->fleet, "place", n->self), 20) * RANK_STEP_MS;
+	if (n->now_ms - n->last_join_ms < PLACE_QUIET_MS + wait &&
+	    n->now_ms - n->unplaced_since_ms < PLACE_LATEST_MS + wait)
+		return;
+	if (may_append(n, APPEND_PLACE))
+		member_append(n, APPEND_PLACE, record_place(s->name, n->self));
+}
+
+/*
+ * Bring what operators published into the log. Any node may; the first by rank
+ * does, and the others wait for it in turn, in case it is gone.
+ */
+static void propose_published(struct member_node *n)
+{
+	int64_t wait = PUBLISH_STRANGER_MS;
+
+	if (!n->published || n->published_source <= n->fleet.source ||
+	    !n->log_caught_up || !may_append(n, APPEND_PUBLISHED))
+		return;
+	if (n->self)
+		wait = assign_rank(&n->fleet, "publish", n->self) *
+		       PUBLISH_STEP_MS;
+	if (n->now_ms - n->published_since_ms < wait)
+		return;
+	member_append(n, APPEND_PUBLISHED,
+		      record_published(n->published_source, n->published,
+				       n->self));
+}
+
 /* Append what this node, by its rank and its state, should append. */
 void propose_tick(struct member_node *n)
 {
@@ -358,6 +426,8 @@
 	propose_expel(n);
 	propose_witnesses(n);
 	propose_settle(n);
+	propose_place(n);
+	propose_published(n);
 	propose_balance(n);
 	propose_snapshot(n);
 }
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -1,11 +1,20 @@
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #include "net/fetch.h"
 #include "util/result.h"
 
 #define CONNECT_TIMEOUT_MS 1000
 #define MAX_IDLE_HANDLES 256
+#define DEFAULT_MAX_IDLE_S 60
+/* A connection whose other end is gone shows within about four seconds. */
+#define KEEPALIVE_IDLE_S 2
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_PROBES 2
+#define UNACKNOWLEDGED_MS 3000
 #define MAX_HEADERS 128
 
 struct fetch_socket {
@@ -31,7 +40,8 @@
 
 static int result_of(const struct fetch *f, CURLcode code)
 {
-	(void)f;
+	if (f->mixed)
+		return RESULT_MIXED;
 	switch (code) {
 	case CURLE_OK:
 		return RESULT_OK;
@@ -45,15 +55,6 @@
 	}
 }
 
-static bool anything_sent(CURL *easy)
-{
-	curl_off_t pretransfer_us = 0;
-
-	/* Set once a connection is ready and the request is about to go. */
-	curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &pretransfer_us);
-	return pretransfer_us > 0;
-}
-
 static void reap(struct fetcher *x)
 {
 	CURLMsg *msg;
@@ -69,7 +70,6 @@
 		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE,
 				  (char **)&f);
 		result = result_of(f, msg->data.result);
-		f->sent = anything_sent(f->easy);
 		headers = f->answer_headers;
 		finish_one(f);
 		f->ops->on_done(f, result);
@@ -159,6 +159,7 @@
 	x->loop = loop;
 	x->multi = curl_multi_init();
 	x->idle = g_ptr_array_new();
+	x->max_idle_s = DEFAULT_MAX_IDLE_S;
 	x->sockets = g_ptr_array_new_with_free_func(g_free);
 	ev_init(&x->timer, on_timer);
 	x->timer.data = x;
@@ -190,6 +191,60 @@
 	g_ptr_array_unref(x->idle);
 }
 
+/*
+ * libcurl sends a request again by itself when a kept connection turns out to
+ * be dead, and the server may have run it the first time. It asks here before
+ * each sending, so that the second one is stopped and the outcome is unknown.
+ */
+static int before_sending(void *user, char *to, char *from, int to_port,
+			  int from_port)
+{
+	struct fetch *f = user;
+
+	(void)to;
+	(void)from;
+	(void)to_port;
+	(void)from_port;
+	if (f->sent)
+		return CURL_PREREQFUNC_ABORT;
+	f->sent = true;
+	return CURL_PREREQFUNC_OK;
+}
+
+/*
+ * A connection can go silent for good when something between the two ends has
+ * lost track of it. Nothing comes back then, not even a reset; unanswered
+ * probes make the kernel report it.
+ */
+static int set_keepalive(void *user, curl_socket_t fd, curlsocktype purpose)
+{
+	int on = 1;
+	int idle_s = KEEPALIVE_IDLE_S;
+	int interval_s = KEEPALIVE_INTERVAL_S;
+	int probes = KEEPALIVE_PROBES;
+	unsigned int unacknowledged_ms = UNACKNOWLEDGED_MS;
+
+	(void)user;
+	(void)purpose;
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
+		   sizeof(interval_s));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms,
+		   sizeof(unacknowledged_ms));
+	return CURL_SOCKOPT_OK;
+}
+
+static bool end_of_headers(struct fetch *f)
+{
+	curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &f->status);
+	if (f->status < 200 || !f->ops->check_head || f->ops->check_head(f))
+		return true;
+	f->mixed = true;
+	return false;
+}
+
 static size_t on_header(char *line, size_t size, size_t n, void *user)
 {
 	struct fetch *f = user;
@@ -198,6 +253,8 @@
 
 	if (len >= 5 && !memcmp(line, "HTTP/", 5))
 		g_ptr_array_set_size(f->answer_headers, 0);
+	if (len == 2 && !memcmp(line, "\r\n", 2))
+		return end_of_headers(f) ? len : 0;
 	if (!colon || f->answer_headers->len >= 2 * MAX_HEADERS)
 		return len;
 	g_ptr_array_add(f->answer_headers, g_strndup(line, colon - line));
@@ -310,6 +367,10 @@
 	curl_easy_setopt(f->easy, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
 	curl_easy_setopt(f->easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)MIN(timeout_ms, CONNECT_TIMEOUT_MS));
+	curl_easy_setopt(f->easy, CURLOPT_PREREQFUNCTION, before_sending);
+	curl_easy_setopt(f->easy, CURLOPT_PREREQDATA, f);
+	curl_easy_setopt(f->easy, CURLOPT_SOCKOPTFUNCTION, set_keepalive);
+	curl_easy_setopt(f->easy, CURLOPT_MAXAGE_CONN, (long)x->max_idle_s);
 	if (fresh)
 		curl_easy_setopt(f->easy, CURLOPT_FRESH_CONNECT, 1L);
 	set_body(f->easy, method, body, len);
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -18,12 +18,19 @@
 	ev_timer timer;
 	GPtrArray *idle; /* CURL * handles kept for use again */
 	GPtrArray *sockets; /* struct fetch_socket */
+	int64_t max_idle_s; /* a connection idle for longer is not reused */
 	uint32_t n_running;
 };
 
 struct fetch;
 
 struct fetch_ops {
+	/*
+	 * All of the answer's headers are there, before on_head. False drops
+	 * an answer that is not ours: the fetch ends with RESULT_MIXED and its
+	 * connection closes. May be NULL.
+	 */
+	bool (*check_head)(struct fetch *f);
 	/* The answer's head has come. */
 	void (*on_head)(struct fetch *f);
 	/* Part of its body; false pauses until fetch_resume(). */
@@ -42,6 +49,7 @@
 	long status;
 	bool head_done;
 	bool sent; /* some byte of the request may have left */
+	bool mixed; /* check_head refused the answer */
 	GPtrArray *answer_headers; /* name and value in turn */
 	char error[CURL_ERROR_SIZE];
 };
--- a/net/headers.c
+++ b/net/headers.c
@@ -19,11 +19,24 @@
 	return false;
 }
 
+const struct header_names headers_own = {
+	.idempotency = "Idempotency-Key",
+	.deadline_ms = "Briargrade-Deadline-Ms",
+	.fence = "Briargrade-Fence",
+	.shard = "Briargrade-Shard",
+	.grant_ms = "Briargrade-Grant-Ms",
+	.not_run = "Briargrade-Not-Run",
+	.outcome = "Briargrade-Outcome",
+	.replayed = "Briargrade-Replayed",
+};
+
 /* The first value of a header, NULL when absent. */
 const char *header_find(const GPtrArray *headers, const char *name)
 {
 	guint i;
 
+	if (!name)
+		return NULL;
 	for (i = 0; headers && i + 1 < headers->len; i += 2)
 		if (!strcasecmp(g_ptr_array_index(headers, i), name))
 			return g_ptr_array_index(headers, i + 1);
@@ -42,9 +55,27 @@
 	g_ptr_array_add(headers, g_strdup(value));
 }
 
-/* Add a header with a whole number. */
+void header_set(GPtrArray *headers, const char *name, const char *value)
+{
+	guint i;
+
+	if (!name)
+		return;
+	for (i = 0; i + 1 < headers->len;) {
+		if (strcasecmp(g_ptr_array_index(headers, i), name))
+			i += 2;
+		else
+			g_ptr_array_remove_range(headers, i, 2);
+	}
+	if (value)
+		header_add(headers, name, value);
+}
+
+/* Add a header with a whole number; none when it has no name. */
 void header_add_int(GPtrArray *headers, const char *name, gint64 value)
 {
+	if (!name)
+		return;
 	g_ptr_array_add(headers, g_strdup(name));
 	g_ptr_array_add(headers, g_strdup_printf("%" G_GINT64_FORMAT, value));
 }
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -1,6 +1,8 @@
 #include <arpa/inet.h>
+#include <errno.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #include "net/address.h"
 #include "net/httpd.h"
@@ -49,6 +51,54 @@
 		run(h);
 }
 
+static void resume(struct httpd_request *r)
+{
+	ev_io_stop(r->httpd->loop, &r->watch);
+	if (!r->suspended)
+		return;
+	r->suspended = false;
+	r->httpd->dirty = true;
+	MHD_resume_connection(r->connection);
+}
+
+/*
+ * libmicrohttpd does not look at the socket of a suspended connection. A
+ * caller that leaves would go unnoticed, and a backend server go on working
+ * for nobody. Bytes that wait to be read are a next request, no leaving; after
+ * them nothing more can be seen without reading them.
+ */
+static void on_watch(struct ev_loop *loop, ev_io *w, int events)
+{
+	struct httpd_request *r = w->data;
+	struct httpd *h = r->httpd;
+	char byte;
+	ssize_t n = recv(w->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	(void)events;
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	ev_io_stop(loop, w);
+	if (n > 0 || r->answered)
+		return;
+	if (h->ops->on_gone)
+		h->ops->on_gone(h->user, r);
+	/* Whatever is written fails, and that ends the request. */
+	httpd_reply_text(r, MHD_HTTP_SERVICE_UNAVAILABLE, "");
+}
+
+static void watch_caller(struct httpd_request *r)
+{
+	const union MHD_ConnectionInfo *info;
+
+	info = MHD_get_connection_info(r->connection,
+				       MHD_CONNECTION_INFO_CONNECTION_FD);
+	if (!info)
+		return;
+	ev_io_init(&r->watch, on_watch, info->connect_fd, EV_READ);
+	r->watch.data = r;
+	ev_io_start(r->httpd->loop, &r->watch);
+}
+
 static struct httpd_request *
 request_new(struct httpd *h, struct MHD_Connection *c, const char *method)
 {
@@ -58,11 +108,13 @@
 	r->connection = c;
 	r->method = g_strdup(method);
 	r->body = g_byte_array_new();
+	ev_init(&r->watch, on_watch);
 	return r;
 }
 
 static void request_free(struct httpd_request *r)
 {
+	ev_io_stop(r->httpd->loop, &r->watch);
 	g_free(r->method);
 	g_free(r->path);
 	g_free(r->url);
@@ -136,6 +188,7 @@
 		return send_queued(r);
 	MHD_suspend_connection(r->connection);
 	r->suspended = true;
+	watch_caller(r);
 	return MHD_YES;
 }
 
@@ -236,15 +289,6 @@
 		MHD_add_response_header(r->response, "Connection", "close");
 }
 
-static void resume(struct httpd_request *r)
-{
-	if (!r->suspended)
-		return;
-	r->suspended = false;
-	r->httpd->dirty = true;
-	MHD_resume_connection(r->connection);
-}
-
 void httpd_reply(struct httpd_request *r, uint32_t status,
 		 const GPtrArray *headers, const void *body, size_t len)
 {
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -19,6 +19,11 @@
 struct httpd_ops {
 	/* A whole request; must be answered sooner or later. */
 	void (*on_request)(void *user, struct httpd_request *r);
+	/*
+	 * The caller has left while its request is being worked on. May be
+	 * NULL; on_closed follows.
+	 */
+	void (*on_gone)(void *user, struct httpd_request *r);
 	/* The caller went away, or its answer is finished; r ends here. */
 	void (*on_closed)(void *user, struct httpd_request *r);
 	/* A streamed answer has room again. */
@@ -41,6 +46,7 @@
 struct httpd_request {
 	struct httpd *httpd;
 	struct MHD_Connection *connection;
+	ev_io watch; /* for the caller's leaving, while suspended */
 	char *method;
 	char *path; /* decoded, without the query */
 	char *url; /* as it came, with the query */
--- a/net/log-client.c
+++ b/net/log-client.c
@@ -21,7 +21,10 @@
 	c->read_sent_ms = clock_now_ms();
 	c->read_from = c->trimmed ? c->scan_from : c->next;
 	COUNT(log_reads);
-	c->ops->read(c, c->read_from, c->wait_ms);
+	if (c->trimmed && c->ops->recover)
+		c->ops->recover(c);
+	else
+		c->ops->read(c, c->read_from, c->wait_ms);
 }
 
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
@@ -82,9 +85,15 @@
 	}
 	g_ptr_array_unref(c->appends);
 	g_string_free(c->read_answer, TRUE);
+	json_decref(c->newest);
 	fetcher_finish(&c->fetcher);
 }
 
+void log_client_recover_first(struct log_client *c)
+{
+	c->trimmed = c->ops->recover;
+}
+
 /* Whether the last read succeeded. */
 bool log_client_up(const struct log_client *c)
 {
@@ -189,6 +198,8 @@
 	c->failures = 0;
 	c->retry_ms = 0;
 	take_records(c, b);
+	if (c->trimmed && c->ops->recover)
+		c->scan_from = b->next;
 	reached = c->trimmed ? c->scan_from : c->next;
 	if (reached >= b->next) {
 		settle_doubts(c);
@@ -203,9 +214,13 @@
 		end_append(a, RESULT_OK);
 		return;
 	}
+	if (result == RESULT_CONFLICT) {
+		end_append(a, result);
+		return;
+	}
 	COUNT(log_failures);
 	if (!sent) {
-		end_append(a, RESULT_UNREACHABLE);
+		end_append(a, result);
 		return;
 	}
 	COUNT(log_append_answers_lost);
--- a/net/log-client.h
+++ b/net/log-client.h
@@ -27,6 +27,12 @@
 struct log_ops {
 	/* Ask for the records from an offset on, waiting for new ones. */
 	void (*read)(struct log_client *c, int64_t from, int64_t wait_ms);
+	/*
+	 * Read all that is kept for good, where the log keeps more than its
+	 * history; batch.next says where reading goes on. NULL: reads of the
+	 * history must do.
+	 */
+	void (*recover)(struct log_client *c);
 	/* Append; answered by log_client_appended(). */
 	void (*append)(struct log_client *c, struct log_append *a);
 };
@@ -72,6 +78,9 @@
 	int64_t read_sent_ms;
 	int64_t wait_ms; /* how long a read may wait for news */
 	bool reading;
+	json_t *newest; /* during recover */
+	int64_t newest_end;
+	uint32_t n_pages;
 	bool trimmed; /* reading for a snapshot, from scan_from on */
 	int64_t scan_from;
 	int64_t next; /* next offset to be read */
@@ -88,6 +97,12 @@
 		     const struct log_handlers *handlers, void *user);
 void log_client_finish(struct log_client *c);
 
+/*
+ * Begin by recovering instead of reading from offset 0; no effect where the log
+ * has no such call.
+ */
+void log_client_recover_first(struct log_client *c);
+
 /* Read on from an offset; also after a snapshot was loaded. */
 void log_client_seek(struct log_client *c, int64_t next);
 
--- a/net/request-msg.c
+++ b/net/request-msg.c
@@ -4,8 +4,8 @@
 #include "net/request-msg.h"
 #include "util/result.h"
 
-#define N_NUMBERS 15
-#define N_STRINGS 4
+#define N_NUMBERS 17
+#define N_STRINGS 5
 #define N_FIELDS (1 + N_NUMBERS + N_STRINGS + 2)
 #define MAX_HEADERS 256
 #define STRING_CHUNK 512
@@ -29,13 +29,26 @@
 void request_msg_encode(const struct request_msg *m, GByteArray *out)
 {
 	const int64_t numbers[N_NUMBERS] = {
-		(int64_t)m->origin, (int64_t)m->id, m->to,	    m->shard,
-		m->class_index,	    m->version,	    m->deadline_ms, m->flags,
-		m->status,	    m->number,	    m->wait_ms,	    m->total,
-		(int64_t)m->digest, m->load,	    m->limit,
+		(int64_t)m->origin,
+		(int64_t)m->id,
+		m->to,
+		m->shard,
+		m->target_ms,
+		m->priority,
+		m->resend_window_ms,
+		m->sent_ms,
+		m->deadline_ms,
+		m->flags,
+		m->status,
+		m->number,
+		m->wait_ms,
+		m->total,
+		(int64_t)m->digest,
+		m->load,
+		m->limit,
 	};
-	const char *strings[N_STRINGS] = { m->method, m->url, m->key,
-					   m->idempotency_key };
+	const char *strings[N_STRINGS] = { m->method, m->url, m->class_name,
+					   m->key, m->idempotency_key };
 	msgpack_packer pk;
 	uint32_t i;
 
@@ -98,8 +111,10 @@
 		(int64_t *)&m->id,
 		&m->to,
 		&m->shard,
-		&m->class_index,
-		&m->version,
+		&m->target_ms,
+		&m->priority,
+		&m->resend_window_ms,
+		&m->sent_ms,
 		&m->deadline_ms,
 		&m->flags,
 		&m->status,
@@ -120,8 +135,8 @@
 
 static int read_fields(struct request_msg *m, const msgpack_object *o)
 {
-	const char **strings[N_STRINGS] = { &m->method, &m->url, &m->key,
-					    &m->idempotency_key };
+	const char **strings[N_STRINGS] = { &m->method, &m->url, &m->class_name,
+					    &m->key, &m->idempotency_key };
 	const msgpack_object *f;
 	int64_t type;
 	uint32_t i;
--- a/net/request-msg.h
+++ b/net/request-msg.h
@@ -23,6 +23,9 @@
 
 #define REQ_FLAG_END 1 /* last part of the answer */
 #define REQ_FLAG_KEYED 2 /* served only by the owner of the shard */
+#define REQ_FLAG_REPEATABLE 4 /* asked: may run more than once */
+#define REQ_FLAG_FIRST_SENDING 8 /* asked: its id was never sent before */
+#define REQ_FLAG_REACHED 16 /* refused: by the backend server itself */
 
 struct request_msg {
 	enum request_msg_type type;
@@ -30,9 +33,11 @@
 	uint64_t id; /* one attempt of it */
 	int64_t to; /* asked: the member meant */
 	int64_t shard;
-	int64_t class_index;
-	int64_t version; /* configuration the class index belongs to */
-	int64_t deadline_ms; /* asked: time left */
+	int64_t target_ms; /* asked: time wanted, from now */
+	int64_t priority; /* asked: 0 first */
+	int64_t resend_window_ms; /* asked: how long its id may come again */
+	int64_t sent_ms; /* asked: the entry's clock when sending */
+	int64_t deadline_ms; /* asked: time left then */
 	int64_t flags;
 	int64_t status;
 	int64_t number;
@@ -43,6 +48,7 @@
 	int64_t limit; /* and how much it works on at once */
 	const char *method;
 	const char *url;
+	const char *class_name;
 	const char *key;
 	const char *idempotency_key;
 	GPtrArray *headers; /* name and value in turn, or NULL */
--- /dev/null
+++ b/node/backend.c
@@ -0,0 +1,222 @@
+#include <string.h>
+
+#include "net/clock.h"
+#include "node/backend.h"
+#include "node/node.h"
+#include "platform/announce.h"
+#include "util/result.h"
+
+#define MAX_BODY_BYTES (256 * 1024)
+/* The platform takes answers of at most 4 KiB. */
+#define MAX_ANSWER_BYTES 4000
+/* Connections beside those in use: one closing while its successor opens. */
+#define SPARE_CONNECTIONS 4
+/* A grant shorter than this ends before the next heartbeat can renew it. */
+#define MIN_HOLD_MS 300
+/*
+ * Keys that no heartbeat renewed have run out at the server after their lease.
+ * Then it serves none of them, and another server should.
+ */
+#define SILENT_LEASES 1
+#define SILENT_MARGIN_MS 500
+
+static void reply_json(struct httpd_request *r, uint32_t status,
+		       const char *text)
+{
+	GPtrArray *headers = headers_new();
+
+	header_add(headers, "Content-Type", "application/json");
+	httpd_reply(r, status, headers, text, strlen(text));
+	g_ptr_array_unref(headers);
+}
+
+static double cold_per_s(const struct node *n)
+{
+	const struct service_settings *s = configuration_service(
+		&n->member.fleet.configuration, n->settings.service);
+
+	return s ? s->cold_per_s : 0;
+}
+
+static void announced(struct node *n, const struct announcement *a)
+{
+	struct backend_server b = {
+		.slots = a->slots, .connections = a->slots + SPARE_CONNECTIONS
+	};
+
+	g_strlcpy(b.id, a->id, sizeof(b.id));
+	g_snprintf(b.life, sizeof(b.life), "%s/%" G_GINT64_FORMAT, a->id,
+		   (gint64)a->born_ms);
+	gate_announce(&n->gate, &b);
+	n->backend_left = false;
+	member_set_life(&n->member, b.life);
+	node_backend_announced(n);
+}
+
+static void leaves(struct node *n, const char *why)
+{
+	if (n->backend_left)
+		return;
+	g_info("backend server %s: %s", n->life.id, why);
+	n->backend_left = true;
+	gate_leave(&n->gate);
+	node_backend_left(n);
+}
+
+static void follow_state(struct node *n, const struct announcement *a,
+			 enum life_news news)
+{
+	if (news == LIFE_NEW) {
+		grants_forget_server(&n->gate.grants);
+		/* What was granted to the life before ended with it. */
+		if (n->member.self)
+			node_backend_left(n);
+		announced(n, a);
+	} else if (!a->draining && n->backend_left) {
+		announced(n, a);
+	}
+	if (a->draining)
+		leaves(n, "is leaving");
+	cold_set(&n->gate.cold, a->cold_left_ms, cold_per_s(n), clock_now_ms());
+}
+
+/*
+ * Whether the server holds something that is ours by the log and not yet free
+ * of others. Left out of an answer it would let that go, and renewed it may
+ * have two holders; so for a moment nothing is said of any row.
+ */
+static bool undecided(const struct node *n)
+{
+	const struct grants *g = &n->gate.grants;
+	uint32_t i;
+
+	for (i = 0; i < g->n_shards; i++)
+		if (g->shards[i].held && member_awaits(&n->member, i))
+			return true;
+	return false;
+}
+
+static char *answer(struct node *n, int64_t number)
+{
+	struct grants *g = &n->gate.grants;
+	int64_t now = clock_now_ms();
+	int64_t hold_ms = grants_hold_ms(member_lease_end_ms(&n->member),
+					 n->settings.hold_max_ms, now);
+	GArray *rows = NULL;
+	uint32_t n_left_out;
+	char *text;
+	uint32_t i;
+
+	if (g->n_shards && hold_ms >= MIN_HOLD_MS && !undecided(n))
+		rows = g_array_new(FALSE, TRUE, sizeof(struct grant_row));
+	for (i = 0; rows && i < g->n_shards; i++) {
+		int64_t fence, end;
+
+		if (!member_may_serve(&n->member, i, now, &fence, &end))
+			grants_give(g, i, fence, number, hold_ms, rows, now);
+	}
+	text = announce_answer(rows, hold_ms, MAX_ANSWER_BYTES, &n_left_out);
+	if (n_left_out)
+		g_warning("%u rows left out of an answer too long", n_left_out);
+	if (rows)
+		g_array_unref(rows);
+	return text;
+}
+
+static void on_beat(struct node *n, struct httpd_request *r, const char *id)
+{
+	GString *why = g_string_new(NULL);
+	struct announcement a;
+	enum life_news news;
+	g_autofree char *text = NULL;
+	int err = announce_read(&a, id, r->body->data, r->body->len, why);
+
+	if (!err && (strcmp(a.service, n->settings.service) ||
+		     strcmp(a.address, n->settings.backend_server)))
+		g_string_append(why, "not the backend server of this host");
+	if (why->len) {
+		g_info("heartbeat of %s not taken: %s", id, why->str);
+		reply_json(r, 400, "{}");
+		goto out;
+	}
+	news = life_on_beat(&n->life, a.id, a.born_ms, a.number,
+			    clock_now_ms());
+	if (news == LIFE_STALE) {
+		reply_json(r, 200, "{}");
+		goto out;
+	}
+	follow_state(n, &a, news);
+	grants_on_beat(&n->gate.grants, a.number, a.holds, a.released,
+		       n->settings.hold_max_ms, clock_now_ms());
+	text = answer(n, a.number);
+	reply_json(r, 200, text);
+out:
+	announce_finish(&a);
+	g_string_free(why, TRUE);
+}
+
+static void on_request(void *user, struct httpd_request *r)
+{
+	struct node *n = user;
+	char id[ANNOUNCE_ID_MAX_LEN + 1];
+
+	switch (announce_call_of(r->method, r->path, id)) {
+	case ANNOUNCE_READY:
+		httpd_reply_text(r, node_is_ready(n) ? 200 : 503, "");
+		break;
+	case ANNOUNCE_HEARTBEAT:
+		on_beat(n, r, id);
+		break;
+	case ANNOUNCE_LEAVE:
+		if (!strcmp(id, n->life.id))
+			leaves(n, "has left");
+		reply_json(r, 200, "{}");
+		break;
+	default:
+		httpd_reply_text(r, 404, "no such page\n");
+	}
+}
+
+static void on_closed(void *user, struct httpd_request *r)
+{
+	(void)user;
+	(void)r;
+}
+
+static const struct httpd_ops backend_ops = {
+	.on_request = on_request,
+	.on_closed = on_closed,
+};
+
+int backend_init(struct node *n)
+{
+	const struct settings *s = &n->settings;
+	int err = RESULT_OK;
+
+	if (s->ready_address[0])
+		err = httpd_init(&n->ready_httpd, n->loop, s->ready_address,
+				 MAX_BODY_BYTES, &backend_ops, n);
+	if (!err && s->announce_address[0])
+		err = httpd_init(&n->announce_httpd, n->loop,
+				 s->announce_address, MAX_BODY_BYTES,
+				 &backend_ops, n);
+	return err;
+}
+
+void backend_finish(struct node *n)
+{
+	if (n->ready_httpd.daemon)
+		httpd_finish(&n->ready_httpd);
+	if (n->announce_httpd.daemon)
+		httpd_finish(&n->announce_httpd);
+}
+
+void backend_tick(struct node *n)
+{
+	int64_t silent_ms = clock_now_ms() - n->life.heard_ms;
+
+	if (!n->life.id[0] || n->backend_left || !n->gate.grants.n_shards)
+		return;
+	if (silent_ms > SILENT_LEASES * n->settings.lease_ms + SILENT_MARGIN_MS)
+		leaves(n, "sent no heartbeat for a whole lease");
+}
--- /dev/null
+++ b/node/entry-attempt.c
@@ -0,0 +1,151 @@
+#include <string.h>
+
+#include "net/clock.h"
+#include "node/entry-request.h"
+#include "node/gate.h"
+#include "node/node.h"
+#include "util/result.h"
+
+/* Attempts at gates: messages that go out, and what is kept about them. */
+
+void entry_forget_attempt(struct entry *e, struct attempt *a)
+{
+	struct entry_request *r = a->request;
+	uint32_t i;
+
+	for (i = 0; i < MAX_ATTEMPTS; i++)
+		if (r->attempts[i] == a)
+			r->attempts[i] = NULL;
+	if (r->winner == a)
+		r->winner = NULL;
+	g_hash_table_remove(e->attempts, &a->id);
+}
+
+static int deliver(struct entry *e, const struct attempt *a,
+		   const struct request_msg *m)
+{
+	GByteArray *out;
+	int err;
+
+	if (a->member == e->node->member.self) {
+		gate_on_message(&e->node->gate, NULL, 0, m);
+		return RESULT_OK;
+	}
+	out = g_byte_array_sized_new(512 + m->len);
+	request_msg_encode(m, out);
+	err = peers_send(&e->node->peers, a->address, PLANE_REQUEST, out->data,
+			 out->len);
+	g_byte_array_unref(out);
+	return err;
+}
+
+static void send_small(struct entry *e, const struct attempt *a,
+		       enum request_msg_type type, int64_t number)
+{
+	struct request_msg m = {
+		.type = type, .origin = e->origin, .id = a->id, .number = number
+	};
+
+	deliver(e, a, &m);
+}
+
+void entry_send_credit(struct entry *e, const struct attempt *a, int64_t bytes)
+{
+	send_small(e, a, REQ_CREDIT, bytes);
+}
+
+void entry_cancel_attempt(struct entry *e, struct attempt *a, bool silent)
+{
+	chooser_dropped(&e->chooser, a->member, silent, clock_now_ms());
+	send_small(e, a, REQ_CANCEL, 0);
+	entry_forget_attempt(e, a);
+}
+
+void entry_cancel_others(struct entry_request *r, struct attempt *keep)
+{
+	struct entry *e = r->entry;
+	uint32_t i;
+
+	for (i = 0; i < MAX_ATTEMPTS; i++) {
+		struct attempt *a = r->attempts[i];
+
+		if (!a || a == keep)
+			continue;
+		/*
+		 * Work that may not be repeated is worth its result even when
+		 * its caller has left: cut off halfway it helps nobody, and
+		 * nobody may send it again.
+		 */
+		if (r->plan.repeatable) {
+			entry_cancel_attempt(e, a, false);
+		} else {
+			chooser_dropped(&e->chooser, a->member, false,
+					clock_now_ms());
+			entry_forget_attempt(e, a);
+		}
+	}
+}
+
+static void fill(struct entry_request *r, int64_t member, int64_t now,
+		 struct request_msg *m)
+{
+	m->type = REQ_ASK;
+	m->origin = r->entry->origin;
+	m->to = member;
+	m->shard = r->shard;
+	m->class_name = r->class_name;
+	m->target_ms = r->target_ms - (now - r->plan.received_ms);
+	m->priority = r->priority;
+	m->resend_window_ms = r->resend_window_ms;
+	m->sent_ms = now;
+	m->deadline_ms = r->plan.deadline_ms - now;
+	m->flags = (r->plan.keyed ? REQ_FLAG_KEYED : 0) |
+		   (r->plan.repeatable ? REQ_FLAG_REPEATABLE : 0) |
+		   (r->first_sending ? REQ_FLAG_FIRST_SENDING : 0);
+	m->method = r->http->method;
+	m->url = r->http->url;
+	m->key = r->key;
+	m->idempotency_key = r->id_header ? r->id_header : "";
+	m->headers = r->headers;
+	m->data = r->http->body->data;
+	m->len = r->http->body->len;
+}
+
+/* Ask a gate. Returns false when nothing was sent. */
+bool entry_send_attempt(struct entry_request *r, int64_t member, bool hedge)
+{
+	struct entry *e = r->entry;
+	const struct member *to = fleet_member(&e->node->member.fleet, member);
+	int64_t now = clock_now_ms();
+	struct request_msg m = { 0 };
+	struct attempt *a;
+	uint64_t id;
+	int err;
+
+	if (!to || (r->attempts[0] && r->attempts[1]))
+		return false;
+	a = g_new0(struct attempt, 1);
+	a->id = ++e->next_id;
+	a->request = r;
+	a->member = member;
+	a->hedge = hedge;
+	a->sent_us = clock_now_us();
+	g_strlcpy(a->address, to->peer, sizeof(a->address));
+	r->attempts[r->attempts[0] ? 1 : 0] = a;
+	r->last_member = member;
+	g_hash_table_insert(e->attempts, &a->id, a);
+	chooser_sent(&e->chooser, member, now);
+	plan_sent(&r->plan);
+	fill(r, member, now, &m);
+	m.id = a->id;
+	id = a->id;
+	/* Our own gate may answer, and end the request, before this returns. */
+	err = deliver(e, a, &m);
+	if (!err)
+		return true;
+	a = g_hash_table_lookup(e->attempts, &id);
+	chooser_dropped(&e->chooser, member, true, now);
+	entry_forget_attempt(e, a);
+	r->plan.open--;
+	return false;
+}
--- a/node/entry-classify.c
+++ b/node/entry-classify.c
@@ -1,7 +1,7 @@
 #include <string.h>
 
-#include "node/entry-request.h"
 #include "net/headers.h"
+#include "node/entry-request.h"
 #include "node/node.h"
 
 #define MAX_KEY_LEN 512
@@ -40,48 +40,126 @@
 	}
 }
 
+/* One of the services that a class's requests are split between, by weight. */
+static const struct service_settings *
+pick_target(const struct configuration *cfg, const struct class_settings *k,
+	    GRand *rand)
+{
+	uint32_t total = 0;
+	uint32_t draw;
+	uint32_t i;
+
+	for (i = 0; i < k->n_targets; i++)
+		total += k->targets[i].weight;
+	draw = total > 1 ? g_rand_int_range(rand, 0, total) : 0;
+	for (i = 0; i + 1 < k->n_targets; i++) {
+		if (draw < k->targets[i].weight)
+			break;
+		draw -= k->targets[i].weight;
+	}
+	return &cfg->services[k->targets[i].service];
+}
+
+/* How long the caller waits, as it says itself; at most what the class has. */
+static int64_t wait_ms(const struct entry_request *r,
+		       const struct class_settings *k)
+{
+	const struct settings *s = &r->entry->node->settings;
+	const char *text = s->headers->wait_ms
+				   ? httpd_header(r->http, s->headers->wait_ms)
+				   : NULL;
+	guint64 ms;
+
+	if (!text ||
+	    !g_ascii_string_to_unsigned(text, 10, 0, INT32_MAX, &ms, NULL))
+		return k->deadline_ms;
+	return MIN((int64_t)ms, k->deadline_ms);
+}
+
+static void take_class(struct entry_request *r, const struct class_settings *k)
+{
+	const struct settings *s = &r->entry->node->settings;
+	struct plan *p = &r->plan;
+
+	g_strlcpy(r->class_name, k->name, sizeof(r->class_name));
+	r->target_ms = k->target_ms;
+	r->priority = k->priority;
+	r->resend_window_ms = k->resend_window_ms;
+	p->repeatable = k->repeatable;
+	p->max_reached = k->attempts;
+	p->deadline_ms = p->received_ms + wait_ms(r, k);
+	p->hold_until_ms = p->deadline_ms;
+	if (s->hold_share > 0)
+		p->hold_until_ms =
+			MIN(p->deadline_ms,
+			    p->received_ms +
+				    (int64_t)(s->hold_share * k->target_ms));
+}
+
+/* Keys that are not the service's own are ids: they pick a gate as well. */
+static bool find_shard(struct entry_request *r,
+		       const struct service_settings *ss)
+{
+	struct fleet_service *s =
+		fleet_service(&r->entry->node->member.fleet, ss->name);
+	bool by_id = !r->plan.repeatable && r->id_header && !r->first_sending;
+
+	r->key = find_key(r->http, ss);
+	if (ss->key_place != KEY_NONE &&
+	    (!r->key || !r->key[0] || strlen(r->key) > MAX_KEY_LEN))
+		return false;
+	r->plan.keyed = r->key || by_id;
+	if (r->plan.keyed &&
+	    shard_of_key(s, r->key ? r->key : r->id_header, &r->shard))
+		return false;
+	if (!r->key)
+		r->key = g_strdup("");
+	return true;
+}
+
+static const struct class_settings *match(struct entry_request *r)
+{
+	const struct fleet *f = &r->entry->node->member.fleet;
+	const char *url = r->http->url;
+	g_autofree char *path = g_strndup(url, strcspn(url, "?"));
+
+	return configuration_match(&f->configuration, r->http->method,
+				   httpd_header(r->http, "Host"), path);
+}
+
 bool entry_classify(struct entry_request *r)
 {
 	struct entry *e = r->entry;
 	const struct fleet *f = &e->node->member.fleet;
+	const struct header_names *names = e->node->settings.headers;
 	const struct service_settings *ss;
-	struct fleet_service *s;
-	const char *id = httpd_header(r->http, HEADER_IDEMPOTENCY);
+	const struct class_settings *k;
 
 	if (!f->document) {
-		r->refused_wait_ms = 1000;
 		entry_reply_not_run(r, "no configuration is in force yet\n");
 		return false;
 	}
-	r->class = configuration_match(&f->configuration, r->http->method,
-				       r->http->path);
-	if (!r->class) {
+	k = match(r);
+	if (!k) {
 		entry_reject(r, 404, "no class matches this method and path\n");
 		return false;
 	}
-	ss = &f->configuration.services[r->class->service];
-	s = fleet_service(f, ss->name);
 	r->version = f->configuration_version;
-	r->repeatable = r->class->repeatable;
-	r->target_ms = r->class->target_ms;
-	r->deadline_ms = r->received_ms + r->class->deadline_ms;
-	r->id_header = id;
+	if (names->idempotency)
+		r->id_header = httpd_header(r->http, names->idempotency);
+	r->first_sending = names->attempt_id &&
+			   httpd_header(r->http, names->attempt_id);
+	take_class(r, k);
+	ss = pick_target(&f->configuration, k, e->rand);
 	g_strlcpy(r->service, ss->name, sizeof(r->service));
-	r->key = find_key(r->http, ss);
-	if (ss->key_place != KEY_NONE &&
-	    (!r->key || !r->key[0] || strlen(r->key) > MAX_KEY_LEN)) {
-		entry_reject(r, 400,
-			     "the request names no key, or one too long\n");
+	if (r->id_header && strlen(r->id_header) > MAX_KEY_LEN) {
+		entry_reject(r, 400, "the idempotency key is too long\n");
 		return false;
 	}
-	if (id && strlen(id) > MAX_KEY_LEN) {
-		entry_reject(r, 400, "the idempotency key is too long\n");
+	if (!find_shard(r, ss)) {
+		entry_reject(r, 400,
+			     "the request names no key, or one too long\n");
 		return false;
 	}
-	r->keyed = r->key || (!r->repeatable && id);
-	if (r->keyed)
-		r->shard = shard_of_key(s, r->key ? r->key : id);
-	if (!r->key)
-		r->key = g_strdup("");
 	return true;
 }
--- /dev/null
+++ b/node/entry-pick.c
@@ -0,0 +1,66 @@
+#include <string.h>
+
+#include "net/clock.h"
+#include "node/entry-request.h"
+#include "node/node.h"
+
+/* Which gate to ask. */
+
+#define MAX_CANDIDATES 8
+#define MAX_MEMBERS 2048
+
+/* Members that may serve a request on no particular shard. */
+static uint32_t gates_of_service(struct entry_request *r, int64_t *out)
+{
+	const struct member_node *n = &r->entry->node->member;
+	struct member *m;
+	uint32_t count = 0;
+	uint32_t i;
+
+	for_each_member (&n->fleet, m, i)
+		if (!strcmp(m->service, r->service) &&
+		    fleet_member_takes_work(&n->fleet, m) &&
+		    !member_known_stopped(n, m->id) && count < MAX_MEMBERS)
+			out[count++] = m->id;
+	return count;
+}
+
+/*
+ * The next candidate in turn that has not been silent of late; a dead owner
+ * would otherwise cost every other try its whole patience.
+ */
+static int64_t pick_candidate(struct entry_request *r, const int64_t *members,
+			      uint32_t count)
+{
+	int64_t now = clock_now_ms();
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		int64_t id = members[(r->plan.refusals + i) % count];
+
+		if (chooser_view(&r->entry->chooser, id)->silent_until_ms <=
+		    now)
+			return id;
+	}
+	return count ? members[r->plan.refusals % count] : 0;
+}
+
+/* The gate to ask next, other than except where there is a choice; 0 none. */
+int64_t entry_pick_gate(struct entry_request *r, int64_t except)
+{
+	static int64_t members[MAX_MEMBERS];
+	struct entry *e = r->entry;
+	const struct member_node *n = &e->node->member;
+	uint32_t count;
+
+	if (r->plan.keyed) {
+		struct fleet_service *s = fleet_service(&n->fleet, r->service);
+
+		count = member_candidates(n, s, r->shard, members,
+					  MAX_CANDIDATES);
+		return pick_candidate(r, members, count);
+	}
+	count = gates_of_service(r, members);
+	return chooser_pick(&e->chooser, members, count, n->self, except,
+			    clock_now_ms());
+}
--- a/node/entry-request.h
+++ b/node/entry-request.h
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "node/entry.h"
+#include "route/plan.h"
 #include "settings/configuration.h"
 
 /* A caller's request and the attempts made for it; only for node/entry*.c. */
@@ -15,7 +16,7 @@
 
 struct attempt {
 	uint64_t id;
-	struct entry_request *request; /* NULL once it does not matter */
+	struct entry_request *request;
 	int64_t member;
 	char address[64];
 	int64_t sent_us;
@@ -25,27 +26,22 @@
 struct entry_request {
 	struct entry *entry;
 	struct httpd_request *http;
-	const struct class_settings *class; /* valid for this version only */
-	int64_t version;
-	bool repeatable;
-	bool keyed;
+	struct plan plan;
+	char class_name[NAME_MAX_LEN + 1];
+	char service[NAME_MAX_LEN + 1];
+	int64_t version; /* configuration that it was matched by */
 	bool streaming;
 	bool hedged;
 	bool done;
+	bool first_sending; /* its id was never sent before */
 	char *key;
 	const char *id_header;
-	char service[NAME_MAX_LEN + 1];
 	uint32_t shard;
+	uint32_t priority;
 	GPtrArray *headers;
-	int64_t received_ms;
-	int64_t deadline_ms;
 	int64_t target_ms;
-	int64_t resume_ms; /* when to try again, 0 not waiting */
-	uint32_t tries;
-	uint32_t rounds; /* of all candidates, without one that serves */
-	uint32_t refusals; /* of the candidates in this round */
+	int64_t resend_window_ms;
 	int64_t last_member;
-	int64_t refused_wait_ms;
 	struct attempt *attempts[MAX_ATTEMPTS];
 	struct attempt *winner;
 	int64_t received_bytes;
@@ -53,13 +49,38 @@
 	XXH64_state_t digest;
 };
 
+/* node/entry-classify.c */
+
 /*
  * Find class, key and shard of a request. Returns false once the request has
  * been answered because there are none.
  */
 bool entry_classify(struct entry_request *r);
 
+/* node/entry-answer.c */
 void entry_reply_not_run(struct entry_request *r, const char *text);
+void entry_reply_unknown(struct entry_request *r);
 void entry_reject(struct entry_request *r, uint32_t status, const char *text);
+void entry_take_head(struct entry_request *r, struct attempt *a,
+		     const struct request_msg *m);
+void entry_take_data(struct entry_request *r, struct attempt *a,
+		     const struct request_msg *m);
+void entry_end_answer(struct entry_request *r, struct attempt *a, bool ok);
+
+/* node/entry-attempt.c */
+bool entry_send_attempt(struct entry_request *r, int64_t member, bool hedge);
+void entry_send_credit(struct entry *e, const struct attempt *a, int64_t bytes);
+void entry_forget_attempt(struct entry *e, struct attempt *a);
+/* Give up an attempt; the gate stops work on it if it can. */
+void entry_cancel_attempt(struct entry *e, struct attempt *a, bool silent);
+/* Want no answer from any but one; keep may be NULL. */
+void entry_cancel_others(struct entry_request *r, struct attempt *keep);
+
+/* node/entry-pick.c */
+int64_t entry_pick_gate(struct entry_request *r, int64_t except);
+
+/* node/entry.c */
+struct budget *entry_budget(struct entry *e, const char *service);
+void entry_step(struct entry_request *r, enum plan_step step);
 
 #endif
--- a/node/entry.h
+++ b/node/entry.h
@@ -21,8 +21,7 @@
 	struct node *node;
 	struct httpd httpd;
 	struct chooser chooser;
-	struct budget retries;
-	struct budget hedges;
+	GHashTable *budgets; /* service -> struct budget */
 	GHashTable *attempts; /* uint64_t id -> struct attempt */
 	GPtrArray *requests; /* struct entry_request */
 	GRand *rand;
--- a/node/gate-health.c
+++ b/node/gate-health.c
@@ -94,6 +94,9 @@
 			    g->backend_server.probe_cost_ms * PROBE_SHARE);
 	g_autofree char *url = NULL;
 
+	/* Heartbeats tell it without the server's work, where it sends them. */
+	if (g->node->settings.grants_by_heartbeat)
+		return;
 	if (!g->connect_failures && now - g->heard_ms < every)
 		return;
 	if (g->probing || now < g->next_probe_ms)
--- a/node/gate-request.h
+++ b/node/gate-request.h
@@ -26,7 +26,9 @@
 	uint64_t seen_hash; /* 0: no idempotency key */
 	GPtrArray *headers;
 	GByteArray *body;
-	uint32_t class_index;
+	uint32_t class_index; /* UINT32_MAX: not in our configuration */
+	const char *attempt_id; /* that the answer must echo, or NULL */
+	bool first_sending; /* nobody sent this request's id before */
 	bool repeatable;
 	bool keyed;
 	int64_t shard;
@@ -34,10 +36,12 @@
 	int64_t started_us;
 	int64_t deadline_ms;
 	int64_t resend_window_ms;
+	int64_t target_ms;
+	uint32_t priority;
 	struct fetch fetch;
 	GByteArray *pending; /* answer not yet sent on */
 	bool head_sent;
-	bool shed;
+	bool shed; /* the server says that it did not run it */
 	int64_t total;
 	int64_t uncredited;
 	XXH64_state_t digest;
--- a/node/gate.c
+++ b/node/gate.c
@@ -17,6 +17,15 @@
 #define NO_SHARD (-1)
 #define WATCH_S 0.003
 #define MAX_ENTRIES 2048
+#define MAX_ORIGINS 4096
+#define STATUS_MISDIRECTED 421
+/* A server stops at the deadline that it was given; its word may yet come. */
+#define ANSWER_GRACE_MS 50
+
+static const struct header_names *names_of(const struct gate_request *r)
+{
+	return r->gate->node->settings.headers;
+}
 
 static guint request_hash(gconstpointer p)
 {
@@ -69,6 +78,12 @@
 	g->watch.data = g;
 	queue_init(&g->queue, QUEUE_PER_SLOT);
 	ids_init(&g->ids, MAX_IDS);
+	cold_init(&g->cold, clock_now_ms());
+	grants_init(&g->grants);
+	g->class_indexes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g->origins = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   g_free);
 	limit_init(&g->limit, node->settings.limit, 1, clock_now_ms());
 }
 
@@ -91,6 +106,9 @@
 	queue_finish(&g->queue);
 	ids_finish(&g->ids);
 	ev_timer_stop(g->node->loop, &g->watch);
+	grants_finish(&g->grants);
+	g_hash_table_unref(g->class_indexes);
+	g_hash_table_unref(g->origins);
 	g_hash_table_unref(g->entries);
 	g_free(g->shard_load);
 	g_rand_free(g->rand);
@@ -107,14 +125,15 @@
 	g->heard_ms = clock_now_ms();
 	if (!g->fetcher_ready)
 		fetcher_init(&g->fetcher, g->node->loop, b->connections);
+	g->fetcher.max_idle_s = g->node->settings.kept_idle_s;
 	g->fetcher_ready = true;
 	g->queue.max = b->slots * QUEUE_PER_SLOT;
 	/* A server that announces itself again has started again: cold. */
 	limit_init(&g->limit, g->node->settings.limit, b->slots,
 		   clock_now_ms());
 	COUNT(gate_cold_starts);
-	g_info("backend server announced%s: %u slots, %u connections",
-	       again ? " again" : "", b->slots, b->connections);
+	g_info("backend server %s announced%s: %u slots, %u connections",
+	       b->life, again ? " again" : "", b->slots, b->connections);
 }
 
 void gate_leave(struct gate *g)
@@ -178,6 +197,7 @@
 {
 	struct request_msg m = { .type = REQ_REFUSED,
 				 .number = result,
+				 .flags = r->shed ? REQ_FLAG_REACHED : 0,
 				 .wait_ms = wait_ms(r->gate) };
 
 	if (result == RESULT_NOT_OWNER)
@@ -210,18 +230,18 @@
 	COUNT(gate_id_replayed);
 	m.headers = headers;
 	if (e->state == SEEN_RUNNING) {
-		header_add(headers, HEADER_OUTCOME, OUTCOME_IN_PROGRESS);
+		header_set(headers, names_of(r)->outcome, OUTCOME_IN_PROGRESS);
 		header_add(headers, "Retry-After", "1");
 	} else if (e->answer) {
 		m.status = e->status;
 		m.data = g_bytes_get_data(e->answer, &len);
 		m.len = len;
 		m.total = len;
-		header_add(headers, HEADER_REPLAYED, "true");
+		header_set(headers, names_of(r)->replayed, "true");
 		if (e->content_type)
 			header_add(headers, "Content-Type", e->content_type);
 	} else {
-		header_add(headers, HEADER_OUTCOME, OUTCOME_ALREADY_RUN);
+		header_set(headers, names_of(r)->outcome, OUTCOME_ALREADY_RUN);
 	}
 	m.digest = XXH64(m.data, m.len, 0);
 	emit_for(r, &m);
@@ -255,16 +275,15 @@
 }
 
 /* Deal with an idempotency key; false when the request has been answered. */
-static bool check_id(struct gate_request *r, const char *id)
+static bool check_id(struct gate_request *r, const char *class_name,
+		     const char *id)
 {
 	struct gate *g = r->gate;
 	struct seen_id *e;
 
-	if (r->repeatable || !id || !id[0])
+	if (r->repeatable || r->first_sending || !id || !id[0])
 		return true;
-	r->seen_hash = ids_hash(
-		g->node->member.fleet.configuration.classes[r->class_index].name,
-		r->key, id);
+	r->seen_hash = ids_hash(class_name, r->key, id);
 	e = ids_find(&g->ids, r->seen_hash, clock_now_ms());
 	if (e && e->state == SEEN_UNKNOWN) {
 		COUNT(gate_id_in_doubt);
@@ -288,12 +307,17 @@
 {
 	struct node *node = r->gate->node;
 
+	int64_t now = clock_now_ms();
+
 	*fence = 0;
 	*lease_end_ms = INT64_MAX;
 	if (!r->keyed)
 		return node_takes_work(node);
-	return !member_may_serve(&node->member, r->shard, clock_now_ms(), fence,
-				 lease_end_ms);
+	if (member_may_serve(&node->member, r->shard, now, fence, lease_end_ms))
+		return false;
+	/* Sent before it holds the key, the server would turn it away. */
+	return !node->settings.grants_by_heartbeat ||
+	       grants_granted(&r->gate->grants, r->shard, *fence, now);
 }
 
 static int result_outcome(const struct gate_request *r, int result)
@@ -343,14 +367,38 @@
 		g_ptr_array_unref(headers);
 }
 
+/*
+ * A server may send a second answer late, at the place where that of the next
+ * request on the connection is due, or bytes that are none of its own. Passed
+ * on, they would be another caller's answer: what is not marked as the answer
+ * to this very sending is dropped with its connection.
+ */
+static bool check_head(struct fetch *f)
+{
+	const struct gate_request *r = f->user;
+	const struct header_names *names = names_of(r);
+	const char *echo = header_find(f->answer_headers, names->attempt_id);
+
+	if (r->attempt_id && (!echo || strcmp(echo, r->attempt_id))) {
+		COUNT(answers_mixed);
+		return false;
+	}
+	if (!names->signature || f->status >= 300)
+		return true;
+	if (header_find(f->answer_headers, names->signature) &&
+	    !header_find(f->answer_headers, "Content-Encoding"))
+		return true;
+	COUNT(answers_mixed);
+	return false;
+}
+
 static void on_head(struct fetch *f)
 {
 	struct gate_request *r = f->user;
 
 	r->gate->heard_ms = clock_now_ms();
 	r->gate->connect_failures = 0;
-	r->shed = f->status == 503 &&
-		  header_find(f->answer_headers, HEADER_NOT_RUN);
+	r->shed = header_find(f->answer_headers, names_of(r)->not_run);
 }
 
 static bool on_data(struct fetch *f, const void *data, size_t len)
@@ -407,7 +455,8 @@
 		g->connect_failures++;
 	if (r->shed) {
 		COUNT(gate_backend_shed);
-		refuse(r, RESULT_OVERLOAD);
+		refuse(r, f->status == STATUS_MISDIRECTED ? RESULT_NOT_OWNER
+							  : RESULT_OVERLOAD);
 	} else if (!result) {
 		queue_learn(&g->queue, ms);
 		queue_count(&g->queue, r->class_index, false);
@@ -424,11 +473,28 @@
 }
 
 static const struct fetch_ops backend_ops = {
+	.check_head = check_head,
 	.on_head = on_head,
 	.on_data = on_data,
 	.on_done = on_done,
 };
 
+static void set_headers(struct gate_request *r, int64_t fence, int64_t left_ms,
+			int64_t grant_ms)
+{
+	const struct header_names *names = names_of(r);
+	const char *id = r->gate->backend_server.id;
+
+	header_set(r->headers, names->deadline_ms, NULL);
+	header_add_int(r->headers, names->deadline_ms, left_ms);
+	header_set(r->headers, names->expect_life, id[0] ? id : NULL);
+	if (!r->keyed)
+		return;
+	header_add_int(r->headers, names->fence, fence);
+	header_add_int(r->headers, names->shard, r->shard);
+	header_add_int(r->headers, names->grant_ms, grant_ms);
+}
+
 static void start(struct gate_request *r)
 {
 	struct gate *g = r->gate;
@@ -445,7 +511,10 @@
 		refuse(r, RESULT_NOT_OWNER);
 		return;
 	}
-	left_ms = MIN(r->deadline_ms, lease_end_ms) - now;
+	/* A lease that is renewed by heartbeats outlasts what we see of it. */
+	left_ms = r->deadline_ms - now;
+	if (!g->node->settings.grants_by_heartbeat)
+		left_ms = MIN(left_ms, lease_end_ms - now);
 	if (left_ms <= 0) {
 		refuse(r, RESULT_TIMEOUT);
 		return;
@@ -458,12 +527,8 @@
 		}
 		r->kept = g_string_new(NULL);
 	}
-	header_add_int(r->headers, HEADER_DEADLINE_MS, left_ms);
-	if (r->keyed) {
-		header_add_int(r->headers, HEADER_FENCE, fence);
-		header_add_int(r->headers, HEADER_SHARD, r->shard);
-		header_add_int(r->headers, HEADER_GRANT_MS, lease_end_ms - now);
-	}
+	set_headers(r, fence, left_ms, lease_end_ms - now);
+	cold_sent(&g->cold, now);
 	url = g_strdup_printf("http://%s%s", g->node->settings.backend_server,
 			      r->url);
 	r->state = GATE_RUNNING;
@@ -474,14 +539,9 @@
 	if (!ev_is_active(&g->watch))
 		ev_timer_again(g->node->loop, &g->watch);
 	COUNT(gate_admitted);
-	/*
-	 * libcurl sends a request again by itself when a kept connection
-	 * turns out to be dead. The server may have run it, so one that may
-	 * not be repeated always gets a connection of its own.
-	 */
 	fetch_start(&r->fetch, &g->fetcher, r->method, url, r->headers,
-		    r->body->data, r->body->len, left_ms, !r->repeatable,
-		    &backend_ops, r);
+		    r->body->data, r->body->len, left_ms + ANSWER_GRACE_MS,
+		    false, &backend_ops, r);
 }
 
 static void remember_entry(struct gate *g, const void *identity, size_t len)
@@ -502,6 +562,7 @@
 
 	while (g->queue.heap->len && g->backend_server.announced &&
 	       limit_allows(&g->limit, g->n_running) &&
+	       cold_allows(&g->cold, clock_now_ms()) &&
 	       queue_pop(&g->queue, &q))
 		start(q.request);
 }
@@ -516,29 +577,52 @@
 		return;
 	g->version = f->configuration_version;
 	queue_set_classes(&g->queue, f->configuration.n_classes);
-	for (i = 0; i < f->configuration.n_classes; i++)
-		queue_set_share(&g->queue, i,
-				f->configuration.classes[i].refused_share);
+	g_hash_table_remove_all(g->class_indexes);
+	for (i = 0; i < f->configuration.n_classes; i++) {
+		const struct class_settings *k = &f->configuration.classes[i];
+
+		queue_set_share(&g->queue, i, k->refused_share);
+		g_hash_table_insert(g->class_indexes, g_strdup(k->name),
+				    GUINT_TO_POINTER(i + 1));
+	}
 	s = fleet_service(f, g->node->settings.service);
 	if (s && s->n_shards != g->n_shards) {
 		g_free(g->shard_load);
 		g->shard_load = g_new0(uint32_t, s->n_shards);
 		g->n_shards = s->n_shards;
 	}
+	if (s && g->node->settings.grants_by_heartbeat && s->key_numbers)
+		grants_resize(&g->grants, s->n_shards, s->key_numbers);
 }
 
-static struct gate_request *request_new(struct gate *g, const void *identity,
-					size_t len, const struct request_msg *m,
-					const struct class_settings *k)
+/*
+ * How long a request was on its way. A link can hold messages back for seconds
+ * and deliver them then, when their callers have long been answered. The
+ * clocks of two hosts differ by an unknown amount; the least difference seen
+ * between sending and arrival is that amount and the fastest way, and what is
+ * beyond it is delay.
+ */
+static int64_t delay_ms(struct gate *g, const struct request_msg *m)
+{
+	int64_t offset = clock_now_ms() - m->sent_ms;
+	int64_t *least = g_hash_table_lookup(g->origins, &m->origin);
+
+	if (least) {
+		*least = MIN(*least, offset);
+		return offset - *least;
+	}
+	if (g_hash_table_size(g->origins) >= MAX_ORIGINS)
+		g_hash_table_remove_all(g->origins);
+	g_hash_table_insert(g->origins,
+			    g_memdup2(&m->origin, sizeof(m->origin)),
+			    g_memdup2(&offset, sizeof(offset)));
+	return 0;
+}
+
+static void copy_strings(struct gate_request *r, const struct request_msg *m)
 {
-	struct gate_request *r = g_new0(struct gate_request, 1);
-	const struct configuration *cfg = &g->node->member.fleet.configuration;
 	uint32_t i;
 
-	r->gate = g;
-	r->identity = identity ? g_bytes_new(identity, len) : NULL;
-	r->origin = m->origin;
-	r->id = m->id;
 	r->text = g_malloc(strlen(m->method) + strlen(m->url) + strlen(m->key) +
 			   3);
 	r->method = strcpy(r->text, m->method);
@@ -548,15 +632,32 @@
 	for (i = 0; m->headers && i + 1 < m->headers->len; i += 2)
 		header_add(r->headers, g_ptr_array_index(m->headers, i),
 			   g_ptr_array_index(m->headers, i + 1));
+}
+
+static struct gate_request *request_new(struct gate *g, const void *identity,
+					size_t len, const struct request_msg *m)
+{
+	struct gate_request *r = g_new0(struct gate_request, 1);
+	gpointer index = g_hash_table_lookup(g->class_indexes, m->class_name);
+
+	r->gate = g;
+	r->identity = identity ? g_bytes_new(identity, len) : NULL;
+	r->origin = m->origin;
+	r->id = m->id;
+	copy_strings(r, m);
+	r->attempt_id = header_find(r->headers, names_of(r)->attempt_id);
 	r->body = g_byte_array_new();
 	g_byte_array_append(r->body, m->data, m->len);
-	r->class_index = k - cfg->classes;
-	r->repeatable = k->repeatable;
-	r->resend_window_ms = k->resend_window_ms;
+	r->class_index = GPOINTER_TO_UINT(index) - 1;
+	r->repeatable = m->flags & REQ_FLAG_REPEATABLE;
+	r->first_sending = m->flags & REQ_FLAG_FIRST_SENDING;
+	r->resend_window_ms = m->resend_window_ms;
+	r->target_ms = m->target_ms;
+	r->priority = m->priority;
 	r->keyed = m->flags & REQ_FLAG_KEYED;
 	r->shard = r->keyed ? m->shard : NO_SHARD;
 	r->arrived_ms = clock_now_ms();
-	r->deadline_ms = r->arrived_ms + m->deadline_ms;
+	r->deadline_ms = r->arrived_ms + m->deadline_ms - delay_ms(g, m);
 	if (r->shard >= 0 && r->shard < g->n_shards)
 		g->shard_load[r->shard]++;
 	else
@@ -565,10 +666,10 @@
 	return r;
 }
 
-static void enqueue(struct gate_request *r, int64_t target_ms)
+static void enqueue(struct gate_request *r)
 {
 	struct gate *g = r->gate;
-	struct queued q = { .due_ms = r->arrived_ms + target_ms,
+	struct queued q = { .due_ms = r->arrived_ms + r->target_ms,
 			    .deadline_ms = r->deadline_ms,
 			    .class_index = r->class_index,
 			    .request = r };
@@ -603,8 +704,6 @@
 static void on_ask(struct gate *g, const void *identity, size_t len,
 		   const struct request_msg *m)
 {
-	const struct configuration *cfg = &g->node->member.fleet.configuration;
-	const struct class_settings *k = NULL;
 	struct gate_request *r;
 	struct request_msg no = { .type = REQ_REFUSED,
 				  .origin = m->origin,
@@ -614,14 +713,7 @@
 
 	COUNT(gate_received);
 	follow_configuration(g);
-	if (m->class_index >= 0 && m->class_index < cfg->n_classes &&
-	    m->version == g->version)
-		k = &cfg->classes[m->class_index];
-	else
-		k = configuration_match(cfg, m->method, m->url);
-	if (!k || m->to != g->node->member.self ||
-	    !g->backend_server.announced ||
-	    strcmp(cfg->services[k->service].name, g->node->settings.service)) {
+	if (m->to != g->node->member.self || !g->backend_server.announced) {
 		GBytes *id = identity ? g_bytes_new(identity, len) : NULL;
 
 		COUNT(gate_refused_not_owner);
@@ -631,13 +723,13 @@
 		return;
 	}
 	remember_entry(g, identity, len);
-	r = request_new(g, identity, len, m, k);
-	if (!may_serve(r, &fence, &lease_end_ms)) {
+	r = request_new(g, identity, len, m);
+	if (r->deadline_ms <= r->arrived_ms)
+		refuse(r, RESULT_TIMEOUT);
+	else if (!may_serve(r, &fence, &lease_end_ms))
 		refuse(r, RESULT_NOT_OWNER);
-		return;
-	}
-	if (check_id(r, m->idempotency_key))
-		enqueue(r, k->target_ms);
+	else if (check_id(r, m->class_name, m->idempotency_key))
+		enqueue(r);
 }
 
 static void cancel(struct gate_request *r)
--- a/node/gate.h
+++ b/node/gate.h
@@ -5,11 +5,14 @@
 #include <stdint.h>
 #include <glib.h>
 
+#include "gate/cold.h"
+#include "gate/grants.h"
 #include "gate/ids.h"
 #include "gate/limit.h"
 #include "gate/queue.h"
 #include "net/fetch.h"
 #include "net/request-msg.h"
+#include "state/fleet.h"
 
 /*
  * The only way to the backend server beside this node. It admits, queues or
@@ -25,6 +28,8 @@
 	uint32_t slots;
 	uint32_t connections;
 	int64_t probe_cost_ms;
+	char life[LIFE_MAX_LEN + 1]; /* names one start of it, "" not told */
+	char id[LIFE_MAX_LEN + 1]; /* as requests name it, "" not at all */
 };
 
 struct gate {
@@ -34,6 +39,8 @@
 	struct backend_server backend_server;
 	struct limit limit;
 	struct queue queue;
+	struct cold cold;
+	struct grants grants;
 	struct ids ids;
 	GHashTable *requests; /* struct gate_request, by origin and id */
 	uint32_t n_running;
@@ -41,6 +48,8 @@
 	uint32_t n_shards;
 	bool draining;
 	int64_t version; /* configuration that the queue follows */
+	GHashTable *class_indexes; /* name -> index into its classes + 1 */
+	GHashTable *origins; /* uint64_t entry -> int64_t least clock offset */
 	int64_t heard_ms; /* last sign of life of the backend server */
 	int64_t next_probe_ms;
 	uint32_t connect_failures;
--- a/node/node.c
+++ b/node/node.c
@@ -2,7 +2,9 @@
 #include <string.h>
 
 #include "net/clock.h"
+#include "node/backend.h"
 #include "node/node.h"
+#include "platform/store.h"
 #include "util/counters.h"
 #include "util/result.h"
 
@@ -11,6 +13,8 @@
 #define MAX_SNAPSHOT_PARTS 1024
 #define STAY_LIMIT_MS 10000
 #define MAX_ADDRESSES 8192
+/* The platform asks every second, and twice before it believes. */
+#define NOTICE_MS 2300
 #define BOOT_ID_FILE "/proc/sys/kernel/random/boot_id"
 
 struct snapshot_parts {
@@ -99,7 +103,8 @@
 {
 	struct node *n = user;
 
-	return gate_shard_load(&n->gate, shard);
+	return gate_shard_load(&n->gate, shard) +
+	       grants_may_hold(&n->gate.grants, shard, clock_now_ms());
 }
 
 static void op_export_ids(void *user, uint32_t shard, GArray *out)
@@ -107,12 +112,15 @@
 	struct node *n = user;
 
 	ids_export(&n->gate.ids, shard, clock_now_ms(), out);
+	grants_export(&n->gate.grants, shard, out);
 }
 
 static void op_import_ids(void *user, const int64_t *entry)
 {
 	struct node *n = user;
 
+	if (grants_import(&n->gate.grants, entry))
+		return;
 	ids_import(&n->gate.ids, entry, clock_now_ms());
 }
 
@@ -264,8 +272,15 @@
 {
 	struct node *n = user;
 
-	if (n->log.trimmed)
-		return;
+	if (n->log.trimmed) {
+		/* All there is was read, and without a snapshot it is enough
+		 * only if it begins where we stand. */
+		int64_t end = n->log.scan_from;
+
+		replay_scanned(n);
+		if (n->member.fleet.applied + 1 < end)
+			return;
+	}
 	member_on_log_tail(&n->member, sent_ms, clock_now_ms());
 }
 
@@ -290,6 +305,47 @@
 		member_append_done(&n->member, kind, result, clock_now_ms());
 }
 
+static void on_published(void *user, int64_t offset, const char *id,
+			 const json_t *record)
+{
+	struct node *n = user;
+
+	n->operators.next = offset + 1;
+	if (published_take(&n->published, id, record))
+		n->published_changed = true;
+}
+
+static void on_published_tail(void *user, int64_t sent_ms)
+{
+	struct node *n = user;
+	json_t *doc;
+
+	(void)sent_ms;
+	if (n->operators.trimmed)
+		log_client_seek(&n->operators, n->operators.scan_from);
+	if (!n->published_changed)
+		return;
+	n->published_changed = false;
+	doc = published_document(&n->published);
+	if (doc)
+		member_set_published(&n->member, n->operators.next, doc,
+				     clock_now_ms());
+	json_decref(doc);
+}
+
+static void on_published_trimmed(void *user, int64_t first)
+{
+	struct node *n = user;
+
+	log_client_scan(&n->operators, first);
+}
+
+static const struct log_handlers operator_handlers = {
+	.on_record = on_published,
+	.on_tail = on_published_tail,
+	.on_trimmed = on_published_trimmed,
+};
+
 static const struct log_handlers log_handlers = {
 	.on_record = on_record,
 	.on_tail = on_tail,
@@ -371,10 +427,49 @@
 	g_byte_array_unref(out);
 }
 
+/*
+ * Whether only this process stops and its backend server goes on. The process
+ * that follows takes up its keys, so they are not moved.
+ */
+static bool keeps_backend(const struct node *n)
+{
+	return n->settings.grants_by_heartbeat && !n->backend_left &&
+	       n->life.id[0];
+}
+
+/* Stop beside a backend server that goes on: end what runs, then leave. */
+static void tick_pause(struct node *n)
+{
+	int64_t asked_ms = clock_now_ms() - n->stopping_ms;
+
+	/* Callers are sent here until the platform has noticed. */
+	if (asked_ms < NOTICE_MS)
+		return;
+	entry_drain(&n->entry);
+	n->gate.draining = true;
+	if (asked_ms < n->settings.stop_limit_ms &&
+	    (!gate_idle(&n->gate) || !entry_idle(&n->entry)))
+		return;
+	g_info("stopped, %s in progress",
+	       gate_idle(&n->gate) && entry_idle(&n->entry) ? "nothing"
+							    : "something");
+	ev_break(n->loop, EVBREAK_ALL);
+}
+
 static void tick_stop(struct node *n)
 {
 	int64_t now = clock_now_ms();
 
+	if (keeps_backend(n)) {
+		tick_pause(n);
+		return;
+	}
+	if (now - n->stopping_ms >= n->settings.stop_limit_ms) {
+		g_warning("stopped at the time limit");
+		ev_break(n->loop, EVBREAK_ALL);
+		return;
+	}
+
 	if (!member_has_left(&n->member))
 		return;
 	if (!n->left_ms)
@@ -399,6 +494,7 @@
 	n->member.log_up = log_client_up(&n->log);
 	member_tick(&n->member, now);
 	gate_tick(&n->gate);
+	backend_tick(n);
 	ask_seeds(n, now);
 	operator_tick(n);
 	/* A node with its lease from peers need not keep asking the log. */
@@ -408,6 +504,12 @@
 		tick_stop(n);
 }
 
+bool node_is_ready(const struct node *n)
+{
+	return !n->stopping && n->member.fleet.document &&
+	       fleet_n_members(&n->member.fleet);
+}
+
 static void on_signal(struct ev_loop *loop, ev_signal *w, int events)
 {
 	struct node *n = w->data;
@@ -418,6 +520,9 @@
 		return;
 	g_info("asked to stop: finishing what is in progress");
 	n->stopping = true;
+	n->stopping_ms = clock_now_ms();
+	if (keeps_backend(n))
+		return;
 	n->gate.draining = true;
 	member_set_wanted(&n->member, false, clock_now_ms());
 }
@@ -460,6 +565,25 @@
 	ev_signal_start(n->loop, &n->sigint);
 }
 
+static void init_streams(struct node *n)
+{
+	const char *address = n->settings.log;
+
+	published_init(&n->published);
+	if (n->settings.interface == INTERFACE_OWN) {
+		log_client_init(&n->log, n->loop, address, &log_http_ops,
+				&log_handlers, n);
+		return;
+	}
+	log_client_init(&n->log, n->loop, address, &store_fleet_ops,
+			&log_handlers, n);
+	log_client_recover_first(&n->log);
+	log_client_init(&n->operators, n->loop, address, &store_operator_ops,
+			&operator_handlers, n);
+	log_client_recover_first(&n->operators);
+	n->operators.wait_ms = LOG_WAIT_LONG_MS;
+}
+
 static int cannot_listen(GString *errors, const char *address, int err)
 {
 	g_string_append_printf(errors, "cannot listen on %s: %s\n", address,
@@ -483,6 +607,9 @@
 	if (err)
 		return cannot_listen(errors, s->peer_address, err);
 	timing.snapshot_interval_ms = s->snapshot_interval_ms;
+	timing.snapshot_records = s->snapshot_records;
+	timing.lease_ms = s->lease_ms;
+	timing.move_batch = s->move_batch;
 	timing.drift_ppm = s->drift_ppm;
 	fill_member(&me, s);
 	n->publishes = g_ptr_array_new();
@@ -503,7 +630,10 @@
 	err = operator_init(n);
 	if (err)
 		return cannot_listen(errors, s->operator_address, err);
-	log_client_init(&n->log, loop, s->log, &log_http_ops, &log_handlers, n);
+	err = backend_init(n);
+	if (err)
+		return cannot_listen(errors, s->announce_address, err);
+	init_streams(n);
 	init_watchers(n);
 	return RESULT_OK;
 }
@@ -523,6 +653,10 @@
 	operator_finish(n);
 	gate_finish(&n->gate);
 	log_client_finish(&n->log);
+	if (n->operators.ops)
+		log_client_finish(&n->operators);
+	published_finish(&n->published);
+	backend_finish(n);
 	entry_finish(&n->entry);
 	peers_finish(&n->peers);
 	member_finish(&n->member);
--- a/node/node.h
+++ b/node/node.h
@@ -5,12 +5,14 @@
 #include <stdbool.h>
 
 #include "audit/audit.h"
+#include "gate/life.h"
 #include "member/member.h"
 #include "node/entry.h"
 #include "node/gate.h"
 #include "net/httpd.h"
 #include "net/log-client.h"
 #include "net/peer.h"
+#include "platform/operator.h"
 #include "settings/settings.h"
 
 /*
@@ -45,6 +47,13 @@
 	struct entry entry;
 	struct gate gate;
 	struct httpd operator_httpd;
+	struct httpd ready_httpd; /* the platform asks here whether we are */
+	struct httpd announce_httpd; /* the backend server's heartbeats */
+	struct life life; /* of the backend server, by its heartbeats */
+	bool backend_left;
+	struct log_client operators; /* what operators publish, elsewhere */
+	struct published published;
+	bool published_changed;
 	struct audit audit;
 	GPtrArray *publishes; /* struct publish */
 	GHashTable *addresses; /* last address of each member seen */
@@ -54,6 +63,7 @@
 	ev_signal sigterm;
 	ev_signal sigint;
 	bool stopping;
+	int64_t stopping_ms;
 	int64_t left_ms; /* when all was given up, 0 not yet */
 	int64_t next_seed_ms;
 	uint32_t next_seed;
@@ -72,6 +82,9 @@
 /* Whether the gate here may take work that belongs to no shard. */
 bool node_takes_work(const struct node *n);
 
+/* Whether callers should be sent to the entry here. */
+bool node_is_ready(const struct node *n);
+
 /* The backend server came or went. */
 void node_backend_announced(struct node *n);
 void node_backend_left(struct node *n);
--- a/node/operator.c
+++ b/node/operator.c
@@ -162,11 +162,10 @@
 	uint32_t i;
 
 	s = service ? fleet_service(&n->member.fleet, service) : NULL;
-	if (!s || !key) {
-		reply_problem(r, 404, "no such service, or no key given");
+	if (!s || !key || shard_of_key(s, key, &i)) {
+		reply_problem(r, 404, "no such service, or no such key");
 		return;
 	}
-	i = shard_of_key(s, key);
 	sh = &s->shards[i];
 	stopped = member_known_stopped(&n->member, sh->owner);
 	server = stopped ? sh->successor : sh->owner;
@@ -408,6 +407,7 @@
 						   text_or(o, "reason", "")),
 			      text_or(o, "by", "operator"));
 	json_check_finish(&c);
+	configuration_finish(cfg);
 	g_free(cfg);
 	json_decref(o);
 }
--- a/settings/configuration.c
+++ b/settings/configuration.c
@@ -8,15 +8,30 @@
 #define DEFAULT_DEADLINE_MS 2000
 #define DEFAULT_RESEND_WINDOW_MS 30000
 #define DEFAULT_GUARD_MS 500
+/* With the caller's own next tries a key's move still finds its new owner. */
+#define DEFAULT_ATTEMPTS 24
+#define MAX_DEADLINE_MS 600000
+#define MAX_INT INT32_MAX
 
 static const char *const top_fields[] = { "services", "classes", "data_centres",
+					  "limits",   "source",	 NULL };
+static const char *const service_fields[] = { "name",	    "key",
+					      "shards",	    "checks_grants",
+					      "guard_ms",   "connections",
+					      "cold_per_s", NULL };
+static const char *const key_fields[] = { "in", "segment", "name", "numbers",
 					  NULL };
-static const char *const service_fields[] = { "name",	  "key",
-					      "shards",	  "checks_grants",
-					      "guard_ms", NULL };
-static const char *const key_fields[] = { "in", "segment", "name", NULL };
+static const char *const limit_fields[] = { "max_header_bytes",
+					    "max_body_bytes",
+					    "header_timeout_ms",
+					    "idle_timeout_ms", NULL };
+static const char *const split_fields[] = { "service", "weight", NULL };
 static const char *const class_fields[] = { "name",
 					    "service",
+					    "split",
+					    "attempts",
+					    "priority",
+					    "host",
 					    "method",
 					    "path",
 					    "target_ms",
@@ -52,6 +67,8 @@
 		return;
 	}
 	json_check_fields(c, key, path, key_fields);
+	s->key_numbers =
+		json_check_int(c, key, path, "numbers", 0, 0, UINT32_MAX);
 	in = json_check_string(c, key, path, "in", JSON_REQUIRED_STRING, 16);
 	if (!strcmp(in, "path")) {
 		s->key_place = KEY_PATH;
@@ -86,6 +103,12 @@
 	s->guard_ms = json_check_int(c, obj, path, "guard_ms",
 				     s->checks_grants ? 0 : DEFAULT_GUARD_MS, 0,
 				     60000);
+	s->connections =
+		json_check_int(c, obj, path, "connections", 0, 0, 100000);
+	s->cold_per_s =
+		json_check_number(c, obj, path, "cold_per_s", 0, 0, 1e6);
+	if (s->key_numbers && s->key_numbers < s->n_shards)
+		json_check_fail(c, path, "more shards than keys");
 	for (i = 0; i < cfg->n_services; i++)
 		if (!strcmp(cfg->services[i].name, s->name))
 			json_check_fail(c, path, "service %s stands twice",
@@ -103,20 +126,71 @@
 	return UINT32_MAX;
 }
 
+static void read_target(const struct configuration *cfg, const json_t *obj,
+			const char *path, struct class_settings *k,
+			uint32_t weight, struct json_check *c)
+{
+	struct class_target *t = &k->targets[k->n_targets];
+	const char *service = json_check_string(
+		c, obj, path, "service", JSON_REQUIRED_STRING, NAME_MAX_LEN);
+
+	t->service = find_service(cfg, service);
+	t->weight = weight;
+	if (t->service == UINT32_MAX) {
+		json_check_fail(c, path, "service %s does not exist", service);
+		t->service = 0;
+	}
+	k->n_targets++;
+}
+
+static void read_split(const struct configuration *cfg, const json_t *list,
+		       const char *path, struct class_settings *k,
+		       struct json_check *c)
+{
+	uint32_t total = 0;
+	json_t *item;
+	size_t i;
+
+	if (!json_is_array(list) || !json_array_size(list) ||
+	    json_array_size(list) > CLASS_MAX_TARGETS) {
+		json_check_fail(c, path, "split must be a list of 1 to %d",
+				CLASS_MAX_TARGETS);
+		return;
+	}
+	json_array_foreach(list, i, item)
+	{
+		g_autofree char *at = g_strdup_printf("%s.split[%zu]", path, i);
+		uint32_t weight = json_check_int(c, item, at, "weight",
+						 JSON_REQUIRED_INT, 0, 1000000);
+
+		json_check_fields(c, item, at, split_fields);
+		read_target(cfg, item, at, k, weight, c);
+		total += weight;
+	}
+	if (!total)
+		json_check_fail(c, path, "no part of the split has a weight");
+}
+
 static void read_class(struct configuration *cfg, const json_t *obj,
 		       const char *path, struct json_check *c)
 {
 	struct class_settings *k = &cfg->classes[cfg->n_classes];
-	const char *service;
+	json_t *split = json_object_get(obj, "split");
 
 	memset(k, 0, sizeof(*k));
 	json_check_fields(c, obj, path, class_fields);
 	read_name(c, obj, path, k->name);
-	service = json_check_string(c, obj, path, "service",
-				    JSON_REQUIRED_STRING, NAME_MAX_LEN);
-	k->service = find_service(cfg, service);
-	if (k->service == UINT32_MAX)
-		json_check_fail(c, path, "service %s does not exist", service);
+	if (split)
+		read_split(cfg, split, path, k, c);
+	else
+		read_target(cfg, obj, path, k, 1, c);
+	k->attempts = json_check_int(c, obj, path, "attempts", DEFAULT_ATTEMPTS,
+				     1, 1000);
+	k->priority = json_check_int(c, obj, path, "priority", 0, 0, 1000);
+	g_strlcpy(k->host,
+		  json_check_string(c, obj, path, "host", "",
+				    HOST_NAME_MAX_LEN),
+		  sizeof(k->host));
 	g_strlcpy(k->method,
 		  json_check_string(c, obj, path, "method",
 				    JSON_REQUIRED_STRING, 15),
@@ -135,7 +209,8 @@
 		json_check_share(c, obj, path, "refused_share", 0.01);
 	k->repeatable = json_check_bool(c, obj, path, "repeatable", false);
 	k->deadline_ms = json_check_int(c, obj, path, "deadline_ms",
-					DEFAULT_DEADLINE_MS, 10, 600000);
+					DEFAULT_DEADLINE_MS, 10,
+					MAX_DEADLINE_MS);
 	k->resend_window_ms = json_check_int(c, obj, path, "resend_window_ms",
 					     DEFAULT_RESEND_WINDOW_MS, 0,
 					     3600000);
@@ -185,17 +260,50 @@
 	}
 }
 
+static void read_limits(struct configuration *cfg, const json_t *o,
+			struct json_check *c)
+{
+	struct caller_limits *l = &cfg->limits;
+
+	if (!o)
+		return;
+	if (!json_is_object(o)) {
+		json_check_fail(c, "$.limits", "must be an object");
+		return;
+	}
+	json_check_fields(c, o, "$.limits", limit_fields);
+	l->max_header_bytes = json_check_int(c, o, "$.limits",
+					     "max_header_bytes", 0, 0, MAX_INT);
+	l->max_body_bytes = json_check_int(c, o, "$.limits", "max_body_bytes",
+					   0, 0, MAX_INT);
+	l->header_timeout_ms = json_check_int(
+		c, o, "$.limits", "header_timeout_ms", 0, 0, MAX_DEADLINE_MS);
+	l->idle_timeout_ms = json_check_int(c, o, "$.limits", "idle_timeout_ms",
+					    0, 0, 10 * MAX_DEADLINE_MS);
+}
+
+/* Release what reading allocated; cfg may be read into again. */
+void configuration_finish(struct configuration *cfg)
+{
+	g_free(cfg->classes);
+	memset(cfg, 0, sizeof(*cfg));
+}
+
 int configuration_read(struct configuration *cfg, const json_t *doc,
 		       struct json_check *c)
 {
-	cfg->n_services = 0;
-	cfg->n_classes = 0;
-	cfg->n_data_centres = 0;
+	json_t *classes = json_object_get(doc, "classes");
+
+	memset(cfg, 0, sizeof(*cfg));
 	if (!json_is_object(doc)) {
 		json_check_fail(c, "$", "the document must be an object");
 		return RESULT_INVALID;
 	}
 	json_check_fields(c, doc, "$", top_fields);
+	read_limits(cfg, json_object_get(doc, "limits"), c);
+	cfg->classes =
+		g_new0(struct class_settings, MIN(json_array_size(classes),
+						  CONFIGURATION_MAX_CLASSES));
 	read_list(cfg, doc, "services", CONFIGURATION_MAX_SERVICES,
 		  read_service, c);
 	read_list(cfg, doc, "classes", CONFIGURATION_MAX_CLASSES, read_class,
@@ -217,10 +325,24 @@
 	return true;
 }
 
-/* Find the class with the longest matching path; NULL when none matches. */
+/* Whether a Host header names a host; its port does not count. */
+static bool host_matches(const char *host, const char *header)
+{
+	size_t len = strlen(host);
+
+	if (!len)
+		return true;
+	return header && !g_ascii_strncasecmp(host, header, len) &&
+	       (!header[len] || header[len] == ':');
+}
+
+/*
+ * Find the class with the longest matching path, among those of the request's
+ * host and those of any; NULL when none matches.
+ */
 const struct class_settings *
 configuration_match(const struct configuration *cfg, const char *method,
-		    const char *path)
+		    const char *host, const char *path)
 {
 	const struct class_settings *best = NULL;
 	size_t best_len = 0;
@@ -230,12 +352,26 @@
 		const struct class_settings *k = &cfg->classes[i];
 		size_t len = strlen(k->path);
 
-		if (len < best_len || strcmp(k->method, method))
+		if (len < best_len || strncmp(path, k->path, len))
 			continue;
-		if (strncmp(path, k->path, len))
+		if (strcmp(k->method, ANY_METHOD) && strcmp(k->method, method))
+			continue;
+		if (!host_matches(k->host, host))
 			continue;
 		best = k;
 		best_len = len;
 	}
 	return best;
 }
+
+/* Find a service by name, NULL when the configuration has none of it. */
+const struct service_settings *
+configuration_service(const struct configuration *cfg, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < cfg->n_services; i++)
+		if (!strcmp(cfg->services[i].name, name))
+			return &cfg->services[i];
+	return NULL;
+}
--- a/settings/configuration.h
+++ b/settings/configuration.h
@@ -9,9 +9,12 @@
 
 #define NAME_MAX_LEN 31
 #define CONFIGURATION_MAX_SERVICES 64
-#define CONFIGURATION_MAX_CLASSES 256
+#define CONFIGURATION_MAX_CLASSES 4096
 #define CONFIGURATION_MAX_DATA_CENTRES 64
+#define CLASS_MAX_TARGETS 8
 #define PATH_MAX_LEN 127
+#define HOST_NAME_MAX_LEN 127
+#define ANY_METHOD "*"
 
 enum key_place {
 	KEY_NONE, /* the service is not divided by key */
@@ -25,15 +28,31 @@
 	enum key_place key_place;
 	char key_name[NAME_MAX_LEN + 1];
 	uint32_t key_segment;
+	/*
+	 * Keys are the whole numbers below this, and shards are ranges of
+	 * them; 0: keys are strings, and shards take them by hash.
+	 */
+	uint32_t key_numbers;
 	uint32_t n_shards;
 	bool checks_grants; /* its backend servers refuse an old fence */
 	int64_t guard_ms; /* added wait before a takeover where they do not */
+	uint32_t connections; /* that one server takes, 0 not told */
+	/* Requests a second that a server in cold start bears, 0 not told. */
+	double cold_per_s;
+};
+
+/* One of the services between which a class's requests are split. */
+struct class_target {
+	uint32_t service; /* index into the services */
+	uint32_t weight;
 };
 
 struct class_settings {
 	char name[NAME_MAX_LEN + 1];
-	uint32_t service; /* index into the services */
-	char method[16];
+	struct class_target targets[CLASS_MAX_TARGETS];
+	uint32_t n_targets;
+	char method[16]; /* ANY_METHOD: all */
+	char host[HOST_NAME_MAX_LEN + 1]; /* of the Host header, "" any */
 	char path[PATH_MAX_LEN + 1]; /* prefix */
 	int64_t target_ms;
 	double percentile;
@@ -41,6 +60,8 @@
 	bool repeatable;
 	int64_t deadline_ms;
 	int64_t resend_window_ms; /* how long an id may be sent again */
+	uint32_t attempts; /* most backend servers one request may reach */
+	uint32_t priority; /* 0 goes first when not all can be served */
 };
 
 struct data_centre_settings {
@@ -48,26 +69,40 @@
 	bool in_service;
 };
 
+/* What a caller may send and how long it may take; 0 means our default. */
+struct caller_limits {
+	int64_t max_header_bytes;
+	int64_t max_body_bytes;
+	int64_t header_timeout_ms;
+	int64_t idle_timeout_ms;
+};
+
 /* A whole configuration document, checked. */
 struct configuration {
 	struct service_settings services[CONFIGURATION_MAX_SERVICES];
 	uint32_t n_services;
-	struct class_settings classes[CONFIGURATION_MAX_CLASSES];
+	struct class_settings *classes;
 	uint32_t n_classes;
 	struct data_centre_settings data_centres[CONFIGURATION_MAX_DATA_CENTRES];
 	uint32_t n_data_centres;
+	struct caller_limits limits;
 };
 
 /*
- * Read and check a document into cfg. Returns RESULT_OK, or RESULT_INVALID
- * with every problem named in c.
+ * Read and check a document into zeroed or finished memory. Returns RESULT_OK,
+ * or RESULT_INVALID with every problem named in c. Finish cfg in either case.
  */
 int configuration_read(struct configuration *cfg, const json_t *doc,
 		       struct json_check *c);
+void configuration_finish(struct configuration *cfg);
 bool configuration_in_service(const struct configuration *cfg,
 			      const char *data_centre);
+
+/* host: the Host header as it came, NULL when there is none. */
 const struct class_settings *
 configuration_match(const struct configuration *cfg, const char *method,
-		    const char *path);
+		    const char *host, const char *path);
+const struct service_settings *
+configuration_service(const struct configuration *cfg, const char *name);
 
 #endif
--- a/settings/json-check.c
+++ b/settings/json-check.c
@@ -102,22 +102,33 @@
 	return json_integer_value(v);
 }
 
-/* Read a share from 0 to 1. */
-double json_check_share(struct json_check *c, const json_t *obj,
-			const char *path, const char *name, double fallback)
+/* Read a number, whole or not, within [min, max]. */
+double json_check_number(struct json_check *c, const json_t *obj,
+			 const char *path, const char *name, double fallback,
+			 double min, double max)
 {
 	json_t *v = json_object_get(obj, name);
+	g_autofree char *what = NULL;
 
 	if (!v)
 		return fallback;
-	if (!json_is_number(v) || json_number_value(v) < 0 ||
-	    json_number_value(v) > 1) {
-		fail_field(c, path, name, "must be a number from 0 to 1");
+	if (!json_is_number(v) || json_number_value(v) < min ||
+	    json_number_value(v) > max) {
+		what = g_strdup_printf("must be a number from %g to %g", min,
+				       max);
+		fail_field(c, path, name, what);
 		return fallback;
 	}
 	return json_number_value(v);
 }
 
+/* Read a share from 0 to 1. */
+double json_check_share(struct json_check *c, const json_t *obj,
+			const char *path, const char *name, double fallback)
+{
+	return json_check_number(c, obj, path, name, fallback, 0, 1);
+}
+
 /* Read true or false. */
 bool json_check_bool(struct json_check *c, const json_t *obj, const char *path,
 		     const char *name, bool fallback)
--- a/settings/json-check.h
+++ b/settings/json-check.h
@@ -29,6 +29,9 @@
 int64_t json_check_int(struct json_check *c, const json_t *obj,
 		       const char *path, const char *name, int64_t fallback,
 		       int64_t min, int64_t max);
+double json_check_number(struct json_check *c, const json_t *obj,
+			 const char *path, const char *name, double fallback,
+			 double min, double max);
 double json_check_share(struct json_check *c, const json_t *obj,
 			const char *path, const char *name, double fallback);
 bool json_check_bool(struct json_check *c, const json_t *obj, const char *path,
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -1,12 +1,35 @@
 #include <string.h>
 
 #include "net/address.h"
+#include "platform/request.h"
 #include "settings/settings.h"
 #include "util/result.h"
 
 #define MIB (1024 * 1024)
+/* docs/design/ownership.md and docs/design/load.md give the reasons. */
+#define DEFAULT_LEASE_MS 1500
+#define DEFAULT_SNAPSHOT_RECORDS 500
+#define DEFAULT_MOVE_BATCH 16
+#define DEFAULT_RETRY_SHARE 0.1
+#define DEFAULT_RETRY_RESERVE 800
+#define DEFAULT_KEPT_IDLE_S 60
+#define DEFAULT_HOLD_MAX_MS 10000
+#define DEFAULT_STOP_LIMIT_MS 60000
 
-static const char *const fields[] = { "host",
+static const char *const fields[] = { "interface",
+				      "ready_address",
+				      "announce_address",
+				      "seeds_by_host",
+				      "hold_max_ms",
+				      "lease_ms",
+				      "kept_idle_s",
+				      "stop_limit_ms",
+				      "snapshot_records",
+				      "move_batch",
+				      "hold_share",
+				      "retry_share",
+				      "retry_reserve",
+				      "host",
 				      "data_centre",
 				      "service",
 				      "caller_address",
@@ -23,8 +46,6 @@
 				      "hedge",
 				      "limit",
 				      "choice",
-				      "limit",
-				      "choice",
 				      "test_hooks",
 				      NULL };
 
@@ -59,9 +80,31 @@
 		check_address(c, path, out);
 }
 
+static void read_optional_address(struct json_check *c, const json_t *o,
+				  const char *name, char *out)
+{
+	if (json_object_get(o, name))
+		read_address(c, o, name, out);
+}
+
+/*
+ * A seed named by another of its ports: its peer port is the same as ours,
+ * since the hosts of a fleet are set up alike.
+ */
+static void use_peer_port(struct settings *s, char *seed)
+{
+	const char *port = strrchr(s->peer_address, ':');
+	char *colon = strrchr(seed, ':');
+
+	if (port && colon)
+		g_strlcpy(colon, port,
+			  SETTINGS_ADDRESS_MAX + 1 - (colon - seed));
+}
+
 static void read_seeds(struct json_check *c, const json_t *o,
 		       struct settings *s)
 {
+	bool by_host = json_check_bool(c, o, "$", "seeds_by_host", false);
 	json_t *list = json_object_get(o, "seeds");
 	json_t *v;
 	size_t i;
@@ -84,7 +127,10 @@
 			continue;
 		}
 		check_address(c, path, text);
-		g_strlcpy(s->seeds[s->n_seeds++], text, sizeof(s->seeds[0]));
+		g_strlcpy(s->seeds[s->n_seeds], text, sizeof(s->seeds[0]));
+		if (by_host)
+			use_peer_port(s, s->seeds[s->n_seeds]);
+		s->n_seeds++;
 	}
 }
 
@@ -119,10 +165,51 @@
 		json_check_fail(c, "$.choice", "must be two or turns");
 }
 
+static void read_interface(struct json_check *c, const json_t *o,
+			   struct settings *s)
+{
+	const char *name = json_check_string(c, o, "$", "interface", "own", 15);
+
+	if (!strcmp(name, "platform")) {
+		s->interface = INTERFACE_PLATFORM;
+		s->headers = &headers_platform;
+		s->grants_by_heartbeat = true;
+		return;
+	}
+	s->interface = INTERFACE_OWN;
+	s->headers = &headers_own;
+	if (strcmp(name, "own"))
+		json_check_fail(c, "$.interface", "must be own or platform");
+}
+
+static void read_times(struct json_check *c, const json_t *o,
+		       struct settings *s)
+{
+	s->lease_ms = json_check_int(c, o, "$", "lease_ms", DEFAULT_LEASE_MS,
+				     200, 60000);
+	s->kept_idle_s = json_check_int(c, o, "$", "kept_idle_s",
+					DEFAULT_KEPT_IDLE_S, 1, 3600);
+	s->hold_max_ms = json_check_int(c, o, "$", "hold_max_ms",
+					DEFAULT_HOLD_MAX_MS, 100, 600000);
+	s->stop_limit_ms = json_check_int(c, o, "$", "stop_limit_ms",
+					  DEFAULT_STOP_LIMIT_MS, 1000, 3600000);
+	s->snapshot_records = json_check_int(c, o, "$", "snapshot_records",
+					     DEFAULT_SNAPSHOT_RECORDS, 8,
+					     100000);
+	s->move_batch = json_check_int(c, o, "$", "move_batch",
+				       DEFAULT_MOVE_BATCH, 1, 4096);
+	s->hold_share = json_check_number(c, o, "$", "hold_share", 0, 0, 1000);
+	s->retry_share =
+		json_check_share(c, o, "$", "retry_share", DEFAULT_RETRY_SHARE);
+	s->retry_reserve = json_check_number(c, o, "$", "retry_reserve",
+					     DEFAULT_RETRY_RESERVE, 0, 1e6);
+}
+
 static void read_all(struct settings *s, const json_t *o, struct json_check *c)
 {
 	memset(s, 0, sizeof(*s));
 	json_check_fields(c, o, "$", fields);
+	read_interface(c, o, s);
 	read_text(c, o, "host", s->host, sizeof(s->host));
 	read_text(c, o, "data_centre", s->data_centre, sizeof(s->data_centre));
 	read_text(c, o, "service", s->service, sizeof(s->service));
@@ -131,7 +218,10 @@
 	read_address(c, o, "operator_address", s->operator_address);
 	read_address(c, o, "backend_server", s->backend_server);
 	read_address(c, o, "log", s->log);
+	read_optional_address(c, o, "ready_address", s->ready_address);
+	read_optional_address(c, o, "announce_address", s->announce_address);
 	read_seeds(c, o, s);
+	read_times(c, o, s);
 	read_logging(c, o, s);
 	s->max_body_bytes = json_check_int(c, o, "$", "max_body_bytes", MIB,
 					   1024, 64 * MIB);
@@ -187,6 +277,7 @@
 	err = configuration_read(cfg, *doc, &c);
 	g_string_append(errors, c.errors->str);
 	json_check_finish(&c);
+	configuration_finish(cfg);
 	g_free(cfg);
 	if (err) {
 		json_decref(*doc);
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -6,14 +6,23 @@
 #include <glib.h>
 
 #include "gate/limit.h"
+#include "net/headers.h"
 #include "route/choose.h"
 #include "settings/configuration.h"
 
 #define SETTINGS_ADDRESS_MAX 63
 #define SETTINGS_MAX_SEEDS 16
 
+/* How nodes are spoken to: our own interface, or that of the platform. */
+enum interface_kind {
+	INTERFACE_OWN,
+	INTERFACE_PLATFORM,
+};
+
 /* One node's settings, as read from its file. */
 struct settings {
+	enum interface_kind interface;
+	const struct header_names *headers;
 	char host[64];
 	char data_centre[NAME_MAX_LEN + 1];
 	char service[NAME_MAX_LEN + 1];
@@ -26,6 +35,21 @@
 	uint32_t n_seeds;
 	char log_level[16];
 	bool log_json;
+	char ready_address[SETTINGS_ADDRESS_MAX + 1]; /* "" none of its own */
+	char announce_address[SETTINGS_ADDRESS_MAX + 1]; /* "" none */
+	/* Backend servers are told with each heartbeat what keys they hold. */
+	bool grants_by_heartbeat;
+	int64_t hold_max_ms; /* longest that one such grant may last */
+	int64_t lease_ms;
+	/* A connection to the backend server idle for longer is not reused. */
+	int64_t kept_idle_s;
+	int64_t stop_limit_ms; /* a stop takes no longer than this */
+	uint32_t snapshot_records; /* records after which one is due */
+	uint32_t move_batch; /* shards that one balancing record moves */
+	double hold_share; /* of its target a request waits for an owner, 0 all
+			      its time */
+	double retry_share; /* of requests, that repeats may add */
+	double retry_reserve; /* repeats beside that, over the whole fleet */
 	int64_t max_body_bytes;
 	int64_t snapshot_interval_ms;
 	int64_t drift_ppm;
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -11,6 +11,7 @@
 	memset(f, 0, sizeof(*f));
 	f->applied = -1;
 	f->configuration_version = -1;
+	f->source = -1;
 	f->snapshot_offset = -1;
 	f->snapshot_upto = -1;
 	f->members = g_array_new(FALSE, TRUE, sizeof(struct member));
@@ -25,6 +26,7 @@
 		g_free(f->services[i].shards);
 	g_array_unref(f->members);
 	json_decref(f->document);
+	configuration_finish(&f->configuration);
 	memset(f, 0, sizeof(*f));
 }
 
@@ -102,10 +104,27 @@
 	return configuration_in_service(&f->configuration, m->data_centre);
 }
 
-/* The shard of a service that a key falls into. */
-uint32_t shard_of_key(const struct fleet_service *s, const char *key)
+int shard_of_key(const struct fleet_service *s, const char *key,
+		 uint32_t *shard)
 {
-	return hash_string(key) % s->n_shards;
+	guint64 number;
+
+	if (!s->key_numbers) {
+		*shard = hash_string(key) % s->n_shards;
+		return RESULT_OK;
+	}
+	if (!g_ascii_string_to_unsigned(key, 10, 0, s->key_numbers - 1, &number,
+					NULL))
+		return RESULT_INVALID;
+	*shard = number * s->n_shards / s->key_numbers;
+	return RESULT_OK;
+}
+
+/* The lowest key of a shard, where keys are numbers; the next one's ends it. */
+uint32_t shard_first_key(const struct fleet_service *s, uint32_t shard)
+{
+	return ((uint64_t)shard * s->key_numbers + s->n_shards - 1) /
+	       s->n_shards;
 }
 
 /* Tell whether a member is in a witness set. */
@@ -201,6 +220,38 @@
 	}
 }
 
+static void name_successors(struct fleet *f, struct fleet_service *s)
+{
+	uint32_t i;
+
+	assign_prepare(f, s);
+	for (i = 0; i < s->n_shards; i++) {
+		struct shard *sh = &s->shards[i];
+
+		if (sh->owner && !sh->successor)
+			sh->successor = assign_pick(f, i, sh->owner, 0);
+	}
+}
+
+/*
+ * Ranges are placed by a record of their own, once those who will share them
+ * have joined. Given to whoever joins first they would move again at once, and
+ * a move of a range costs its backend servers more than one of hashed keys.
+ */
+static bool placed_by_record(const struct fleet_service *s)
+{
+	return s->key_numbers;
+}
+
+static void on_more_members(struct fleet *f, struct fleet_service *s,
+			    int64_t offset, const json_t *record)
+{
+	if (placed_by_record(s))
+		name_successors(f, s);
+	else
+		assign_unowned(f, s, offset, record);
+}
+
 static void inherit(struct fleet *f, struct fleet_service *s, uint32_t i,
 		    int64_t gone, int64_t offset, const json_t *record,
 		    const char *reason)
@@ -272,6 +323,7 @@
 	g_strlcpy(m->caller, text(r, "caller"), sizeof(m->caller));
 	g_strlcpy(m->boot_id, text(r, "boot_id"), sizeof(m->boot_id));
 	g_strlcpy(m->nonce, text(r, "nonce"), sizeof(m->nonce));
+	g_strlcpy(m->life, text(r, "life"), sizeof(m->life));
 	if (!m->host[0] || !m->peer[0])
 		return RESULT_INVALID;
 	return witness_set_from_json(&m->witnesses,
@@ -291,6 +343,54 @@
 	       old->boot_id[0] && !strcmp(old->boot_id, new->boot_id);
 }
 
+static int move_shard(struct fleet *f, struct fleet_service *s, uint32_t i,
+		      int64_t owner, int64_t successor, int64_t offset,
+		      const json_t *record, const char *reason)
+{
+	struct shard *sh = &s->shards[i];
+	int64_t from = sh->owner;
+	int64_t from_successor = sh->successor;
+
+	/* There is room for the predecessors of two moves, not of more. */
+	if (sh->earlier_from || owner == successor)
+		return RESULT_STALE;
+	sh->earlier_from = sh->from;
+	sh->earlier_successor = sh->from_successor;
+	if (owner != from)
+		set_owner(f, s, i, owner, offset, record, reason);
+	sh->successor = successor;
+	if (from) {
+		sh->from = from;
+		sh->from_successor = from_successor;
+		sh->fence = offset;
+	}
+	return RESULT_OK;
+}
+
+/*
+ * A process was killed and started again beside a backend server that lived
+ * on and goes on holding its keys. Given to the successors these would have to
+ * be let go and taken up elsewhere, and move back later; the new process takes
+ * them instead, once the successors, who may have taken over by now, say that
+ * they do not hold them.
+ */
+static void adopt(struct fleet *f, const struct member *old,
+		  const struct member *m, int64_t offset, const json_t *record)
+{
+	struct fleet_service *s = fleet_service(f, m->service);
+	uint32_t i;
+
+	if (!s || !m->life[0] || strcmp(old->life, m->life))
+		return;
+	for (i = 0; i < s->n_shards; i++) {
+		struct shard *sh = &s->shards[i];
+
+		if (sh->owner == old->id)
+			move_shard(f, s, i, m->id, sh->successor, offset,
+				   record, FLEET_REASON_ADOPTED);
+	}
+}
+
 static int apply_join(struct fleet *f, int64_t offset, const json_t *r)
 {
 	struct member m;
@@ -302,17 +402,42 @@
 		return err;
 	old = fleet_member_by_host(f, m.host);
 	while (old && superseded(old, &m)) {
-		remove_member(f, old->id, offset, r, FLEET_REASON_RESTARTED);
+		struct member gone = *old;
+
+		adopt(f, &gone, &m, offset, r);
+		remove_member(f, gone.id, offset, r, FLEET_REASON_RESTARTED);
 		old = fleet_member_by_host(f, m.host);
 	}
 	g_array_append_val(f->members, m);
 	emit_member(f, FLEET_MEMBER_JOINED, offset, &m, r, "joined");
 	s = fleet_service(f, m.service);
 	if (s)
-		assign_unowned(f, s, offset, r);
+		on_more_members(f, s, offset, r);
 	return RESULT_OK;
 }
 
+/* Owners first and then successors, so that both come out even. */
+static int apply_place(struct fleet *f, int64_t offset, const json_t *r)
+{
+	struct fleet_service *s = fleet_service(f, text(r, "service"));
+	int result = RESULT_STALE;
+	uint32_t i;
+
+	if (!s)
+		return RESULT_NO_SUCH;
+	assign_prepare(f, s);
+	for (i = 0; i < s->n_shards; i++) {
+		int64_t to = s->shards[i].owner ? 0 : assign_pick(f, i, 0, 0);
+
+		if (!to)
+			continue;
+		set_owner(f, s, i, to, offset, r, "unowned shard");
+		result = RESULT_OK;
+	}
+	name_successors(f, s);
+	return result;
+}
+
 static int apply_expel(struct fleet *f, int64_t offset, const json_t *r)
 {
 	json_t *list = json_object_get(r, "members");
@@ -340,30 +465,6 @@
 	return result;
 }
 
-static int move_shard(struct fleet *f, struct fleet_service *s, uint32_t i,
-		      int64_t owner, int64_t successor, int64_t offset,
-		      const json_t *record, const char *reason)
-{
-	struct shard *sh = &s->shards[i];
-	int64_t from = sh->owner;
-	int64_t from_successor = sh->successor;
-
-	/* There is room for the predecessors of two moves, not of more. */
-	if (sh->earlier_from || owner == successor)
-		return RESULT_STALE;
-	sh->earlier_from = sh->from;
-	sh->earlier_successor = sh->from_successor;
-	if (owner != from)
-		set_owner(f, s, i, owner, offset, record, reason);
-	sh->successor = successor;
-	if (from) {
-		sh->from = from;
-		sh->from_successor = from_successor;
-		sh->fence = offset;
-	}
-	return RESULT_OK;
-}
-
 static int apply_move_item(struct fleet *f, struct fleet_service *s,
 			   int64_t offset, const json_t *r, const json_t *item)
 {
@@ -471,6 +572,7 @@
 		s = &f->services[f->n_services++];
 		g_strlcpy(s->name, ss->name, sizeof(s->name));
 		s->n_shards = ss->n_shards;
+		s->key_numbers = ss->key_numbers;
 		s->shards = g_new0(struct shard, s->n_shards);
 	}
 }
@@ -517,12 +619,14 @@
 static int apply_configuration(struct fleet *f, int64_t offset, const json_t *r)
 {
 	json_t *doc = json_object_get(r, "document");
+	json_t *source = json_object_get(r, "source");
 	struct configuration *cfg;
 	struct json_check c;
 	int err;
 	uint32_t i;
 
-	if (number(r, "base") != f->configuration_version)
+	if (source ? json_integer_value(source) <= f->source
+		   : number(r, "base") != f->configuration_version)
 		return RESULT_STALE;
 	cfg = g_new0(struct configuration, 1);
 	json_check_init(&c, "record");
@@ -532,17 +636,22 @@
 		struct fleet_event ev = { .type = FLEET_CONFIGURED,
 					  .offset = offset };
 
+		configuration_finish(&f->configuration);
 		f->configuration = *cfg;
+		memset(cfg, 0, sizeof(*cfg));
 		json_decref(f->document);
 		f->document = json_incref(doc);
 		f->configuration_version = offset;
+		if (source)
+			f->source = json_integer_value(source);
 		add_services(f);
 		for (i = 0; i < f->n_services; i++) {
-			assign_unowned(f, &f->services[i], offset, r);
+			on_more_members(f, &f->services[i], offset, r);
 			move_out_of_service(f, &f->services[i], offset, r);
 		}
 		emit(f, &ev, r);
 	}
+	configuration_finish(cfg);
 	g_free(cfg);
 	return err;
 }
@@ -573,6 +682,7 @@
 	{ "join", apply_join },
 	{ "expel", apply_expel },
 	{ "move", apply_move },
+	{ "place", apply_place },
 	{ "settle", apply_settle },
 	{ "witnesses", apply_witnesses },
 	{ "configuration", apply_configuration },
--- a/state/fleet.h
+++ b/state/fleet.h
@@ -20,13 +20,16 @@
 
 #define FLEET_MAX_WITNESSES 5
 #define FLEET_WITNESSES 3
-#define FLEET_RECENT_APPENDS 1024
+#define FLEET_RECENT_APPENDS 256
 /* Why a member went: its host runs a newer incarnation. */
 #define FLEET_REASON_RESTARTED "restarted"
+/* The same, and its backend server lived on: the new process keeps its keys. */
+#define FLEET_REASON_ADOPTED "restarted beside its backend server"
 #define HOST_MAX_LEN 63
 #define ADDRESS_MAX_LEN 63
 #define BOOT_ID_MAX_LEN 39
 #define NONCE_MAX_LEN 23
+#define LIFE_MAX_LEN 63
 
 /*
  * Stands in a witness set for the log itself: while a fleet is too small for
@@ -56,6 +59,8 @@
 	char caller[ADDRESS_MAX_LEN + 1];
 	char boot_id[BOOT_ID_MAX_LEN + 1];
 	char nonce[NONCE_MAX_LEN + 1]; /* tells a process its own join record */
+	/* One life of the backend server beside the node, "" not told. */
+	char life[LIFE_MAX_LEN + 1];
 	struct witness_set witnesses;
 	/* The set before, until the member settles the new one. */
 	struct witness_set old_witnesses;
@@ -83,6 +88,7 @@
 struct fleet_service {
 	char name[NAME_MAX_LEN + 1];
 	uint32_t n_shards;
+	uint32_t key_numbers; /* see service_settings */
 	struct shard *shards;
 };
 
@@ -122,6 +128,11 @@
 	json_t *document; /* configuration in force, NULL none */
 	struct configuration configuration;
 	int64_t configuration_version; /* its offset, -1 none */
+	/*
+	 * How far the stream in which operators publish was read for it, when
+	 * that is another stream; -1 none.
+	 */
+	int64_t source;
 	uint64_t recent[FLEET_RECENT_APPENDS]; /* ids of appends seen */
 	uint32_t recent_next;
 	int64_t snapshot_offset; /* last record of a whole snapshot, -1 none */
@@ -150,7 +161,14 @@
 struct member *fleet_member_at(const struct fleet *f, uint32_t i);
 struct fleet_service *fleet_service(const struct fleet *f, const char *name);
 bool fleet_member_takes_work(const struct fleet *f, const struct member *m);
-uint32_t shard_of_key(const struct fleet_service *s, const char *key);
+
+/*
+ * The shard that a key falls into. Returns RESULT_OK, or RESULT_INVALID when
+ * keys of this service are numbers and this is none of them.
+ */
+int shard_of_key(const struct fleet_service *s, const char *key,
+		 uint32_t *shard);
+uint32_t shard_first_key(const struct fleet_service *s, uint32_t shard);
 bool witness_set_has(const struct witness_set *w, int64_t id);
 
 #define for_each_member(f, m, i)                               \
--- a/state/records.c
+++ b/state/records.c
@@ -60,6 +60,8 @@
 	set_text(r, "caller", m->caller);
 	set_text(r, "boot_id", m->boot_id);
 	set_text(r, "nonce", m->nonce);
+	if (m->life[0])
+		set_text(r, "life", m->life);
 	set_number(r, "process", m->process);
 	json_object_set_new(r, "witnesses", witness_set_to_json(&m->witnesses));
 	return r;
@@ -111,6 +113,16 @@
 	json_array_append_new(json_object_get(record, "items"), item);
 }
 
+/* The shards of a service that nobody owns go to its members. */
+json_t *record_place(const char *service, int64_t by)
+{
+	json_t *r = make("place");
+
+	set_text(r, "service", service);
+	set_number(r, "by", by);
+	return r;
+}
+
 /*
  * The member holds every shard moved to it up to an offset, and uses only
  * the witnesses set up to there.
@@ -149,6 +161,18 @@
 	return r;
 }
 
+/* The same, worked out from what operators published up to source. */
+json_t *record_published(int64_t source, json_t *document, int64_t by)
+{
+	json_t *r = make("configuration");
+
+	set_number(r, "source", source);
+	json_object_set(r, "document", document);
+	set_number(r, "by", by);
+	set_text(r, "reason", "published");
+	return r;
+}
+
 /* One part of the state as it stood after the record at upto. */
 json_t *record_snapshot(int64_t upto, uint32_t part, uint32_t parts,
 			const char *data, size_t len)
--- a/state/records.h
+++ b/state/records.h
@@ -15,11 +15,13 @@
 json_t *record_move(const char *service, int64_t by, const char *reason);
 void record_move_add(json_t *record, uint32_t shard, int64_t owner,
 		     int64_t successor, int64_t base_fence);
+json_t *record_place(const char *service, int64_t by);
 json_t *record_settle(int64_t member, int64_t upto);
 json_t *record_witnesses(int64_t member, int64_t base,
 			 const struct witness_set *w);
 json_t *record_configuration(int64_t base, json_t *document, const char *by,
 			     const char *reason);
+json_t *record_published(int64_t source, json_t *document, int64_t by);
 json_t *record_snapshot(int64_t upto, uint32_t part, uint32_t parts,
 			const char *data, size_t len);
 
--- a/state/snapshot.c
+++ b/state/snapshot.c
@@ -5,7 +5,7 @@
 #include "state/records.h"
 #include "util/result.h"
 
-#define SNAPSHOT_FORMAT 2
+#define SNAPSHOT_FORMAT 3
 #define SHARD_NUMBERS 7
 
 static json_t *member_to_json(const struct member *m)
@@ -61,6 +61,8 @@
 
 		json_object_set_new(o, "name", json_string(s->name));
 		json_object_set_new(o, "n_shards", json_integer(s->n_shards));
+		json_object_set_new(o, "key_numbers",
+				    json_integer(s->key_numbers));
 		json_object_set_new(o, "shards", shards_to_json(s));
 		json_array_append_new(services, o);
 	}
@@ -80,6 +82,7 @@
 		json_object_set(out, "document", f->document);
 	json_object_set_new(out, "configuration_version",
 			    json_integer(f->configuration_version));
+	json_object_set_new(out, "source", json_integer(f->source));
 	return out;
 }
 
@@ -106,6 +109,7 @@
 	copy_text(m.caller, sizeof(m.caller), o, "caller");
 	copy_text(m.boot_id, sizeof(m.boot_id), o, "boot_id");
 	copy_text(m.nonce, sizeof(m.nonce), o, "nonce");
+	copy_text(m.life, sizeof(m.life), o, "life");
 	if (witness_set_from_json(&m.witnesses,
 				  json_object_get(o, "witnesses")))
 		return RESULT_INVALID;
@@ -129,6 +133,7 @@
 		return RESULT_INVALID;
 	copy_text(s->name, sizeof(s->name), o, "name");
 	s->n_shards = n;
+	s->key_numbers = json_integer_value(json_object_get(o, "key_numbers"));
 	s->shards = g_new0(struct shard, n);
 	for (i = 0; i < n; i++) {
 		struct shard *sh = &s->shards[i];
@@ -157,6 +162,7 @@
 
 	f->configuration_version =
 		json_integer_value(json_object_get(o, "configuration_version"));
+	f->source = json_integer_value(json_object_get(o, "source"));
 	if (!doc)
 		return RESULT_OK;
 	json_check_init(&c, "snapshot");
--- a/t/backend-standin.c
+++ b/t/backend-standin.c
@@ -62,7 +62,7 @@
 
 static void count_run(struct httpd_request *r)
 {
-	const char *id = httpd_header(r, HEADER_IDEMPOTENCY);
+	const char *id = httpd_header(r, headers_own.idempotency);
 	int *runs;
 
 	n_served++;
@@ -171,8 +171,8 @@
 
 static bool fence_is_old(struct httpd_request *r)
 {
-	const char *text = httpd_header(r, HEADER_FENCE);
-	const char *shard = httpd_header(r, HEADER_SHARD);
+	const char *text = httpd_header(r, headers_own.fence);
+	const char *shard = httpd_header(r, headers_own.shard);
 	int64_t fence = text ? g_ascii_strtoll(text, NULL, 10) : 0;
 	int64_t *seen;
 
@@ -195,7 +195,7 @@
 {
 	GPtrArray *headers = headers_new();
 
-	header_add(headers, HEADER_NOT_RUN, "true");
+	header_add(headers, headers_own.not_run, "true");
 	httpd_reply(r, 503, headers, "shed\n", 5);
 	g_ptr_array_unref(headers);
 	n_shed++;
--- a/t/test-settings.c
+++ b/t/test-settings.c
@@ -18,6 +18,7 @@
 	n = c.n_errors;
 	json_check_finish(&c);
 	json_decref(doc);
+	configuration_finish(cfg);
 	g_free(cfg);
 	return n;
 }
@@ -36,27 +37,99 @@
 	g_assert_cmpuint(problems("[]", "must be an object"), ==, 1);
 }
 
-static void test_longest_match(void)
+static struct configuration *read_good(const char *text)
 {
 	struct configuration *cfg = g_new0(struct configuration, 1);
+	json_t *doc = json_loads(text, 0, NULL);
+	struct json_check c;
+
+	json_check_init(&c, "f");
+	if (configuration_read(cfg, doc, &c))
+		g_error("%s", c.errors->str);
+	json_check_finish(&c);
+	json_decref(doc);
+	return cfg;
+}
 
-	cfg->n_classes = 2;
-	g_strlcpy(cfg->classes[0].method, "GET", 16);
-	g_strlcpy(cfg->classes[0].path, "/a", 16);
-	g_strlcpy(cfg->classes[1].method, "GET", 16);
-	g_strlcpy(cfg->classes[1].path, "/a/b", 16);
-	g_assert_true(configuration_match(cfg, "GET", "/a/b/c") ==
-		      &cfg->classes[1]);
-	g_assert_true(configuration_match(cfg, "GET", "/a/c") ==
-		      &cfg->classes[0]);
-	g_assert_null(configuration_match(cfg, "POST", "/a/c"));
+static void drop(struct configuration *cfg)
+{
+	configuration_finish(cfg);
 	g_free(cfg);
 }
 
+#define CLASS(name, rest) \
+	"{\"name\":\"" name "\",\"service\":\"s\",\"target_ms\":5," rest "}"
+#define DOCUMENT(classes)                                                \
+	"{\"services\":[{\"name\":\"s\"},{\"name\":\"t\"}],\"classes\":" \
+	"[" classes "],\"data_centres\":[]}"
+
+static const char *match(const struct configuration *cfg, const char *method,
+			 const char *host, const char *path)
+{
+	const struct class_settings *k =
+		configuration_match(cfg, method, host, path);
+
+	return k ? k->name : "none";
+}
+
+static void test_longest_match(void)
+{
+	struct configuration *cfg = read_good(DOCUMENT(
+		CLASS("a", "\"method\":\"GET\",\"path\":\"/a\"") "," CLASS(
+			"ab", "\"method\":\"GET\",\"path\":\"/a/b\"")));
+
+	g_assert_cmpstr(match(cfg, "GET", NULL, "/a/b/c"), ==, "ab");
+	g_assert_cmpstr(match(cfg, "GET", NULL, "/a/c"), ==, "a");
+	g_assert_cmpstr(match(cfg, "POST", NULL, "/a/c"), ==, "none");
+	drop(cfg);
+}
+
+/*
+ * Two hosts have routes of the same path. A request must not go to the service
+ * of the other host's, and a port in its Host header makes no difference.
+ */
+static void test_match_by_host(void)
+{
+	struct configuration *cfg = read_good(DOCUMENT(CLASS(
+		"x",
+		"\"method\":\"*\",\"host\":\"x.example\","
+		"\"path\":\"/p/\"") "," CLASS("y", "\"method\":\"*\",\"host\":"
+						   "\"y.example\","
+						   "\"path\":\"/p/\"")));
+
+	g_assert_cmpstr(match(cfg, "GET", "y.example", "/p/1"), ==, "y");
+	g_assert_cmpstr(match(cfg, "POST", "x.example:80", "/p/1"), ==, "x");
+	g_assert_cmpstr(match(cfg, "GET", "x.example.org", "/p/"), ==, "none");
+	g_assert_cmpstr(match(cfg, "GET", NULL, "/p/"), ==, "none");
+	drop(cfg);
+}
+
+static void test_split(void)
+{
+	struct configuration *cfg = read_good(
+		"{\"services\":[{\"name\":\"s\"},{\"name\":\"t\"}],"
+		"\"classes\":[{\"name\":\"k\",\"split\":["
+		"{\"service\":\"t\",\"weight\":90},"
+		"{\"service\":\"s\",\"weight\":10}],\"method\":\"GET\","
+		"\"path\":\"/\",\"target_ms\":5}],\"data_centres\":[]}");
+
+	g_assert_cmpuint(cfg->classes[0].n_targets, ==, 2);
+	g_assert_cmpuint(cfg->classes[0].targets[0].service, ==, 1);
+	g_assert_cmpuint(cfg->classes[0].targets[1].weight, ==, 10);
+	drop(cfg);
+	problems("{\"services\":[{\"name\":\"s\"}],\"classes\":[{\"name\":"
+		 "\"k\",\"split\":[{\"service\":\"s\",\"weight\":0}],"
+		 "\"method\":\"GET\",\"path\":\"/\",\"target_ms\":5}],"
+		 "\"data_centres\":[]}",
+		 "no part of the split has a weight");
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/settings/problems", test_problems_are_named);
 	g_test_add_func("/settings/longest-match", test_longest_match);
+	g_test_add_func("/settings/match-by-host", test_match_by_host);
+	g_test_add_func("/settings/split", test_split);
 	return g_test_run();
 }
--- a/util/counters.h
+++ b/util/counters.h
@@ -14,11 +14,13 @@
 	X(requests_not_run)        \
 	X(requests_unknown)        \
 	X(requests_rejected)       \
+	X(requests_abandoned)      \
 	X(requests_retried)        \
 	X(requests_hedged)         \
 	X(hedges_won)              \
 	X(answers_late)            \
 	X(answers_cut)             \
+	X(answers_mixed)           \
 	X(gate_received)           \
 	X(gate_admitted)           \
 	X(gate_queued)             \
--- a/util/result.c
+++ b/util/result.c
@@ -8,6 +8,7 @@
 		"stale",       "duplicate", "no-such",	 "gap",
 		"not-owner",   "overload",  "timeout",	 "conflict",
 		"unreachable", "cut",	    "cancelled", "trimmed",
+		"mixed",
 	};
 	int n = sizeof(names) / sizeof(names[0]);
 
--- a/util/result.h
+++ b/util/result.h
@@ -24,6 +24,7 @@
 	RESULT_CUT = -13, /* the answer ended before it was whole */
 	RESULT_CANCELLED = -14, /* the caller or the entry gave up */
 	RESULT_TRIMMED = -15, /* the log no longer holds the offset */
+	RESULT_MIXED = -16, /* the answer belongs to another request */
 };
 
 const char *result_name(int code);
