--- a/Makefile
+++ b/Makefile
@@ -105,8 +105,8 @@
 	clang-format -i $(SOURCES)
 
 clean:
-	rm -rf build
+	rm -rf build target
 
 .PHONY: unit packages all binaries test demo bench report soak check format clean
 .SECONDARY:
--include $(shell find build -name '*.d' 2>/dev/null)
+-include $(shell find $(OUT) -name '*.d' 2>/dev/null)
--- a/member/holds.c
+++ b/member/holds.c
@@ -122,12 +122,21 @@
 	return n->holds[i].state == HOLD_HELD;
 }
 
+/* A succession ahead of the log comes after the record that named the heir. */
+static int64_t fence_of(const struct member_node *n, uint32_t i)
+{
+	const struct shard *sh = shard_at(n, i);
+
+	return n->holds[i].step ? sh->heir_fence * 2 + 1 : sh->fence * 2;
+}
+
 static void acquire(struct member_node *n, uint32_t i)
 {
 	struct hold *h = &n->holds[i];
 
 	INVARIANT(lease_valid(n), "a shard acquired without a lease");
 	h->state = HOLD_HELD;
+	h->served_fence = fence_of(n, i);
 	h->held_since_ms = n->now_ms;
 	if (!h->has_ids)
 		h->blind_since_ms = n->now_ms;
@@ -151,6 +160,7 @@
 
 	if (h->state == HOLD_HELD) {
 		h->step = step;
+		h->served_fence = fence_of(n, i);
 		return;
 	}
 	if (h->state != HOLD_WAITING) {
@@ -676,8 +686,7 @@
 	h = &n->holds[shard];
 	if (h->state != HOLD_HELD)
 		return RESULT_NOT_OWNER;
-	/* A succession ahead of the log comes after the fence it follows. */
-	*fence = h->fence * 2 + h->step;
+	*fence = h->served_fence;
 	*lease_end_ms = end;
 	return RESULT_OK;
 }
--- a/member/member.h
+++ b/member/member.h
@@ -55,6 +55,12 @@
 	int64_t ids_fence; /* and the fence that it held the shard under */
 	int64_t owner_before; /* the owner that the log took the shard from */
 	int64_t fence; /* the shard's fence that clear belongs to */
+	/*
+	 * What it is served under. Not the shard's own fence: an owner that
+	 * serves on until its witnesses know of a move must not do so under
+	 * the fence of the owner that follows.
+	 */
+	int64_t served_fence;
 	/*
 	 * A backend server that lost its node may be busy with the shard until
 	 * then. Kept for shards of others too, since they may yet become ours.
--- a/node/node.c
+++ b/node/node.c
@@ -495,6 +495,7 @@
 	member_tick(&n->member, now);
 	gate_tick(&n->gate);
 	backend_tick(n);
+	reload_tick(n, now);
 	ask_seeds(n, now);
 	operator_tick(n);
 	/* A node with its lease from peers need not keep asking the log. */
@@ -527,6 +528,13 @@
 	member_set_wanted(&n->member, false, clock_now_ms());
 }
 
+static void on_hangup(struct ev_loop *loop, ev_signal *w, int events)
+{
+	(void)loop;
+	(void)events;
+	node_reload(w->data);
+}
+
 void node_backend_announced(struct node *n)
 {
 	if (!n->stopping)
@@ -557,6 +565,9 @@
 	ev_timer_init(&n->tick, on_tick, 0, TICK_S);
 	ev_signal_init(&n->sigterm, on_signal, SIGTERM);
 	ev_signal_init(&n->sigint, on_signal, SIGINT);
+	ev_signal_init(&n->sighup, on_hangup, SIGHUP);
+	n->sighup.data = n;
+	ev_signal_start(n->loop, &n->sighup);
 	n->tick.data = n;
 	n->sigterm.data = n;
 	n->sigint.data = n;
@@ -650,6 +661,7 @@
 	ev_timer_stop(n->loop, &n->tick);
 	ev_signal_stop(n->loop, &n->sigterm);
 	ev_signal_stop(n->loop, &n->sigint);
+	ev_signal_stop(n->loop, &n->sighup);
 	operator_finish(n);
 	gate_finish(&n->gate);
 	log_client_finish(&n->log);
--- a/node/node.h
+++ b/node/node.h
@@ -62,6 +62,9 @@
 	ev_timer tick;
 	ev_signal sigterm;
 	ev_signal sigint;
+	ev_signal sighup;
+	int64_t settings_changed_ns; /* when their file was, 0 not looked */
+	int64_t next_look_ms;
 	bool stopping;
 	int64_t stopping_ms;
 	int64_t left_ms; /* when all was given up, 0 not yet */
@@ -89,6 +92,10 @@
 void node_backend_announced(struct node *n);
 void node_backend_left(struct node *n);
 
+/* node/reload.c */
+void node_reload(struct node *n);
+void reload_tick(struct node *n, int64_t now_ms);
+
 /* node/operator.c */
 int operator_init(struct node *n);
 void operator_finish(struct node *n);
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -256,6 +256,7 @@
 		read_all(s, o, &c);
 	else
 		json_check_fail(&c, "$", "must be an object");
+	g_strlcpy(s->path, path, sizeof(s->path));
 	g_string_append(errors, c.errors->str);
 	n = c.n_errors;
 	json_check_finish(&c);
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -21,6 +21,7 @@
 
 /* One node's settings, as read from its file. */
 struct settings {
+	char path[256]; /* the file itself */
 	enum interface_kind interface;
 	const struct header_names *headers;
 	char host[64];
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -199,6 +199,12 @@
 	emit(f, &ev, record);
 }
 
+static void name_heir(struct shard *sh, int64_t heir, int64_t offset)
+{
+	sh->successor = heir;
+	sh->heir_fence = offset;
+}
+
 static void assign_unowned(struct fleet *f, struct fleet_service *s,
 			   int64_t offset, const json_t *record)
 {
@@ -216,11 +222,12 @@
 					  "unowned shard");
 		}
 		if (sh->owner && !sh->successor)
-			sh->successor = assign_pick(f, i, sh->owner, 0);
+			name_heir(sh, assign_pick(f, i, sh->owner, 0), offset);
 	}
 }
 
-static void name_successors(struct fleet *f, struct fleet_service *s)
+static void name_successors(struct fleet *f, struct fleet_service *s,
+			    int64_t offset)
 {
 	uint32_t i;
 
@@ -229,7 +236,7 @@
 		struct shard *sh = &s->shards[i];
 
 		if (sh->owner && !sh->successor)
-			sh->successor = assign_pick(f, i, sh->owner, 0);
+			name_heir(sh, assign_pick(f, i, sh->owner, 0), offset);
 	}
 }
 
@@ -247,7 +254,7 @@
 			    int64_t offset, const json_t *record)
 {
 	if (placed_by_record(s))
-		name_successors(f, s);
+		name_successors(f, s, offset);
 	else
 		assign_unowned(f, s, offset, record);
 }
@@ -284,7 +291,7 @@
 		emit(f, &ev, record);
 	}
 	if (sh->owner && !sh->successor)
-		sh->successor = assign_pick(f, i, sh->owner, gone);
+		name_heir(sh, assign_pick(f, i, sh->owner, gone), offset);
 }
 
 static void remove_member(struct fleet *f, int64_t id, int64_t offset,
@@ -358,7 +365,7 @@
 	sh->earlier_successor = sh->from_successor;
 	if (owner != from)
 		set_owner(f, s, i, owner, offset, record, reason);
-	sh->successor = successor;
+	name_heir(sh, successor, offset);
 	if (from) {
 		sh->from = from;
 		sh->from_successor = from_successor;
@@ -434,7 +441,7 @@
 		set_owner(f, s, i, to, offset, r, "unowned shard");
 		result = RESULT_OK;
 	}
-	name_successors(f, s);
+	name_successors(f, s, offset);
 	return result;
 }
 
--- a/state/fleet.h
+++ b/state/fleet.h
@@ -74,6 +74,13 @@
 	int64_t owner; /* 0: none */
 	int64_t successor; /* 0: none */
 	int64_t fence;
+	/*
+	 * Offset of the record that named the successor. One that takes over
+	 * ahead of the log serves under this, as the successor before it may
+	 * have done under its own: with the shard's fence alone both would
+	 * have the same.
+	 */
+	int64_t heir_fence;
 	/*
 	 * Set while a move is not settled: the owner and successor before it,
 	 * either of which may still be serving the shard.
--- a/state/snapshot.c
+++ b/state/snapshot.c
@@ -6,7 +6,7 @@
 #include "util/result.h"
 
 #define SNAPSHOT_FORMAT 3
-#define SHARD_NUMBERS 7
+#define SHARD_NUMBERS 8
 
 static json_t *member_to_json(const struct member *m)
 {
@@ -34,7 +34,8 @@
 				sh->from,
 				sh->from_successor,
 				sh->earlier_from,
-				sh->earlier_successor };
+				sh->earlier_successor,
+				sh->heir_fence };
 		uint32_t j;
 
 		for (j = 0; j < G_N_ELEMENTS(v); j++)
@@ -143,7 +144,8 @@
 				     &sh->from,
 				     &sh->from_successor,
 				     &sh->earlier_from,
-				     &sh->earlier_successor };
+				     &sh->earlier_successor,
+				     &sh->heir_fence };
 		uint32_t j;
 
 		for (j = 0; j < G_N_ELEMENTS(field); j++)
--- a/t/sim.c
+++ b/t/sim.c
@@ -237,6 +237,8 @@
 	s->log = g_ptr_array_new();
 	s->answers = g_queue_new();
 	s->n_shards = N_SHARDS;
+	s->top_fence = g_new0(int64_t, N_SHARDS);
+	s->top_slot = g_new0(uint32_t, N_SHARDS);
 	s->disabled_rules = disabled_rules;
 	for (i = 0; i < SIM_NODES; i++) {
 		struct sim_node *nd = &s->nodes[i];
@@ -265,6 +267,8 @@
 {
 	uint32_t i;
 
+	g_free(s->top_fence);
+	g_free(s->top_slot);
 	for (i = 0; i < SIM_NODES; i++) {
 		sim_kill(s, i);
 		g_queue_free_full(s->nodes[i].inbox, packet_free);
@@ -398,10 +402,43 @@
 	}
 }
 
+/*
+ * A backend server that checks fences takes a key only under a higher fence
+ * than any it knows, and two servers must never have been told the same one.
+ */
+static void check_fence(struct sim *s, uint32_t shard, struct sim_node *nd)
+{
+	int64_t fence, end;
+
+	if (!nd->up || nd->slot >= 5 ||
+	    member_may_serve(&nd->member, shard, local(nd), &fence, &end))
+		return;
+	if (fence < s->top_fence[shard] ||
+	    (fence == s->top_fence[shard] && s->top_slot[shard] != nd->slot)) {
+		s->fence_breaches++;
+		if (s->verbose)
+			g_print("%7" G_GINT64_FORMAT
+				" node %u serves shard %u under fence "
+				"%" G_GINT64_FORMAT ", node %u had it under "
+				"%" G_GINT64_FORMAT "\n",
+				(gint64)s->now, nd->slot, shard, (gint64)fence,
+				s->top_slot[shard],
+				(gint64)s->top_fence[shard]);
+	}
+	if (fence < s->top_fence[shard])
+		return;
+	s->top_fence[shard] = fence;
+	s->top_slot[shard] = nd->slot;
+}
+
 static void check(struct sim *s)
 {
 	uint32_t i, j;
 
+	for (i = 0; i < s->n_shards; i++)
+		for (j = 0; j < SIM_NODES; j++)
+			check_fence(s, i, &s->nodes[j]);
+
 	for (i = 0; i < s->n_shards; i++) {
 		uint32_t n = 0;
 
--- a/t/sim.h
+++ b/t/sim.h
@@ -64,6 +64,9 @@
 	uint32_t n_shards;
 	uint32_t disabled_rules;
 	uint64_t breaches; /* shards served by two nodes at once */
+	uint64_t fence_breaches; /* under a fence that is not the newest */
+	int64_t *top_fence; /* per shard, highest it was ever served under */
+	uint32_t *top_slot; /* by whom */
 	uint64_t appends;
 	bool verbose;
 };
--- a/t/test-member.c
+++ b/t/test-member.c
@@ -21,7 +21,8 @@
 		sim_converge(s, 20000);
 	s->loss = 0.02 * (seed % 5);
 	end = s->now + FAULTY_MS;
-	while (s->now < end && !s->breaches) {
+	while (s->now < end && !s->breaches &&
+	       (rules || !s->fence_breaches)) {
 		sim_run(s, g_rand_int_range(s->rand, 100, 3000));
 		sim_fault(s);
 		if (g_rand_boolean(s->rand))
@@ -52,6 +53,9 @@
 				sim_unserved(&s));
 		}
 		g_assert_cmpuint(s.breaches, ==, 0);
+		if (s.fence_breaches)
+			g_error("seed %u: a fence that was another's",
+				first_seed + i);
 		sim_finish(&s);
 	}
 	g_test_message("%u seeds ran", n_seeds);
