--- a/gate/queue.c
+++ b/gate/queue.c
@@ -4,6 +4,7 @@
 
 #define FADE 0.998
 #define SERVICE_WEIGHT 0.1
+#define LEAST_SHARE 0.5
 
 /* Set up an empty queue of at most max requests. */
 void queue_init(struct queue *q, uint32_t max)
@@ -126,16 +127,32 @@
 	return best;
 }
 
-bool queue_can_meet(const struct queue *q, int64_t now_ms, int64_t due_ms,
-		    int64_t deadline_ms, double slots)
+static double class_ms(const struct queue *q, uint32_t class_index)
 {
+	if (class_index < q->n_classes &&
+	    q->classes[class_index].service_ms > 0)
+		return q->classes[class_index].service_ms;
+	return q->service_ms;
+}
+
+bool queue_can_meet(const struct queue *q, int64_t now_ms,
+		    const struct queued *in, uint32_t running, double slots)
+{
+	double wait_ms = 0;
 	uint32_t ahead = 0;
 	uint32_t i;
 
 	for (i = 0; i < q->heap->len; i++)
-		ahead += at(q, i)->due_ms <= due_ms;
-	return now_ms + (ahead / MAX(slots, 1.0) + 1) * q->service_ms <=
-	       deadline_ms;
+		ahead += at(q, i)->due_ms <= in->due_ms;
+	if (ahead || running >= slots)
+		wait_ms = (ahead + 1) / MAX(slots, 1.0) * q->service_ms;
+	/*
+	 * Half of a class's usual time is enough for many of its requests.
+	 * The mean over all classes would say of a short one among long ones
+	 * that it has no chance.
+	 */
+	return now_ms + wait_ms + class_ms(q, in->class_index) * LEAST_SHARE <=
+	       in->deadline_ms;
 }
 
 struct queued *queue_push(struct queue *q, const struct queued *in)
@@ -189,9 +206,14 @@
 	return false;
 }
 
-void queue_learn(struct queue *q, double service_ms)
+static void smooth(double *mean, double v)
 {
-	if (q->service_ms <= 0)
-		q->service_ms = service_ms;
-	q->service_ms += SERVICE_WEIGHT * (service_ms - q->service_ms);
+	*mean += *mean > 0 ? SERVICE_WEIGHT * (v - *mean) : v;
+}
+
+void queue_learn(struct queue *q, uint32_t class_index, double service_ms)
+{
+	smooth(&q->service_ms, service_ms);
+	if (class_index < q->n_classes)
+		smooth(&q->classes[class_index].service_ms, service_ms);
 }
--- a/gate/queue.h
+++ b/gate/queue.h
@@ -15,6 +15,7 @@
 	double seen; /* requests, fading */
 	double refused;
 	double refused_share; /* target */
+	double service_ms; /* smoothed time at the server, 0 unknown */
 };
 
 struct queued {
@@ -43,11 +44,11 @@
 void queue_count(struct queue *q, uint32_t class_index, bool refused);
 
 /*
- * Whether a request that must be done by deadline_ms has a chance, with
- * `slots` requests served at a time.
+ * Whether a request still has a chance to be done by its deadline, when running
+ * are being served now and slots can be at a time.
  */
-bool queue_can_meet(const struct queue *q, int64_t now_ms, int64_t due_ms,
-		    int64_t deadline_ms, double slots);
+bool queue_can_meet(const struct queue *q, int64_t now_ms,
+		    const struct queued *in, uint32_t running, double slots);
 
 /*
  * Add a request. Returns NULL when it fitted, otherwise what must be refused
@@ -64,7 +65,7 @@
 /* Take one whose deadline has passed; false when there is none. */
 bool queue_pop_expired(struct queue *q, int64_t now_ms, struct queued *out);
 
-/* Learn how long the backend server took for one request. */
-void queue_learn(struct queue *q, double service_ms);
+/* Learn how long the backend server took for one request of a class. */
+void queue_learn(struct queue *q, uint32_t class_index, double service_ms);
 
 #endif
--- a/member/member.h
+++ b/member/member.h
@@ -226,6 +226,16 @@
 void member_set_published(struct member_node *n, int64_t source, json_t *doc,
 			  int64_t now_ms);
 
+/*
+ * Give shards of ours (uint32_t) to another member, by a record to the log.
+ * Returns whether one goes out; those that are not ours or not settled stay.
+ */
+bool member_give(struct member_node *n, int64_t to, const GArray *shards,
+		 int64_t now_ms);
+
+/* Whether a shard is ours, served and settled, so that it may be given. */
+bool member_may_give(const struct member_node *n, uint32_t shard);
+
 /* Name the life of our backend server, before asking to be a member. */
 void member_set_life(struct member_node *n, const char *life);
 
--- a/member/propose.c
+++ b/member/propose.c
@@ -317,6 +317,49 @@
 	member_append(n, APPEND_BALANCE, record);
 }
 
+bool member_may_give(const struct member_node *n, uint32_t shard)
+{
+	const struct fleet_service *s = member_service(n);
+
+	return s && shard < n->n_holds && s->shards[shard].owner == n->self &&
+	       !s->shards[shard].from && n->holds[shard].state == HOLD_HELD;
+}
+
+bool member_give(struct member_node *n, int64_t to, const GArray *shards,
+		 int64_t now_ms)
+{
+	const struct fleet_service *s = member_service(n);
+	const struct member *m = fleet_member(&n->fleet, to);
+	json_t *record;
+	uint32_t n_items = 0;
+	uint32_t i;
+
+	n->now_ms = MAX(n->now_ms, now_ms);
+	if (!s || !m || !n->self || n->resigning || !lease_valid(n) ||
+	    !may_append(n, APPEND_BALANCE))
+		return false;
+	record = record_move(s->name, n->self, "load");
+	assign_prepare(&n->fleet, s);
+	for (i = 0; i < shards->len; i++) {
+		uint32_t shard = g_array_index(shards, uint32_t, i);
+		int64_t heir;
+
+		if (!member_may_give(n, shard))
+			continue;
+		heir = s->shards[shard].successor;
+		if (!heir || heir == to)
+			heir = n->self;
+		record_move_add(record, shard, to, heir,
+				s->shards[shard].fence);
+		n_items++;
+	}
+	if (n_items)
+		member_append(n, APPEND_BALANCE, record);
+	else
+		json_decref(record);
+	return n_items;
+}
+
 static void cut_snapshot(struct member_node *n)
 {
 	json_t *state = fleet_snapshot(&n->fleet);
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "net/address.h"
 #include "net/httpd.h"
@@ -88,13 +89,9 @@
 
 static void watch_caller(struct httpd_request *r)
 {
-	const union MHD_ConnectionInfo *info;
-
-	info = MHD_get_connection_info(r->connection,
-				       MHD_CONNECTION_INFO_CONNECTION_FD);
-	if (!info)
+	if (!r->from || r->from->shut || r->from->fd < 0)
 		return;
-	ev_io_init(&r->watch, on_watch, info->connect_fd, EV_READ);
+	ev_io_init(&r->watch, on_watch, r->from->fd, EV_READ);
 	r->watch.data = r;
 	ev_io_start(r->httpd->loop, &r->watch);
 }
@@ -130,8 +127,13 @@
 static void *on_uri(void *user, const char *uri, struct MHD_Connection *c)
 {
 	struct httpd_request *r = request_new(user, c, "");
+	const union MHD_ConnectionInfo *info;
 
 	r->url = g_strdup(uri);
+	info = MHD_get_connection_info(c, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	r->from = info ? info->socket_context : NULL;
+	if (r->from)
+		r->from->busy = true;
 	return r;
 }
 
@@ -203,10 +205,34 @@
 	if (!r)
 		return;
 	h->ops->on_closed(h->user, r);
+	if (r->from)
+		r->from->busy = false;
 	request_free(r);
 	*state = NULL;
 }
 
+static void on_connection(void *user, struct MHD_Connection *c,
+			  void **socket_context,
+			  enum MHD_ConnectionNotificationCode what)
+{
+	struct httpd *h = user;
+	const union MHD_ConnectionInfo *info;
+	struct httpd_connection *n = *socket_context;
+
+	if (what == MHD_CONNECTION_NOTIFY_CLOSED) {
+		if (n)
+			g_ptr_array_remove_fast(h->connections, n);
+		*socket_context = NULL;
+		return;
+	}
+	info = MHD_get_connection_info(c, MHD_CONNECTION_INFO_CONNECTION_FD);
+	n = g_new0(struct httpd_connection, 1);
+	n->httpd = h;
+	n->fd = info ? info->connect_fd : -1;
+	g_ptr_array_add(h->connections, n);
+	*socket_context = n;
+}
+
 static struct MHD_Daemon *start(struct httpd *h, struct sockaddr_in *addr)
 {
 	return MHD_start_daemon(
@@ -216,7 +242,8 @@
 		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CONNECTION_LIMIT,
 		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_TIMEOUT_S,
 		MHD_OPTION_URI_LOG_CALLBACK, on_uri, h,
-		MHD_OPTION_NOTIFY_COMPLETED, on_completed, h, MHD_OPTION_END);
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, h,
+		MHD_OPTION_NOTIFY_CONNECTION, on_connection, h, MHD_OPTION_END);
 }
 
 int httpd_init(struct httpd *h, struct ev_loop *loop, const char *address,
@@ -233,9 +260,12 @@
 	h->ops = ops;
 	h->user = user;
 	h->max_body_bytes = max_body_bytes;
+	h->connections = g_ptr_array_new_with_free_func(g_free);
 	h->daemon = start(h, &addr);
-	if (!h->daemon)
+	if (!h->daemon) {
+		g_ptr_array_unref(h->connections);
 		return RESULT_IO;
+	}
 	info = MHD_get_daemon_info(h->daemon, MHD_DAEMON_INFO_EPOLL_FD);
 	ev_io_init(&h->io, on_io, info->epoll_fd, EV_READ);
 	ev_init(&h->timer, on_timer);
@@ -256,6 +286,7 @@
 	ev_prepare_stop(h->loop, &h->prepare);
 	MHD_stop_daemon(h->daemon);
 	h->daemon = NULL;
+	g_ptr_array_unref(h->connections);
 }
 
 void httpd_drain(struct httpd *h)
@@ -263,6 +294,33 @@
 	h->draining = true;
 }
 
+void httpd_close(struct httpd *h)
+{
+	uint32_t i;
+
+	if (!h->closed) {
+		MHD_socket fd = MHD_quiesce_daemon(h->daemon);
+
+		if (fd != MHD_INVALID_SOCKET)
+			close(fd);
+	}
+	h->closed = true;
+	h->draining = true;
+	/*
+	 * A request that is on its way on such a connection is read and
+	 * answered all the same: only what follows it is cut off.
+	 */
+	for (i = 0; i < h->connections->len; i++) {
+		struct httpd_connection *c =
+			g_ptr_array_index(h->connections, i);
+
+		if (c->busy || c->shut || c->fd < 0)
+			continue;
+		c->shut = true;
+		shutdown(c->fd, SHUT_RD);
+	}
+}
+
 /* A request header by name, NULL when absent. */
 const char *httpd_header(const struct httpd_request *r, const char *name)
 {
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -39,13 +39,24 @@
 	const struct httpd_ops *ops;
 	void *user;
 	uint64_t max_body_bytes;
+	GPtrArray *connections; /* struct httpd_connection */
 	bool dirty; /* a connection was resumed: run the daemon */
 	bool draining;
+	bool closed; /* takes no connections any more */
+};
+
+/* A caller's open connection. */
+struct httpd_connection {
+	struct httpd *httpd;
+	int fd;
+	bool busy; /* a request on it has begun and is not finished */
+	bool shut; /* by us, for reading: its end tells nothing of the caller */
 };
 
 struct httpd_request {
 	struct httpd *httpd;
 	struct MHD_Connection *connection;
+	struct httpd_connection *from;
 	ev_io watch; /* for the caller's leaving, while suspended */
 	char *method;
 	char *path; /* decoded, without the query */
@@ -76,6 +87,9 @@
 /* Close connections after their next answer, for a graceful stop. */
 void httpd_drain(struct httpd *h);
 
+/* Take no new connections, and close those on which nothing is going on. */
+void httpd_close(struct httpd *h);
+
 const char *httpd_header(const struct httpd_request *r, const char *name);
 const char *httpd_argument(const struct httpd_request *r, const char *name);
 
--- a/node/entry-answer.c
+++ b/node/entry-answer.c
@@ -10,6 +10,7 @@
 
 #define RETRY_AFTER_SPREAD_S 2
 #define MS_PER_S 1000
+#define SIZE_WEIGHT 0.1
 
 static void add_retry_after(struct entry_request *r, GPtrArray *headers,
 			    int64_t wait_ms)
@@ -108,11 +109,20 @@
 	r->received_bytes += m->len;
 }
 
+static void learn_size(struct entry_request *r)
+{
+	struct class_cost *c = entry_cost(r);
+
+	c->bytes += c->bytes > 0 ? SIZE_WEIGHT * (r->received_bytes - c->bytes)
+				 : r->received_bytes;
+}
+
 /* The answer of an attempt is at its end; one not whole cuts the caller off. */
 void entry_end_answer(struct entry_request *r, struct attempt *a, bool ok)
 {
 	if (ok) {
 		COUNT(requests_answered);
+		learn_size(r);
 	} else {
 		COUNT(answers_cut);
 		COUNT(requests_unknown);
@@ -146,6 +156,7 @@
 	headers = answer_headers(m, &length);
 	if ((m->flags & REQ_FLAG_END) && strcmp(r->http->method, "HEAD")) {
 		COUNT(requests_answered);
+		learn_size(r);
 		r->done = true;
 		httpd_reply(r->http, m->status, headers, m->data, m->len);
 		entry_forget_attempt(e, a);
--- a/node/entry-pick.c
+++ b/node/entry-pick.c
@@ -8,10 +8,24 @@
 
 #define MAX_CANDIDATES 8
 #define MAX_MEMBERS 2048
+#define BYTES_PER_KB 1024.0
+
+/* What a gate in another data centre costs a request, on the nominal scale. */
+static double far_ms(struct entry_request *r)
+{
+	const struct settings *s = &r->entry->node->settings;
+	const struct class_cost *c = entry_cost(r);
+	double ms = s->far_ms + c->bytes / BYTES_PER_KB * s->far_ms_per_kb;
+
+	return c->ms > 0 ? ms / c->ms * NOMINAL_MS : ms;
+}
 
 /* Members that may serve a request on no particular shard. */
-static uint32_t gates_of_service(struct entry_request *r, int64_t *out)
+static uint32_t gates_of_service(struct entry_request *r,
+				 struct gate_option *out)
 {
+	const char *home = r->entry->node->settings.data_centre;
+	double far = far_ms(r);
 	const struct member_node *n = &r->entry->node->member;
 	struct member *m;
 	uint32_t count = 0;
@@ -20,8 +34,12 @@
 	for_each_member (&n->fleet, m, i)
 		if (!strcmp(m->service, r->service) &&
 		    fleet_member_takes_work(&n->fleet, m) &&
-		    !member_known_stopped(n, m->id) && count < MAX_MEMBERS)
-			out[count++] = m->id;
+		    !member_known_stopped(n, m->id) && count < MAX_MEMBERS) {
+			out[count].member = m->id;
+			out[count].extra_ms = strcmp(m->data_centre, home) ? far
+									   : 0;
+			count++;
+		}
 	return count;
 }
 
@@ -48,7 +66,8 @@
 /* The gate to ask next, other than except where there is a choice; 0 none. */
 int64_t entry_pick_gate(struct entry_request *r, int64_t except)
 {
-	static int64_t members[MAX_MEMBERS];
+	static struct gate_option options[MAX_MEMBERS];
+	int64_t members[MAX_CANDIDATES];
 	struct entry *e = r->entry;
 	const struct member_node *n = &e->node->member;
 	uint32_t count;
@@ -60,7 +79,7 @@
 					  MAX_CANDIDATES);
 		return pick_candidate(r, members, count);
 	}
-	count = gates_of_service(r, members);
-	return chooser_pick(&e->chooser, members, count, n->self, except,
+	count = gates_of_service(r, options);
+	return chooser_pick(&e->chooser, options, count, n->self, except,
 			    clock_now_ms());
 }
--- a/node/entry-request.h
+++ b/node/entry-request.h
@@ -80,6 +80,7 @@
 int64_t entry_pick_gate(struct entry_request *r, int64_t except);
 
 /* node/entry.c */
+struct class_cost *entry_cost(struct entry_request *r);
 struct budget *entry_budget(struct entry *e, const char *service);
 void entry_step(struct entry_request *r, enum plan_step step);
 
--- a/node/entry.c
+++ b/node/entry.c
@@ -10,9 +10,10 @@
 
 #define TICK_S 0.005
 #define MAX_REQUESTS 8192
-/* Hedges share the budget of repeats; they need twice as much in it. */
+/* Hedges share the budget of repeats. */
 #define HEDGE_FACTOR 1.6
-#define HEDGE_MIN_MS 2.0
+/* Earlier there is time enough for the first answer to be in time. */
+#define HEDGE_TARGET_SHARE 0.5
 #define AVOID_MS 50
 #define TRY_MIN_MS 60
 #define TRY_FACTOR 10
@@ -20,6 +21,12 @@
 #define SILENT_GATE_MS 250
 #define CREDIT_BYTES (32 * 1024)
 #define ROUND_MS 50
+#define COST_WEIGHT 0.05
+
+static double usual_ms(struct entry_request *r, const struct gate_view *v)
+{
+	return v->latency_ms / NOMINAL_MS * entry_cost(r)->ms;
+}
 
 /* What repeats and hedges of requests to a service may add to its load. */
 struct budget *entry_budget(struct entry *e, const char *service)
@@ -37,6 +44,18 @@
 	return b;
 }
 
+struct class_cost *entry_cost(struct entry_request *r)
+{
+	GHashTable *costs = r->entry->costs;
+	struct class_cost *c = g_hash_table_lookup(costs, r->class_name);
+
+	if (c)
+		return c;
+	c = g_new0(struct class_cost, 1);
+	g_hash_table_insert(costs, g_strdup(r->class_name), c);
+	return c;
+}
+
 static void send_next(struct entry_request *r)
 {
 	int64_t member = entry_pick_gate(
@@ -94,12 +113,18 @@
 static void note_answer(struct entry *e, struct attempt *a,
 			const struct request_msg *m)
 {
+	struct class_cost *c = entry_cost(a->request);
 	double ms = (clock_now_us() - a->sent_us) / 1000.0;
 
 	if (m->type == REQ_DATA)
 		return;
-	chooser_answered(&e->chooser, a->member, m->type == REQ_HEAD ? ms : 0,
-			 m->load, m->limit, clock_now_ms());
+	if (m->type != REQ_HEAD)
+		ms = 0;
+	else
+		c->ms += c->ms > 0 ? COST_WEIGHT * (ms - c->ms) : ms;
+	chooser_answered(&e->chooser, a->member,
+			 ms > 0 ? ms / MAX(c->ms, 1) * NOMINAL_MS : 0, m->load,
+			 m->limit, clock_now_ms());
 }
 
 void entry_on_message(struct entry *e, const struct request_msg *m)
@@ -156,7 +181,8 @@
 	if (!r->plan.repeatable || r->plan.keyed || r->hedged ||
 	    !e->node->settings.hedge || !plan_may_reach(&r->plan))
 		return;
-	if (age_ms < MAX(HEDGE_MIN_MS, HEDGE_FACTOR * v->latency_ms))
+	if (age_ms < MAX(HEDGE_TARGET_SHARE * r->target_ms,
+			 HEDGE_FACTOR * usual_ms(r, v)))
 		return;
 	member = entry_pick_gate(r, a->member);
 	if (!member || member == a->member ||
@@ -173,7 +199,7 @@
 	struct gate_view *v = chooser_view(&r->entry->chooser, a->member);
 	double left = r->plan.deadline_ms - r->plan.received_ms;
 
-	return MIN(MAX(TRY_MIN_MS + r->target_ms, TRY_FACTOR * v->latency_ms),
+	return MIN(MAX(TRY_MIN_MS + r->target_ms, TRY_FACTOR * usual_ms(r, v)),
 		   left / 2);
 }
 
@@ -221,13 +247,6 @@
 		ask_heir(r, a, age_ms, now);
 		return;
 	}
-	if (r->plan.repeatable && age_ms > try_ms(r, a) &&
-	    r->plan.tries < PLAN_MAX_TRIES && r->plan.open == 1 &&
-	    plan_may_reach(&r->plan)) {
-		entry_cancel_attempt(e, a, true);
-		on_failed(r);
-		return;
-	}
 	hedge(r, a, age_ms);
 }
 
@@ -392,6 +411,8 @@
 					    g_free);
 	e->budgets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	e->costs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	e->requests = g_ptr_array_new();
 	chooser_init(&e->chooser, node->settings.choice, g_random_int());
 	ev_init(&e->tick, on_tick);
@@ -410,6 +431,7 @@
 	chooser_finish(&e->chooser);
 	g_hash_table_unref(e->attempts);
 	g_hash_table_unref(e->budgets);
+	g_hash_table_unref(e->costs);
 	g_ptr_array_unref(e->requests);
 	g_rand_free(e->rand);
 }
@@ -419,6 +441,11 @@
 	httpd_drain(&e->httpd);
 }
 
+void entry_close(struct entry *e)
+{
+	httpd_close(&e->httpd);
+}
+
 bool entry_idle(const struct entry *e)
 {
 	return !e->requests->len;
--- a/node/entry.h
+++ b/node/entry.h
@@ -17,8 +17,22 @@
 struct node;
 struct entry_request;
 
+/* What answers of a class are like, smoothed over all gates. */
+struct class_cost {
+	double bytes;
+	double ms; /* from sending to the answer's head, 0 unknown */
+};
+
+/*
+ * Gates are compared by how slow they are for the class at hand, as if each
+ * class took this long: a gate that happened to get the short requests of late
+ * would look fast otherwise.
+ */
+#define NOMINAL_MS 100.0
+
 struct entry {
 	struct node *node;
+	GHashTable *costs; /* class -> struct class_cost */
 	struct httpd httpd;
 	struct chooser chooser;
 	GHashTable *budgets; /* service -> struct budget */
@@ -39,8 +53,11 @@
 /* A member is gone or known to have stopped: wait for it no longer. */
 void entry_on_member_stopped(struct entry *e, int64_t member);
 
-/* Take no new connections; requests in progress end. */
+/* Ask callers to come by new connections, and so to look elsewhere. */
 void entry_drain(struct entry *e);
+
+/* Take no new connections; requests in progress end. */
+void entry_close(struct entry *e);
 bool entry_idle(const struct entry *e);
 
 #endif
--- a/node/gate-request.h
+++ b/node/gate-request.h
@@ -10,6 +10,7 @@
 
 enum gate_state {
 	GATE_WAITING, /* in the queue */
+	GATE_PARKED, /* for a key that is on its way to us */
 	GATE_RUNNING, /* handed to the backend server */
 };
 
@@ -35,6 +36,7 @@
 	int64_t arrived_ms;
 	int64_t started_us;
 	int64_t deadline_ms;
+	int64_t answer_by_ms; /* one not begun by then is refused */
 	int64_t resend_window_ms;
 	int64_t target_ms;
 	uint32_t priority;
@@ -48,6 +50,21 @@
 	GString *kept; /* a short answer, for a repeated id */
 };
 
+/* node/gate-park.c */
+
+/*
+ * Keep a request for a shard that is ours by the log and that our server is
+ * about to get. Returns false when that is not so, or there is no room.
+ */
+bool gate_park(struct gate_request *r);
+void gate_unpark(struct gate_request *r);
+void gate_park_tick(struct gate *g, int64_t now_ms);
+
+bool gate_may_serve(struct gate_request *r, int64_t *fence,
+		    int64_t *lease_end_ms);
+void gate_enqueue(struct gate_request *r);
+void gate_refuse(struct gate_request *r, int result);
+
 /* Start what may be started. */
 void gate_pump(struct gate *g);
 void gate_emit(struct gate *g, GBytes *identity, struct request_msg *m);
--- a/node/gate.c
+++ b/node/gate.c
@@ -19,6 +19,14 @@
 #define MAX_ENTRIES 2048
 #define MAX_ORIGINS 4096
 #define STATUS_MISDIRECTED 421
+/* What another server's use was longer ago says nothing of now. */
+#define HEARD_MS 2000
+/*
+ * A request still waiting this long before its deadline is refused: later our
+ * word that it did not run would come after its entry has given it up, and had
+ * to say that it may have run.
+ */
+#define WORD_MARGIN_MS 40
 /* A server stops at the deadline that it was given; its word may yet come. */
 #define ANSWER_GRACE_MS 50
 
@@ -69,6 +77,7 @@
 	g->node = node;
 	g->version = -1;
 	g->requests = g_hash_table_new(request_hash, request_equal);
+	g->parked = g_ptr_array_new();
 	g->rand = g_rand_new();
 	g->entries = g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
 					   (GDestroyNotify)g_bytes_unref,
@@ -80,6 +89,7 @@
 	ids_init(&g->ids, MAX_IDS);
 	cold_init(&g->cold, clock_now_ms());
 	grants_init(&g->grants);
+	balance_init(&g->balance);
 	g->class_indexes =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g->origins = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
@@ -103,10 +113,12 @@
 	if (g->fetcher_ready)
 		fetcher_finish(&g->fetcher);
 	g_hash_table_unref(g->requests);
+	g_ptr_array_unref(g->parked);
 	queue_finish(&g->queue);
 	ids_finish(&g->ids);
 	ev_timer_stop(g->node->loop, &g->watch);
 	grants_finish(&g->grants);
+	balance_finish(&g->balance);
 	g_hash_table_unref(g->class_indexes);
 	g_hash_table_unref(g->origins);
 	g_hash_table_unref(g->entries);
@@ -193,7 +205,7 @@
 	return (MIN_WAIT_MS + drain) * g_rand_double_range(g->rand, 1.0, 2.0);
 }
 
-static void refuse(struct gate_request *r, int result)
+void gate_refuse(struct gate_request *r, int result)
 {
 	struct request_msg m = { .type = REQ_REFUSED,
 				 .number = result,
@@ -302,8 +314,8 @@
 	return true;
 }
 
-static bool may_serve(struct gate_request *r, int64_t *fence,
-		      int64_t *lease_end_ms)
+bool gate_may_serve(struct gate_request *r, int64_t *fence,
+		    int64_t *lease_end_ms)
 {
 	struct node *node = r->gate->node;
 
@@ -311,6 +323,8 @@
 
 	*fence = 0;
 	*lease_end_ms = INT64_MAX;
+	if (r->gate->draining)
+		return false;
 	if (!r->keyed)
 		return node_takes_work(node);
 	if (member_may_serve(&node->member, r->shard, now, fence, lease_end_ms))
@@ -455,16 +469,17 @@
 		g->connect_failures++;
 	if (r->shed) {
 		COUNT(gate_backend_shed);
-		refuse(r, f->status == STATUS_MISDIRECTED ? RESULT_NOT_OWNER
-							  : RESULT_OVERLOAD);
+		gate_refuse(r, f->status == STATUS_MISDIRECTED
+				       ? RESULT_NOT_OWNER
+				       : RESULT_OVERLOAD);
 	} else if (!result) {
-		queue_learn(&g->queue, ms);
+		queue_learn(&g->queue, r->class_index, ms);
 		queue_count(&g->queue, r->class_index, false);
 		send_part(r, true);
 		request_free(r);
 	} else if (!f->sent) {
 		COUNT(gate_backend_failed);
-		refuse(r, RESULT_UNREACHABLE);
+		gate_refuse(r, RESULT_UNREACHABLE);
 	} else {
 		COUNT(gate_backend_failed);
 		fail(r, result);
@@ -507,22 +522,24 @@
 	 * the lease may have lapsed or the shard moved, and another gate may
 	 * be serving the key by now.
 	 */
-	if (!may_serve(r, &fence, &lease_end_ms)) {
-		refuse(r, RESULT_NOT_OWNER);
+	if (!gate_may_serve(r, &fence, &lease_end_ms)) {
+		gate_refuse(r, RESULT_NOT_OWNER);
 		return;
 	}
 	/* A lease that is renewed by heartbeats outlasts what we see of it. */
 	left_ms = r->deadline_ms - now;
+	if (now >= r->answer_by_ms)
+		left_ms = 0;
 	if (!g->node->settings.grants_by_heartbeat)
 		left_ms = MIN(left_ms, lease_end_ms - now);
 	if (left_ms <= 0) {
-		refuse(r, RESULT_TIMEOUT);
+		gate_refuse(r, RESULT_TIMEOUT);
 		return;
 	}
 	if (r->seen_hash) {
 		if (!ids_begin(&g->ids, r->seen_hash, MAX(r->shard, 0),
 			       r->resend_window_ms, now)) {
-			refuse(r, RESULT_OVERLOAD);
+			gate_refuse(r, RESULT_OVERLOAD);
 			return;
 		}
 		r->kept = g_string_new(NULL);
@@ -591,6 +608,8 @@
 		g->shard_load = g_new0(uint32_t, s->n_shards);
 		g->n_shards = s->n_shards;
 	}
+	if (s && s->key_numbers)
+		balance_resize(&g->balance, s->n_shards);
 	if (s && g->node->settings.grants_by_heartbeat && s->key_numbers)
 		grants_resize(&g->grants, s->n_shards, s->key_numbers);
 }
@@ -658,35 +677,39 @@
 	r->shard = r->keyed ? m->shard : NO_SHARD;
 	r->arrived_ms = clock_now_ms();
 	r->deadline_ms = r->arrived_ms + m->deadline_ms - delay_ms(g, m);
+	r->answer_by_ms = r->deadline_ms - WORD_MARGIN_MS;
 	if (r->shard >= 0 && r->shard < g->n_shards)
 		g->shard_load[r->shard]++;
 	else
 		r->shard = NO_SHARD;
+	if (r->shard >= 0)
+		balance_count(&g->balance, r->shard);
 	g_hash_table_add(g->requests, r);
 	return r;
 }
 
-static void enqueue(struct gate_request *r)
+void gate_enqueue(struct gate_request *r)
 {
 	struct gate *g = r->gate;
 	struct queued q = { .due_ms = r->arrived_ms + r->target_ms,
-			    .deadline_ms = r->deadline_ms,
+			    .deadline_ms = r->answer_by_ms,
 			    .class_index = r->class_index,
 			    .request = r };
 	struct queued *victim;
 
 	/*
 	 * Others of the service can take this one; here it would share the
-	 * stall of those in flight.
+	 * stall of those in flight, or wait until a cold server bears more.
 	 */
-	if (g->limit.stalled && !r->keyed) {
-		refuse(r, RESULT_OVERLOAD);
+	if ((g->limit.stalled || !cold_allows(&g->cold, r->arrived_ms)) &&
+	    !r->keyed) {
+		gate_refuse(r, RESULT_OVERLOAD);
 		return;
 	}
 	/* Late already: refused now, its caller can still go elsewhere. */
-	if (!queue_can_meet(&g->queue, r->arrived_ms, q.due_ms, q.deadline_ms,
+	if (!queue_can_meet(&g->queue, r->arrived_ms, &q, g->n_running,
 			    g->limit.now)) {
-		refuse(r, RESULT_OVERLOAD);
+		gate_refuse(r, RESULT_OVERLOAD);
 		return;
 	}
 	if (!limit_allows(&g->limit, g->n_running))
@@ -696,7 +719,7 @@
 		struct gate_request *v = victim->request;
 
 		g_free(victim);
-		refuse(v, RESULT_OVERLOAD);
+		gate_refuse(v, RESULT_OVERLOAD);
 	}
 	gate_pump(g);
 }
@@ -725,11 +748,12 @@
 	remember_entry(g, identity, len);
 	r = request_new(g, identity, len, m);
 	if (r->deadline_ms <= r->arrived_ms)
-		refuse(r, RESULT_TIMEOUT);
-	else if (!may_serve(r, &fence, &lease_end_ms))
-		refuse(r, RESULT_NOT_OWNER);
-	else if (check_id(r, m->class_name, m->idempotency_key))
-		enqueue(r);
+		gate_refuse(r, RESULT_TIMEOUT);
+	else if (!gate_may_serve(r, &fence, &lease_end_ms)) {
+		if (!gate_park(r))
+			gate_refuse(r, RESULT_NOT_OWNER);
+	} else if (check_id(r, m->class_name, m->idempotency_key))
+		gate_enqueue(r);
 }
 
 static void cancel(struct gate_request *r)
@@ -737,7 +761,9 @@
 	struct gate *g = r->gate;
 
 	COUNT(gate_cancelled);
-	if (r->state == GATE_WAITING) {
+	if (r->state == GATE_PARKED) {
+		gate_unpark(r);
+	} else if (r->state == GATE_WAITING) {
 		queue_remove(&g->queue, r);
 	} else {
 		fetch_cancel(&r->fetch);
@@ -774,6 +800,60 @@
 	}
 }
 
+static bool may_give(void *user, uint32_t shard)
+{
+	return member_may_give(user, shard);
+}
+
+/* The others of our service that take work and were heard of late. */
+static GArray *others(const struct gate *g, int64_t now)
+{
+	const struct member_node *n = &g->node->member;
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct balance_other));
+	struct member *m;
+	uint32_t i;
+
+	for_each_member (&n->fleet, m, i) {
+		struct gate_view *v;
+		struct balance_other o = { .member = m->id };
+
+		if (m->id == n->self ||
+		    strcmp(m->service, g->node->settings.service) ||
+		    !fleet_member_takes_work(&n->fleet, m) ||
+		    member_known_stopped(n, m->id))
+			continue;
+		v = chooser_view(&g->node->entry.chooser, m->id);
+		o.use = v->use;
+		if (now - v->heard_ms < HEARD_MS)
+			g_array_append_val(list, o);
+	}
+	return list;
+}
+
+/* Give some of our keys to a server that has more room for them. */
+static void give_away(struct gate *g, int64_t now)
+{
+	struct member_node *n = &g->node->member;
+	GArray *shards, *list;
+	int64_t to;
+
+	if (!g->balance.n_shards || !n->self)
+		return;
+	balance_tick(&g->balance,
+		     (g->n_running + g->queue.heap->len) /
+			     MAX(g->limit.now, 1.0),
+		     now);
+	shards = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	list = others(g, now);
+	if (balance_choose(&g->balance, list, may_give, n, now, &to, shards) &&
+	    member_give(n, to, shards, now))
+		g_info("gives %u shards to member %" G_GINT64_FORMAT
+		       ": use %.2f here",
+		       shards->len, (gint64)to, g->balance.use);
+	g_array_unref(list);
+	g_array_unref(shards);
+}
+
 /* Timed duties: probes, queue deadlines, the backend server gone. */
 void gate_tick(struct gate *g)
 {
@@ -784,9 +864,11 @@
 		return;
 	follow_configuration(g);
 	while (queue_pop_expired(&g->queue, now, &q))
-		refuse(q.request, RESULT_TIMEOUT);
+		gate_refuse(q.request, RESULT_TIMEOUT);
 	if (!g->backend_server.announced)
 		return;
+	gate_park_tick(g, now);
+	give_away(g, now);
 	gate_probe(g, now);
 	if (g->connect_failures >= MAX_CONNECT_FAILURES) {
 		g_warning("backend server does not accept connections");
--- a/node/gate.h
+++ b/node/gate.h
@@ -12,6 +12,7 @@
 #include "gate/queue.h"
 #include "net/fetch.h"
 #include "net/request-msg.h"
+#include "route/balance.h"
 #include "state/fleet.h"
 
 /*
@@ -41,8 +42,10 @@
 	struct queue queue;
 	struct cold cold;
 	struct grants grants;
+	struct balance balance;
 	struct ids ids;
 	GHashTable *requests; /* struct gate_request, by origin and id */
+	GPtrArray *parked; /* struct gate_request */
 	uint32_t n_running;
 	uint32_t *shard_load; /* in flight or waiting, per shard */
 	uint32_t n_shards;
--- a/node/node.c
+++ b/node/node.c
@@ -437,22 +437,30 @@
 	       n->life.id[0];
 }
 
+/* How long callers may still be sent here after we were asked to stop. */
+static int64_t notice_ms(const struct node *n)
+{
+	return n->settings.ready_address[0] ? NOTICE_MS : 0;
+}
+
 /* Stop beside a backend server that goes on: end what runs, then leave. */
 static void tick_pause(struct node *n)
 {
 	int64_t asked_ms = clock_now_ms() - n->stopping_ms;
+	bool idle;
 
+	entry_drain(&n->entry);
+	/* Others can serve what needs no key; for a key there is only us. */
+	if (!n->gate.grants.n_shards || asked_ms >= NOTICE_MS)
+		n->gate.draining = true;
 	/* Callers are sent here until the platform has noticed. */
 	if (asked_ms < NOTICE_MS)
 		return;
-	entry_drain(&n->entry);
-	n->gate.draining = true;
-	if (asked_ms < n->settings.stop_limit_ms &&
-	    (!gate_idle(&n->gate) || !entry_idle(&n->entry)))
+	entry_close(&n->entry);
+	idle = gate_idle(&n->gate) && entry_idle(&n->entry);
+	if (!idle && asked_ms < n->settings.stop_limit_ms)
 		return;
-	g_info("stopped, %s in progress",
-	       gate_idle(&n->gate) && entry_idle(&n->entry) ? "nothing"
-							    : "something");
+	g_info("stopped, %s in progress", idle ? "nothing" : "something");
 	ev_break(n->loop, EVBREAK_ALL);
 }
 
@@ -478,6 +486,9 @@
 	if (member_is_needed(&n->member) && now - n->left_ms < STAY_LIMIT_MS)
 		return;
 	entry_drain(&n->entry);
+	if (now - n->stopping_ms < notice_ms(n))
+		return;
+	entry_close(&n->entry);
 	if (!gate_idle(&n->gate) || !entry_idle(&n->entry))
 		return;
 	g_info("stopped, nothing in progress");
--- a/route/choose.c
+++ b/route/choose.c
@@ -1,14 +1,30 @@
+#include <math.h>
 #include <string.h>
 
 #include "route/choose.h"
 
 #define LATENCY_WEIGHT 0.2
+#define USE_WEIGHT 0.2
 #define DEFAULT_LIMIT 4.0
 #define FRESH_MS 200
 #define SILENT_AVOID_MS 300
 #define STALL_FACTOR 4
 #define STALL_MIN_MS 20
 #define HOME_BONUS 0.8
+/* What a gate said of its load is no use after this long. */
+#define STALE_MS 1000
+/* A gate that refused, or was silent, is asked only if all others are worse. */
+#define AVOID_COST_MS 300.0
+#define SILENT_COST_MS 2000.0
+/*
+ * A gate never heard of is likely one just started: taken for quick it would
+ * get everything at once.
+ */
+#define UNKNOWN_MS 150.0
+/* Twice as soon gets eight times as many. */
+#define PREFERENCE 3.0
+#define FREE_SHARE 0.5
+#define CROWDED 2.0
 
 /* Start knowing no gate; seed makes the choices repeatable. */
 void chooser_init(struct chooser *c, const struct chooser_ops *ops,
@@ -73,6 +89,7 @@
 	v->load = load;
 	v->limit = MAX(limit, 1.0);
 	v->heard_ms = now_ms;
+	v->use += USE_WEIGHT * (load / v->limit - v->use);
 	if (latency_ms <= 0)
 		return;
 	v->latency_ms += v->latency_ms > 0
@@ -124,8 +141,9 @@
 	return v->member == home ? c * HOME_BONUS : c;
 }
 
-static int64_t pick_two(struct chooser *c, const int64_t *members, uint32_t n,
-			int64_t home, int64_t except, int64_t now_ms)
+static int64_t pick_two(struct chooser *c, const struct gate_option *options,
+			uint32_t n, int64_t home, int64_t except,
+			int64_t now_ms)
 {
 	int64_t ids[2] = { 0, 0 };
 	uint32_t usable = 0;
@@ -136,13 +154,15 @@
 	 * would draw every entry to the same gate at once.
 	 */
 	for (i = 0; i < n; i++) {
-		if (members[i] == except)
+		int64_t id = options[i].member;
+
+		if (id == except)
 			continue;
 		usable++;
 		if (usable <= 2)
-			ids[usable - 1] = members[i];
+			ids[usable - 1] = id;
 		else if (g_rand_int_range(c->rand, 0, usable) < 2)
-			ids[g_rand_int_range(c->rand, 0, 2)] = members[i];
+			ids[g_rand_int_range(c->rand, 0, 2)] = id;
 	}
 	if (usable < 2)
 		return ids[0];
@@ -152,15 +172,16 @@
 		       : ids[1];
 }
 
-static int64_t pick_turns(struct chooser *c, const int64_t *members, uint32_t n,
-			  int64_t home, int64_t except, int64_t now_ms)
+static int64_t pick_turns(struct chooser *c, const struct gate_option *options,
+			  uint32_t n, int64_t home, int64_t except,
+			  int64_t now_ms)
 {
 	uint32_t i;
 
 	(void)home;
 	(void)now_ms;
 	for (i = 0; i < n; i++) {
-		int64_t id = members[c->turn++ % n];
+		int64_t id = options[c->turn++ % n].member;
 
 		if (id != except)
 			return id;
@@ -168,18 +189,77 @@
 	return 0;
 }
 
+/*
+ * When a gate would be done with one more request, by what it last said. Up to
+ * half of what it works on at once none is in another's way; a server nearly
+ * full slows down, and beyond that each request waits for those before it.
+ */
+static double done_ms(struct gate_view *v, int64_t now_ms)
+{
+	double load = v->outstanding;
+	double ms = v->latency_ms > 0 ? v->latency_ms : UNKNOWN_MS;
+
+	if (now_ms - v->heard_ms < STALE_MS)
+		load = MAX(load, v->load);
+	ms *= 1 + CROWDED * MAX(0.0, (load + 1) / v->limit - FREE_SHARE);
+	if (now_ms < v->avoid_until_ms)
+		ms += AVOID_COST_MS;
+	if (now_ms < v->silent_until_ms)
+		ms += SILENT_COST_MS;
+	return ms;
+}
+
+/*
+ * The gates that would answer soonest get the most, by a power of the time that
+ * each would take. What is known of a gate is as old as the last answer from
+ * there, so the very soonest by each entry's knowledge would get the requests
+ * of all of them at once, and be the slowest next.
+ */
+static int64_t pick_soonest(struct chooser *c,
+			    const struct gate_option *options, uint32_t n,
+			    int64_t home, int64_t except, int64_t now_ms)
+{
+	int64_t chosen = 0;
+	double total = 0;
+	uint32_t i;
+
+	(void)home;
+	for (i = 0; i < n; i++) {
+		double weight;
+		double ms;
+
+		if (options[i].member == except)
+			continue;
+		ms = done_ms(chooser_view(c, options[i].member), now_ms) +
+		     options[i].extra_ms;
+		weight = pow(1 / ms, PREFERENCE);
+		total += weight;
+		/* Each takes the place of those before with its share. */
+		if (g_rand_double(c->rand) * total < weight)
+			chosen = options[i].member;
+	}
+	return chosen;
+}
+
 const struct chooser_ops chooser_two = { "two", pick_two };
 const struct chooser_ops chooser_turns = { "turns", pick_turns };
+const struct chooser_ops chooser_soonest = { "soonest", pick_soonest };
 
 const struct chooser_ops *chooser_ops_by_name(const char *name)
 {
-	if (!strcmp(name, chooser_two.name))
-		return &chooser_two;
-	return strcmp(name, chooser_turns.name) ? NULL : &chooser_turns;
+	static const struct chooser_ops *const all[] = { &chooser_two,
+							 &chooser_turns,
+							 &chooser_soonest };
+	uint32_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(all); i++)
+		if (!strcmp(all[i]->name, name))
+			return all[i];
+	return NULL;
 }
 
-int64_t chooser_pick(struct chooser *c, const int64_t *members, uint32_t n,
-		     int64_t home, int64_t except, int64_t now_ms)
+int64_t chooser_pick(struct chooser *c, const struct gate_option *options,
+		     uint32_t n, int64_t home, int64_t except, int64_t now_ms)
 {
-	return c->ops->pick(c, members, n, home, except, now_ms);
+	return c->ops->pick(c, options, n, home, except, now_ms);
 }
--- a/route/choose.h
+++ b/route/choose.h
@@ -16,6 +16,7 @@
 	double load; /* in flight and queued, as the gate last said */
 	double limit; /* as the gate last said */
 	double latency_ms; /* smoothed */
+	double use; /* load by limit, smoothed over its answers */
 	int64_t heard_ms;
 	int64_t avoid_until_ms; /* it said so, or was silent */
 	int64_t silent_until_ms; /* it was silent, and may be lost */
@@ -24,15 +25,24 @@
 
 struct chooser;
 
+/* A gate that could take a request. */
+struct gate_option {
+	int64_t member;
+	/* What reaching it costs beyond its own work, as milliseconds. */
+	double extra_ms;
+};
+
 /* How a gate is chosen; by turns is there to measure the other against. */
 struct chooser_ops {
 	const char *name;
-	int64_t (*pick)(struct chooser *c, const int64_t *members, uint32_t n,
-			int64_t home, int64_t except, int64_t now_ms);
+	int64_t (*pick)(struct chooser *c, const struct gate_option *options,
+			uint32_t n, int64_t home, int64_t except,
+			int64_t now_ms);
 };
 
 extern const struct chooser_ops chooser_two;
 extern const struct chooser_ops chooser_turns;
+extern const struct chooser_ops chooser_soonest;
 
 /* The ops of a name, NULL when there are none. */
 const struct chooser_ops *chooser_ops_by_name(const char *name);
@@ -66,10 +76,10 @@
 		     int64_t now_ms);
 
 /*
- * Choose among n members, skipping `except`; home is preferred when it is no
+ * Choose among n gates, skipping `except`; home is preferred when it is no
  * worse. Returns 0 when there is none.
  */
-int64_t chooser_pick(struct chooser *c, const int64_t *members, uint32_t n,
-		     int64_t home, int64_t except, int64_t now_ms);
+int64_t chooser_pick(struct chooser *c, const struct gate_option *options,
+		     uint32_t n, int64_t home, int64_t except, int64_t now_ms);
 
 #endif
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -27,6 +27,8 @@
 				      "snapshot_records",
 				      "move_batch",
 				      "hold_share",
+				      "far_ms",
+				      "far_ms_per_kb",
 				      "retry_share",
 				      "retry_reserve",
 				      "host",
@@ -162,7 +164,7 @@
 	if (!s->limit)
 		json_check_fail(c, "$.limit", "must be adaptive or fixed");
 	if (!s->choice)
-		json_check_fail(c, "$.choice", "must be two or turns");
+		json_check_fail(c, "$.choice", "must be two, turns or soonest");
 }
 
 static void read_interface(struct json_check *c, const json_t *o,
@@ -198,6 +200,9 @@
 					     100000);
 	s->move_batch = json_check_int(c, o, "$", "move_batch",
 				       DEFAULT_MOVE_BATCH, 1, 4096);
+	s->far_ms = json_check_number(c, o, "$", "far_ms", 0, 0, 60000);
+	s->far_ms_per_kb =
+		json_check_number(c, o, "$", "far_ms_per_kb", 0, 0, 60000);
 	s->hold_share = json_check_number(c, o, "$", "hold_share", 0, 0, 1000);
 	s->retry_share =
 		json_check_share(c, o, "$", "retry_share", DEFAULT_RETRY_SHARE);
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -47,6 +47,13 @@
 	int64_t stop_limit_ms; /* a stop takes no longer than this */
 	uint32_t snapshot_records; /* records after which one is due */
 	uint32_t move_batch; /* shards that one balancing record moves */
+	/*
+	 * What a gate in another data centre costs a request, as time that its
+	 * caller would wait for one at home instead: at all, and for each KiB
+	 * of answer.
+	 */
+	double far_ms;
+	double far_ms_per_kb;
 	double hold_share; /* of its target a request waits for an owner, 0 all
 			      its time */
 	double retry_share; /* of requests, that repeats may add */
--- a/state/assign.c
+++ b/state/assign.c
@@ -5,6 +5,8 @@
 #include "state/records.h"
 #include "util/hash.h"
 
+#define FEW_FACTOR 5
+
 static bool serves(const struct fleet *f, const struct fleet_service *s,
 		   const struct member *m)
 {
@@ -226,6 +228,19 @@
 	return -1;
 }
 
+/*
+ * Hashed keys are spread evenly, and so shards by number. Ranges are given by
+ * load, by those who own them; only whoever has next to none needs some to
+ * begin with.
+ */
+static bool uneven(const struct fleet_service *s, const struct load *most,
+		   const struct load *least)
+{
+	if (s->key_numbers)
+		return least->n_owned * FEW_FACTOR < most->n_owned;
+	return most->n_owned > least->n_owned + 1;
+}
+
 /*
  * Build a record of at most max_moves moves: first shards whose owner's data
  * centre is out of service, then from the member with the most shards to the
@@ -249,7 +264,7 @@
 		if (i >= 0) {
 			most = NULL;
 		} else {
-			if (!most || most->n_owned <= least->n_owned + 1)
+			if (!most || !uneven(s, most, least))
 				break;
 			i = movable_shard(s, most->id, taken);
 			if (i < 0)
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -226,17 +226,27 @@
 	}
 }
 
+/* Neighbours that go together to one heir make one row at its server. */
 static void name_successors(struct fleet *f, struct fleet_service *s,
 			    int64_t offset)
 {
+	struct shard *last = NULL;
 	uint32_t i;
 
 	assign_prepare(f, s);
 	for (i = 0; i < s->n_shards; i++) {
 		struct shard *sh = &s->shards[i];
 
-		if (sh->owner && !sh->successor)
+		if (!sh->owner || sh->successor)
+			continue;
+		if (last && last == sh - 1 && last->owner == sh->owner &&
+		    last->successor) {
+			name_heir(sh, last->successor, offset);
+			fleet_member(f, last->successor)->claims++;
+		} else {
 			name_heir(sh, assign_pick(f, i, sh->owner, 0), offset);
+		}
+		last = sh;
 	}
 }
 
@@ -423,6 +433,39 @@
 	return RESULT_OK;
 }
 
+/*
+ * Ranges go out in blocks, dealt over the members: keys that are busy lie close
+ * together, so each member gets its part of them, and a block makes one row of
+ * what its backend server is told to hold.
+ */
+#define PLACE_BLOCKS 128
+
+static uint32_t block_end(const struct fleet_service *s, uint32_t from)
+{
+	uint32_t size = MAX(s->n_shards / PLACE_BLOCKS, 1);
+
+	return MIN((from / size + 1) * size, s->n_shards);
+}
+
+static bool place_block(struct fleet *f, struct fleet_service *s, uint32_t from,
+			uint32_t end, int64_t offset, const json_t *r)
+{
+	int64_t to = 0;
+	uint32_t i;
+
+	for (i = from; i < end; i++) {
+		if (s->shards[i].owner)
+			continue;
+		if (!to)
+			to = assign_pick(f, from, 0, 0);
+		if (!to)
+			return false;
+		set_owner(f, s, i, to, offset, r, "unowned shard");
+		fleet_member(f, to)->claims++;
+	}
+	return to;
+}
+
 /* Owners first and then successors, so that both come out even. */
 static int apply_place(struct fleet *f, int64_t offset, const json_t *r)
 {
@@ -433,14 +476,9 @@
 	if (!s)
 		return RESULT_NO_SUCH;
 	assign_prepare(f, s);
-	for (i = 0; i < s->n_shards; i++) {
-		int64_t to = s->shards[i].owner ? 0 : assign_pick(f, i, 0, 0);
-
-		if (!to)
-			continue;
-		set_owner(f, s, i, to, offset, r, "unowned shard");
-		result = RESULT_OK;
-	}
+	for (i = 0; i < s->n_shards; i = block_end(s, i))
+		if (place_block(f, s, i, block_end(s, i), offset, r))
+			result = RESULT_OK;
 	name_successors(f, s, offset);
 	return result;
 }
--- a/t/test-gate.c
+++ b/t/test-gate.c
@@ -154,11 +154,39 @@
 	int i;
 
 	queue_init(&q, 100);
-	queue_learn(&q, 100);
+	queue_learn(&q, 0, 100);
 	for (i = 0; i < 10; i++)
 		g_assert_null(queue_push(&q, &in));
-	g_assert_true(queue_can_meet(&q, 0, 5, 10000, 2));
-	g_assert_false(queue_can_meet(&q, 0, 5, 300, 2));
+	in.due_ms = 5;
+	in.deadline_ms = 10000;
+	g_assert_true(queue_can_meet(&q, 0, &in, 2, 2));
+	in.deadline_ms = 300;
+	g_assert_false(queue_can_meet(&q, 0, &in, 2, 2));
+	queue_finish(&q);
+}
+
+/*
+ * A server works on long requests of one class and short ones of another. A
+ * short one with less time left than the long ones take is still good for an
+ * answer; refused, its caller's own request fails with it.
+ */
+static void test_queue_short_among_long(void)
+{
+	struct queued in = { .due_ms = 100,
+			     .deadline_ms = 200,
+			     .class_index = 1 };
+	struct queue q;
+	int i;
+
+	queue_init(&q, 100);
+	queue_set_classes(&q, 2);
+	for (i = 0; i < 50; i++) {
+		queue_learn(&q, 0, 500);
+		queue_learn(&q, 1, 30);
+	}
+	g_assert_true(queue_can_meet(&q, 0, &in, 4, 18));
+	in.class_index = 0;
+	g_assert_false(queue_can_meet(&q, 0, &in, 4, 18));
 	queue_finish(&q);
 }
 
@@ -239,6 +267,7 @@
 	g_test_add_func("/queue/order", test_queue_order);
 	g_test_add_func("/queue/by-target", test_queue_refuses_by_target);
 	g_test_add_func("/queue/early", test_queue_early_refusal);
+	g_test_add_func("/queue/short-among-long", test_queue_short_among_long);
 	g_test_add_func("/ids/repeat", test_ids_repeat);
 	g_test_add_func("/ids/full", test_ids_full);
 	g_test_add_func("/ids/move", test_ids_move);
--- a/t/test-member.c
+++ b/t/test-member.c
@@ -21,8 +21,7 @@
 		sim_converge(s, 20000);
 	s->loss = 0.02 * (seed % 5);
 	end = s->now + FAULTY_MS;
-	while (s->now < end && !s->breaches &&
-	       (rules || !s->fence_breaches)) {
+	while (s->now < end && !s->breaches && (rules || !s->fence_breaches)) {
 		sim_run(s, g_rand_int_range(s->rand, 100, 3000));
 		sim_fault(s);
 		if (g_rand_boolean(s->rand))
--- a/t/test-route.c
+++ b/t/test-route.c
@@ -22,8 +22,8 @@
 	g_assert_cmpint(spent, >=, 90);
 }
 
-static int share_of(struct chooser *c, const int64_t *ids, uint32_t n,
-		    int64_t id, int64_t now)
+static int share_of(struct chooser *c, const struct gate_option *ids,
+		    uint32_t n, int64_t id, int64_t now)
 {
 	int got = 0;
 	int i;
@@ -39,14 +39,14 @@
  */
 static void test_stalled_gate_is_avoided(void)
 {
-	int64_t ids[] = { 1, 2, 3, 4 };
+	struct gate_option ids[] = { { 1, 0 }, { 2, 0 }, { 3, 0 }, { 4, 0 } };
 	struct chooser c;
 	int i;
 
 	chooser_init(&c, &chooser_two, 1);
 	for (i = 0; i < 4; i++) {
-		chooser_sent(&c, ids[i], 0);
-		chooser_answered(&c, ids[i], 2, 1, 10, 2);
+		chooser_sent(&c, ids[i].member, 0);
+		chooser_answered(&c, ids[i].member, 2, 1, 10, 2);
 	}
 	g_assert_cmpint(share_of(&c, ids, 4, 1, 3), >, 150);
 	chooser_sent(&c, 1, 3);
@@ -57,24 +57,24 @@
 /* All entries fleeing one gate must not meet at a single other one. */
 static void test_no_herd(void)
 {
-	int64_t ids[] = { 1, 2, 3, 4 };
+	struct gate_option ids[] = { { 1, 0 }, { 2, 0 }, { 3, 0 }, { 4, 0 } };
 	struct chooser c;
 	int i;
 
 	chooser_init(&c, &chooser_two, 2);
 	for (i = 0; i < 4; i++) {
-		chooser_sent(&c, ids[i], 0);
-		chooser_answered(&c, ids[i], 2 + 0.1 * i, 1, 10, 2);
+		chooser_sent(&c, ids[i].member, 0);
+		chooser_answered(&c, ids[i].member, 2 + 0.1 * i, 1, 10, 2);
 	}
 	chooser_refused(&c, 1, 100, 2);
 	for (i = 1; i < 3; i++)
-		g_assert_cmpint(share_of(&c, ids, 4, ids[i], 3), <, 700);
+		g_assert_cmpint(share_of(&c, ids, 4, ids[i].member, 3), <, 700);
 	chooser_finish(&c);
 }
 
 static void test_except(void)
 {
-	int64_t ids[] = { 1, 2 };
+	struct gate_option ids[] = { { 1, 0 }, { 2, 0 } };
 	struct chooser c;
 
 	chooser_init(&c, &chooser_two, 3);
@@ -83,6 +83,49 @@
 	chooser_finish(&c);
 }
 
+/*
+ * Answers of a class are large and bytes between data centres dear. The gate
+ * at home must get the requests, until it is so full that its caller would
+ * wait longer than the bytes are worth.
+ */
+static void test_near_until_full(void)
+{
+	struct gate_option ids[] = { { 1, 0 }, { 2, 400 }, { 3, 400 } };
+	struct chooser c;
+	int i;
+
+	chooser_init(&c, &chooser_soonest, 4);
+	for (i = 0; i < 3; i++) {
+		chooser_sent(&c, ids[i].member, 0);
+		chooser_answered(&c, ids[i].member, 100, 9, 10, 2);
+	}
+	g_assert_cmpint(share_of(&c, ids, 3, 1, 3), >, 850);
+	chooser_sent(&c, 1, 3);
+	chooser_answered(&c, 1, 100, 90, 10, 4);
+	g_assert_cmpint(share_of(&c, ids, 3, 1, 5), <, 50);
+	chooser_finish(&c);
+}
+
+/*
+ * A server joins, cold. Nothing is known of its gate yet, and entries that take
+ * that for quick send it all they have.
+ */
+static void test_unknown_is_not_quick(void)
+{
+	struct gate_option ids[] = { { 1, 0 }, { 2, 0 }, { 3, 0 }, { 4, 0 } };
+	struct chooser c;
+	int i;
+
+	chooser_init(&c, &chooser_soonest, 5);
+	for (i = 0; i < 3; i++) {
+		chooser_sent(&c, ids[i].member, 0);
+		chooser_answered(&c, ids[i].member, 100, 5, 18, 2);
+	}
+	g_assert_cmpint(share_of(&c, ids, 4, 4, 3), <, 300);
+	g_assert_cmpint(share_of(&c, ids, 4, 4, 3), >, 20);
+	chooser_finish(&c);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -90,5 +133,7 @@
 	g_test_add_func("/route/stalled", test_stalled_gate_is_avoided);
 	g_test_add_func("/route/no-herd", test_no_herd);
 	g_test_add_func("/route/except", test_except);
+	g_test_add_func("/route/unknown", test_unknown_is_not_quick);
+	g_test_add_func("/route/near-until-full", test_near_until_full);
 	return g_test_run();
 }
--- a/t/test-settings.c
+++ b/t/test-settings.c
@@ -1,7 +1,9 @@
 #include <glib.h>
+#include <glib/gstdio.h>
 #include <string.h>
 
-#include "settings/configuration.h"
+#include "platform/request.h"
+#include "settings/settings.h"
 #include "util/result.h"
 
 static uint32_t problems(const char *text, const char *expected)
@@ -124,6 +126,55 @@
 		 "no part of the split has a weight");
 }
 
+/*
+ * A setting that is allowed by name but never read does nothing, and nobody is
+ * told. Each one given here must arrive.
+ */
+static void test_settings_arrive(void)
+{
+	static const char text[] =
+		"{\"interface\":\"platform\",\"host\":\"h\","
+		"\"data_centre\":\"d\",\"service\":\"s\","
+		"\"caller_address\":\"127.0.0.1:1\","
+		"\"peer_address\":\"127.0.0.1:2\","
+		"\"operator_address\":\"127.0.0.1:3\","
+		"\"backend_server\":\"127.0.0.1:4\","
+		"\"log\":\"127.0.0.1:5\",\"ready_address\":\"127.0.0.1:6\","
+		"\"announce_address\":\"127.0.0.1:7\","
+		"\"seeds\":[\"127.0.0.9:77\"],\"seeds_by_host\":true,"
+		"\"lease_ms\":2500,\"hold_max_ms\":7000,\"stop_limit_ms\":4000,"
+		"\"kept_idle_s\":5,\"snapshot_records\":50,\"move_batch\":9,"
+		"\"hold_share\":0.5,\"retry_share\":0.3,\"retry_reserve\":40,"
+		"\"far_ms\":11,\"far_ms_per_kb\":1.5,\"choice\":\"soonest\"}";
+	GString *errors = g_string_new(NULL);
+	g_autofree char *path = NULL;
+	struct settings s;
+	int fd = g_file_open_tmp("settings.XXXXXX", &path, NULL);
+
+	g_assert_cmpint(fd, >=, 0);
+	g_close(fd, NULL);
+	g_assert_true(g_file_set_contents(path, text, -1, NULL));
+	if (settings_read(&s, path, errors))
+		g_error("%s", errors->str);
+	g_assert_cmpstr(s.seeds[0], ==, "127.0.0.9:2");
+	g_assert_true(s.headers == &headers_platform);
+	g_assert_true(s.grants_by_heartbeat);
+	g_assert_cmpint(s.lease_ms, ==, 2500);
+	g_assert_cmpint(s.hold_max_ms, ==, 7000);
+	g_assert_cmpint(s.stop_limit_ms, ==, 4000);
+	g_assert_cmpint(s.kept_idle_s, ==, 5);
+	g_assert_cmpint(s.snapshot_records, ==, 50);
+	g_assert_cmpint(s.move_batch, ==, 9);
+	g_assert_cmpfloat(s.hold_share, ==, 0.5);
+	g_assert_cmpfloat(s.retry_share, ==, 0.3);
+	g_assert_cmpfloat(s.retry_reserve, ==, 40);
+	g_assert_cmpfloat(s.far_ms, ==, 11);
+	g_assert_cmpfloat(s.far_ms_per_kb, ==, 1.5);
+	g_assert_true(s.choice == &chooser_soonest);
+	g_unlink(path);
+	g_string_free(errors, TRUE);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -131,5 +182,6 @@
 	g_test_add_func("/settings/longest-match", test_longest_match);
 	g_test_add_func("/settings/match-by-host", test_match_by_host);
 	g_test_add_func("/settings/split", test_split);
+	g_test_add_func("/settings/arrive", test_settings_arrive);
 	return g_test_run();
 }
--- a/util/counters.h
+++ b/util/counters.h
@@ -24,6 +24,7 @@
 	X(gate_received)           \
 	X(gate_admitted)           \
 	X(gate_queued)             \
+	X(gate_parked)             \
 	X(gate_refused_overload)   \
 	X(gate_refused_not_owner)  \
 	X(gate_refused_deadline)   \
