node, gate: work at a leaving server is finished; a cold one's bound from the start

LOST on the registry's site: a member that resigns without keys is gone from the log while it still works on what it was asked, and entries broke that off, with 504 where no repeat was left. Only a process that a newer one has replaced is taken for dead now.

Until the rate is known 5 a second are sent. Test failed first.

--- a/gate/cold.c
+++ b/gate/cold.c
@@ -17,13 +17,18 @@
 	uint32_t i;
 
 	memset(c, 0, sizeof(*c));
+	c->per_s = COLD_UNKNOWN;
 	for (i = 0; i < COLD_MAX_SENT; i++)
 		c->sent_ms[i] = now_ms;
 }
 
-void cold_set(struct cold *c, int64_t left_ms, double per_s, int64_t now_ms)
+void cold_set(struct cold *c, int64_t left_ms, int64_t now_ms)
 {
 	c->until_ms = left_ms > 0 ? now_ms + left_ms : 0;
+}
+
+void cold_set_rate(struct cold *c, double per_s)
+{
 	c->per_s = per_s;
 }
 
@@ -38,7 +43,7 @@
 	uint32_t n = (uint32_t)most;
 	uint32_t at;
 
-	if (!cold_now(c, now_ms) || c->per_s <= 0 || n >= COLD_MAX_SENT)
+	if (!cold_now(c, now_ms) || c->per_s <= COLD_ANY || n >= COLD_MAX_SENT)
 		return true;
 	/* The n-th last sending must lie a whole window back. */
 	at = (c->next + COLD_MAX_SENT - n) % COLD_MAX_SENT;
--- a/gate/cold.h
+++ b/gate/cold.h
@@ -14,9 +14,17 @@
 /* Sendings remembered; a second of more than that needs no limit of ours. */
 #define COLD_MAX_SENT 1024
 
+#define COLD_ANY 0.0
+/*
+ * While no configuration tells what a cold server bears. A node and its server
+ * that start together hear of each other before either reads anything, and
+ * callers are sent there at once.
+ */
+#define COLD_UNKNOWN 5.0
+
 struct cold {
 	int64_t until_ms; /* cold before, 0 when warm */
-	double per_s; /* requests a second that it bears, 0: any */
+	double per_s; /* requests a second that it bears, COLD_ANY: any */
 	int64_t sent_ms[COLD_MAX_SENT]; /* a ring of the last sendings */
 	uint32_t next;
 };
@@ -28,7 +36,10 @@
 void cold_init(struct cold *c, int64_t now_ms);
 
 /* The server says that it stays cold for left_ms more; 0 that it is warm. */
-void cold_set(struct cold *c, int64_t left_ms, double per_s, int64_t now_ms);
+void cold_set(struct cold *c, int64_t left_ms, int64_t now_ms);
+
+/* The configuration says what it bears. */
+void cold_set_rate(struct cold *c, double per_s);
 bool cold_now(const struct cold *c, int64_t now_ms);
 
 /* Whether one more request may be sent now. */
--- a/node/backend.c
+++ b/node/backend.c
@@ -30,14 +30,6 @@
 	g_ptr_array_unref(headers);
 }
 
-static double cold_per_s(const struct node *n)
-{
-	const struct service_settings *s = configuration_service(
-		&n->member.fleet.configuration, n->settings.service);
-
-	return s ? s->cold_per_s : 0;
-}
-
 static void announced(struct node *n, const struct announcement *a)
 {
 	struct backend_server b = {
@@ -77,7 +69,7 @@
 	}
 	if (a->draining)
 		leaves(n, "is leaving");
-	cold_set(&n->gate.cold, a->cold_left_ms, cold_per_s(n), clock_now_ms());
+	cold_set(&n->gate.cold, a->cold_left_ms, clock_now_ms());
 }
 
 /*
--- a/node/entry.c
+++ b/node/entry.c
@@ -280,6 +280,14 @@
 }
 
 void entry_on_member_stopped(struct entry *e, int64_t member)
+{
+	struct gate_view *v = chooser_view(&e->chooser, member);
+
+	v->silent_until_ms =
+		MAX(v->silent_until_ms, clock_now_ms() + SILENT_GATE_MS);
+}
+
+void entry_on_member_lost(struct entry *e, int64_t member)
 {
 	uint32_t i, j;
 
--- a/node/entry.h
+++ b/node/entry.h
@@ -50,7 +50,16 @@
 /* A message from a gate. */
 void entry_on_message(struct entry *e, const struct request_msg *m);
 
-/* A member is gone or known to have stopped: wait for it no longer. */
+/*
+ * A member's process is certainly gone, and with it all it was asked: wait for
+ * it no longer.
+ */
+void entry_on_member_lost(struct entry *e, int64_t member);
+
+/*
+ * A member left, or its lease lapsed. It may well be finishing what it was
+ * asked, and answer; nothing new is sent there.
+ */
 void entry_on_member_stopped(struct entry *e, int64_t member);
 
 /* Ask callers to come by new connections, and so to look elsewhere. */
--- a/node/gate.c
+++ b/node/gate.c
@@ -150,9 +150,14 @@
 
 void gate_leave(struct gate *g)
 {
+	struct queued q;
+
 	g->backend_server.announced = false;
 	g->draining = true;
 	g_info("backend server leaves");
+	/* What it has not begun, others can: kept here it would only wait. */
+	while (queue_pop(&g->queue, &q))
+		gate_refuse(q.request, RESULT_NOT_OWNER);
 }
 
 uint32_t gate_shard_load(const struct gate *g, uint32_t shard)
@@ -587,6 +592,7 @@
 static void follow_configuration(struct gate *g)
 {
 	const struct fleet *f = &g->node->member.fleet;
+	const struct service_settings *ss;
 	struct fleet_service *s;
 	uint32_t i;
 
@@ -602,6 +608,10 @@
 		g_hash_table_insert(g->class_indexes, g_strdup(k->name),
 				    GUINT_TO_POINTER(i + 1));
 	}
+	ss = configuration_service(&f->configuration,
+				   g->node->settings.service);
+	if (ss)
+		cold_set_rate(&g->cold, ss->cold_per_s);
 	s = fleet_service(f, g->node->settings.service);
 	if (s && s->n_shards != g->n_shards) {
 		g_free(g->shard_load);
--- a/node/node.c
+++ b/node/node.c
@@ -159,8 +159,10 @@
 	audit_event(&n->audit, ev);
 	if (ev->type == FLEET_MEMBER_JOINED)
 		remember_address(n, ev->member);
-	if (ev->type == FLEET_MEMBER_GONE)
-		entry_on_member_stopped(&n->entry, ev->member->id);
+	/* One process to a peer address: the newer one proves it. */
+	if (ev->type == FLEET_MEMBER_GONE &&
+	    !strcmp(ev->reason, FLEET_REASON_RESTARTED))
+		entry_on_member_lost(&n->entry, ev->member->id);
 	operator_on_event(n, ev);
 }
 
--- a/t/test-gate.c
+++ b/t/test-gate.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "gate/cold.h"
 #include "gate/ids.h"
 #include "gate/limit.h"
 #include "gate/queue.h"
@@ -257,6 +258,54 @@
 	g_assert_cmpint(ids_made_ms("booking-1"), ==, -1);
 }
 
+static uint32_t sent_in(struct cold *c, int64_t from, int64_t to)
+{
+	uint32_t n = 0;
+	int64_t now;
+
+	for (now = from; now < to; now++)
+		while (n < 100000 && cold_allows(c, now)) {
+			cold_sent(c, now);
+			n++;
+		}
+	return n;
+}
+
+/*
+ * A node and its backend server start together after a loss of power, and the
+ * server's first heartbeat comes before the node has read a configuration.
+ * Taken for a server that bears anything, it would get its full load cold and
+ * fall over.
+ */
+static void test_cold_before_configuration(void)
+{
+	struct cold c;
+
+	cold_init(&c, 0);
+	cold_set(&c, 3000, 0);
+	g_assert_cmpuint(sent_in(&c, 0, 1000), ==, 0);
+	g_assert_cmpuint(sent_in(&c, 1000, 2000), <=, 5);
+	cold_set_rate(&c, 25);
+	g_assert_cmpuint(sent_in(&c, 2000, 2900), <=, 25);
+}
+
+/* In any second, not only in those that begin on the full, it stays below. */
+static void test_cold_sliding(void)
+{
+	struct cold c;
+	uint32_t first, second;
+
+	cold_init(&c, 0);
+	cold_set_rate(&c, 20);
+	cold_set(&c, 60000, 0);
+	first = sent_in(&c, 1000, 1500);
+	second = sent_in(&c, 1500, 2000);
+	g_assert_cmpuint(first, >, 0);
+	g_assert_cmpuint(first + second, <=, 20);
+	cold_set(&c, 0, 2000);
+	g_assert_cmpuint(sent_in(&c, 2000, 2002), ==, 100000);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -264,6 +313,9 @@
 	g_test_add_func("/limit/cold-again", test_limit_notices_cold);
 	g_test_add_func("/limit/stall", test_limit_forgives_a_stall);
 	g_test_add_func("/limit/shed", test_limit_follows_shedding);
+	g_test_add_func("/cold/before-configuration",
+			test_cold_before_configuration);
+	g_test_add_func("/cold/sliding", test_cold_sliding);
 	g_test_add_func("/queue/order", test_queue_order);
 	g_test_add_func("/queue/by-target", test_queue_refuses_by_target);
 	g_test_add_func("/queue/early", test_queue_early_refusal);
