--- /dev/null
+++ b/node/gate-give.c
@@ -0,0 +1,64 @@
+#include <string.h>
+
+#include "net/clock.h"
+#include "node/gate-request.h"
+#include "node/node.h"
+
+/* Ranges of keys that leave for a server with more room. */
+
+/* What another server's use was longer ago says nothing of now. */
+#define HEARD_MS 2000
+
+static bool may_give(void *user, uint32_t shard)
+{
+	return member_may_give(user, shard);
+}
+
+/* The others of our service that take work and were heard of late. */
+static GArray *others(const struct gate *g, int64_t now)
+{
+	const struct member_node *n = &g->node->member;
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct balance_other));
+	struct member *m;
+	uint32_t i;
+
+	for_each_member (&n->fleet, m, i) {
+		struct gate_view *v;
+		struct balance_other o = { .member = m->id };
+
+		if (m->id == n->self ||
+		    strcmp(m->service, g->node->settings.service) ||
+		    !fleet_member_takes_work(&n->fleet, m) ||
+		    member_known_stopped(n, m->id))
+			continue;
+		v = chooser_view(&g->node->entry.chooser, m->id);
+		o.use = v->use;
+		if (now - v->heard_ms < HEARD_MS)
+			g_array_append_val(list, o);
+	}
+	return list;
+}
+
+/* Give some of our keys to a server that has more room for them. */
+void gate_give_away(struct gate *g, int64_t now)
+{
+	struct member_node *n = &g->node->member;
+	GArray *shards, *list;
+	int64_t to;
+
+	if (!g->balance.n_shards || !n->self)
+		return;
+	balance_tick(&g->balance,
+		     (g->n_running + g->queue.heap->len) /
+			     MAX(g->limit.now, 1.0),
+		     now);
+	shards = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	list = others(g, now);
+	if (balance_choose(&g->balance, list, may_give, n, now, &to, shards) &&
+	    member_give(n, to, shards, now))
+		g_info("gives %u shards to member %" G_GINT64_FORMAT
+		       ": use %.2f here",
+		       shards->len, (gint64)to, g->balance.use);
+	g_array_unref(list);
+	g_array_unref(shards);
+}
--- a/node/gate-request.h
+++ b/node/gate-request.h
@@ -50,6 +50,29 @@
 	GString *kept; /* a short answer, for a repeated id */
 };
 
+/* Bytes of an answer on their way to an entry before it takes some. */
+#define GATE_WINDOW_BYTES (256 * 1024)
+
+/* node/gate.c */
+const struct header_names *gate_names(const struct gate_request *r);
+void gate_request_free(struct gate_request *r);
+void gate_emit_for(struct gate_request *r, struct request_msg *m);
+void gate_fail(struct gate_request *r, int result);
+
+/* node/gate-ids.c */
+
+/* Deal with an idempotency key; false when the request has been answered. */
+bool gate_check_id(struct gate_request *r, const char *class_name,
+		   const char *id);
+/* Keep how a request with an id ended. */
+void gate_note_seen(struct gate_request *r, int result);
+
+/* node/gate-answer.c */
+extern const struct fetch_ops gate_fetch_ops;
+
+/* node/gate-give.c */
+void gate_give_away(struct gate *g, int64_t now);
+
 /* node/gate-park.c */
 
 /*
--- a/node/gate.c
+++ b/node/gate.c
@@ -8,8 +8,6 @@
 #include "util/invariant.h"
 #include "util/result.h"
 
-#define BLOCK_BYTES (64 * 1024)
-#define WINDOW_BYTES (4 * BLOCK_BYTES)
 #define QUEUE_PER_SLOT 4
 #define MAX_IDS 65536
 #define MAX_CONNECT_FAILURES 3
@@ -18,9 +16,6 @@
 #define WATCH_S 0.003
 #define MAX_ENTRIES 2048
 #define MAX_ORIGINS 4096
-#define STATUS_MISDIRECTED 421
-/* What another server's use was longer ago says nothing of now. */
-#define HEARD_MS 2000
 /*
  * A request still waiting this long before its deadline is refused: later our
  * word that it did not run would come after its entry has given it up, and had
@@ -30,7 +25,7 @@
 /* A server stops at the deadline that it was given; its word may yet come. */
 #define ANSWER_GRACE_MS 50
 
-static const struct header_names *names_of(const struct gate_request *r)
+const struct header_names *gate_names(const struct gate_request *r)
 {
 	return r->gate->node->settings.headers;
 }
@@ -50,7 +45,7 @@
 	return x->origin == y->origin && x->id == y->id;
 }
 
-static void request_free(struct gate_request *r)
+void gate_request_free(struct gate_request *r)
 {
 	struct gate *g = r->gate;
 
@@ -105,7 +100,7 @@
 
 	for (l = all; l; l = l->next) {
 		fetch_cancel(&((struct gate_request *)l->data)->fetch);
-		request_free(l->data);
+		gate_request_free(l->data);
 	}
 	g_list_free(all);
 	if (g->probing)
@@ -191,7 +186,7 @@
 	g_byte_array_unref(out);
 }
 
-static void emit_for(struct gate_request *r, struct request_msg *m)
+void gate_emit_for(struct gate_request *r, struct request_msg *m)
 {
 	m->origin = r->origin;
 	m->id = r->id;
@@ -224,99 +219,16 @@
 	else
 		COUNT(gate_refused_overload);
 	queue_count(&r->gate->queue, r->class_index, true);
-	emit_for(r, &m);
-	request_free(r);
+	gate_emit_for(r, &m);
+	gate_request_free(r);
 }
 
-static void fail(struct gate_request *r, int result)
+void gate_fail(struct gate_request *r, int result)
 {
 	struct request_msg m = { .type = REQ_FAILED, .number = result };
 
-	emit_for(r, &m);
-	request_free(r);
-}
-
-static void reply_again(struct gate_request *r, const struct seen_id *e)
-{
-	struct request_msg m = { .type = REQ_HEAD,
-				 .flags = REQ_FLAG_END,
-				 .status = 409 };
-	GPtrArray *headers = headers_new();
-	gsize len = 0;
-
-	COUNT(gate_id_replayed);
-	m.headers = headers;
-	if (e->state == SEEN_RUNNING) {
-		header_set(headers, names_of(r)->outcome, OUTCOME_IN_PROGRESS);
-		header_add(headers, "Retry-After", "1");
-	} else if (e->answer) {
-		m.status = e->status;
-		m.data = g_bytes_get_data(e->answer, &len);
-		m.len = len;
-		m.total = len;
-		header_set(headers, names_of(r)->replayed, "true");
-		if (e->content_type)
-			header_add(headers, "Content-Type", e->content_type);
-	} else {
-		header_set(headers, names_of(r)->outcome, OUTCOME_ALREADY_RUN);
-	}
-	m.digest = XXH64(m.data, m.len, 0);
-	emit_for(r, &m);
-	g_ptr_array_unref(headers);
-	request_free(r);
-}
-
-/* Whether an id not seen here may have run under an owner lost abruptly. */
-static bool in_doubt(const struct gate_request *r, const char *id)
-{
-	const struct member_node *n = &r->gate->node->member;
-	int64_t now = clock_now_ms();
-	int64_t blind_ms;
-	int64_t made_ms;
-
-	if (!r->keyed || r->shard >= n->n_holds ||
-	    !n->holds[r->shard].blind_since_ms)
-		return false;
-	blind_ms = now - n->holds[r->shard].blind_since_ms;
-	if (blind_ms > r->resend_window_ms)
-		return false;
-	/*
-	 * Made after the loss, on a clock that may be off by our bound, an id
-	 * cannot have reached the owner that was lost.
-	 */
-	made_ms = ids_made_ms(id);
-	if (made_ms < 0)
-		return true;
-	return made_ms <
-	       g_get_real_time() / 1000 - blind_ms + CALLER_CLOCK_BOUND_MS;
-}
-
-/* Deal with an idempotency key; false when the request has been answered. */
-static bool check_id(struct gate_request *r, const char *class_name,
-		     const char *id)
-{
-	struct gate *g = r->gate;
-	struct seen_id *e;
-
-	if (r->repeatable || r->first_sending || !id || !id[0])
-		return true;
-	r->seen_hash = ids_hash(class_name, r->key, id);
-	e = ids_find(&g->ids, r->seen_hash, clock_now_ms());
-	if (e && e->state == SEEN_UNKNOWN) {
-		COUNT(gate_id_in_doubt);
-		fail(r, RESULT_CUT);
-		return false;
-	}
-	if (e) {
-		reply_again(r, e);
-		return false;
-	}
-	if (in_doubt(r, id)) {
-		COUNT(gate_id_in_doubt);
-		fail(r, RESULT_NOT_OWNER);
-		return false;
-	}
-	return true;
+	gate_emit_for(r, &m);
+	gate_request_free(r);
 }
 
 bool gate_may_serve(struct gate_request *r, int64_t *fence,
@@ -339,170 +251,10 @@
 	       grants_granted(&r->gate->grants, r->shard, *fence, now);
 }
 
-static int result_outcome(const struct gate_request *r, int result)
-{
-	if (r->shed)
-		return LIMIT_SHED;
-	return result == RESULT_OK ? LIMIT_ANSWERED : LIMIT_FAILED;
-}
-
-static void send_part(struct gate_request *r, bool end)
-{
-	struct request_msg m = { .type = r->head_sent ? REQ_DATA : REQ_HEAD };
-	GPtrArray *headers = NULL;
-	uint32_t i;
-
-	if (!r->head_sent) {
-		headers = g_ptr_array_new();
-		for (i = 0; i + 1 < r->fetch.answer_headers->len; i += 2) {
-			char *name =
-				g_ptr_array_index(r->fetch.answer_headers, i);
-
-			/* Kept, to tell the length of a streamed answer. */
-			if (header_is_hop_by_hop(name) &&
-			    g_ascii_strcasecmp(name, "Content-Length"))
-				continue;
-			g_ptr_array_add(headers, name);
-			g_ptr_array_add(
-				headers,
-				g_ptr_array_index(r->fetch.answer_headers,
-						  i + 1));
-		}
-	}
-	m.headers = headers;
-	m.status = r->fetch.status;
-	m.data = r->pending->data;
-	m.len = r->pending->len;
-	if (end) {
-		m.flags |= REQ_FLAG_END;
-		m.total = r->total;
-		m.digest = XXH64_digest(&r->digest);
-	}
-	r->uncredited += r->pending->len;
-	r->head_sent = true;
-	emit_for(r, &m);
-	g_byte_array_set_size(r->pending, 0);
-	if (headers)
-		g_ptr_array_unref(headers);
-}
-
-/*
- * A server may send a second answer late, at the place where that of the next
- * request on the connection is due, or bytes that are none of its own. Passed
- * on, they would be another caller's answer: what is not marked as the answer
- * to this very sending is dropped with its connection.
- */
-static bool check_head(struct fetch *f)
-{
-	const struct gate_request *r = f->user;
-	const struct header_names *names = names_of(r);
-	const char *echo = header_find(f->answer_headers, names->attempt_id);
-
-	if (r->attempt_id && (!echo || strcmp(echo, r->attempt_id))) {
-		COUNT(answers_mixed);
-		return false;
-	}
-	if (!names->signature || f->status >= 300)
-		return true;
-	if (header_find(f->answer_headers, names->signature) &&
-	    !header_find(f->answer_headers, "Content-Encoding"))
-		return true;
-	COUNT(answers_mixed);
-	return false;
-}
-
-static void on_head(struct fetch *f)
-{
-	struct gate_request *r = f->user;
-
-	r->gate->heard_ms = clock_now_ms();
-	r->gate->connect_failures = 0;
-	r->shed = header_find(f->answer_headers, names_of(r)->not_run);
-}
-
-static bool on_data(struct fetch *f, const void *data, size_t len)
-{
-	struct gate_request *r = f->user;
-
-	if (r->shed)
-		return true;
-	/*
-	 * An entry whose caller reads slowly must not make this process hold
-	 * the whole answer: beyond the window the backend server waits.
-	 */
-	if (r->uncredited >= WINDOW_BYTES)
-		return false;
-	g_byte_array_append(r->pending, data, len);
-	XXH64_update(&r->digest, data, len);
-	r->total += len;
-	if (r->kept && r->kept->len + len <= BLOCK_BYTES)
-		g_string_append_len(r->kept, data, len);
-	if (r->pending->len >= BLOCK_BYTES)
-		send_part(r, false);
-	return true;
-}
-
-static void note_seen(struct gate_request *r, int result)
-{
-	struct ids *t = &r->gate->ids;
-	bool whole = r->kept && (int64_t)r->kept->len == r->total;
-
-	if (!r->seen_hash)
-		return;
-	if (r->shed || (result && !r->fetch.sent))
-		ids_forget(t, r->seen_hash);
-	else if (result)
-		ids_end(t, r->seen_hash, SEEN_UNKNOWN, 0, NULL, NULL, 0);
-	else
-		ids_end(t, r->seen_hash, SEEN_ANSWERED, r->fetch.status,
-			header_find(r->fetch.answer_headers, "Content-Type"),
-			whole ? r->kept->str : NULL, r->kept->len);
-}
-
-static void on_done(struct fetch *f, int result)
-{
-	struct gate_request *r = f->user;
-	struct gate *g = r->gate;
-	int64_t now = clock_now_ms();
-	double ms = (clock_now_us() - r->started_us) / 1000.0;
-
-	g->n_running--;
-	limit_done(&g->limit, result_outcome(r, result), ms,
-		   r->started_us / 1000, now);
-	note_seen(r, result);
-	if (result == RESULT_UNREACHABLE)
-		g->connect_failures++;
-	if (r->shed) {
-		COUNT(gate_backend_shed);
-		gate_refuse(r, f->status == STATUS_MISDIRECTED
-				       ? RESULT_NOT_OWNER
-				       : RESULT_OVERLOAD);
-	} else if (!result) {
-		queue_learn(&g->queue, r->class_index, ms);
-		queue_count(&g->queue, r->class_index, false);
-		send_part(r, true);
-		request_free(r);
-	} else if (!f->sent) {
-		COUNT(gate_backend_failed);
-		gate_refuse(r, RESULT_UNREACHABLE);
-	} else {
-		COUNT(gate_backend_failed);
-		fail(r, result);
-	}
-	gate_pump(g);
-}
-
-static const struct fetch_ops backend_ops = {
-	.check_head = check_head,
-	.on_head = on_head,
-	.on_data = on_data,
-	.on_done = on_done,
-};
-
 static void set_headers(struct gate_request *r, int64_t fence, int64_t left_ms,
 			int64_t grant_ms)
 {
-	const struct header_names *names = names_of(r);
+	const struct header_names *names = gate_names(r);
 	const char *id = r->gate->backend_server.id;
 
 	header_set(r->headers, names->deadline_ms, NULL);
@@ -563,7 +315,7 @@
 	COUNT(gate_admitted);
 	fetch_start(&r->fetch, &g->fetcher, r->method, url, r->headers,
 		    r->body->data, r->body->len, left_ms + ANSWER_GRACE_MS,
-		    false, &backend_ops, r);
+		    false, &gate_fetch_ops, r);
 }
 
 static void remember_entry(struct gate *g, const void *identity, size_t len)
@@ -674,7 +426,7 @@
 	r->origin = m->origin;
 	r->id = m->id;
 	copy_strings(r, m);
-	r->attempt_id = header_find(r->headers, names_of(r)->attempt_id);
+	r->attempt_id = header_find(r->headers, gate_names(r)->attempt_id);
 	r->body = g_byte_array_new();
 	g_byte_array_append(r->body, m->data, m->len);
 	r->class_index = GPOINTER_TO_UINT(index) - 1;
@@ -762,7 +514,7 @@
 	else if (!gate_may_serve(r, &fence, &lease_end_ms)) {
 		if (!gate_park(r))
 			gate_refuse(r, RESULT_NOT_OWNER);
-	} else if (check_id(r, m->class_name, m->idempotency_key))
+	} else if (gate_check_id(r, m->class_name, m->idempotency_key))
 		gate_enqueue(r);
 }
 
@@ -782,7 +534,7 @@
 			ids_end(&g->ids, r->seen_hash, SEEN_UNKNOWN, 0, NULL,
 				NULL, 0);
 	}
-	request_free(r);
+	gate_request_free(r);
 	gate_pump(g);
 }
 
@@ -805,65 +557,12 @@
 	}
 	if (m->type == REQ_CREDIT) {
 		r->uncredited -= m->number;
-		if (r->state == GATE_RUNNING && r->uncredited < WINDOW_BYTES)
+		if (r->state == GATE_RUNNING &&
+		    r->uncredited < GATE_WINDOW_BYTES)
 			fetch_resume(&r->fetch);
 	}
 }
 
-static bool may_give(void *user, uint32_t shard)
-{
-	return member_may_give(user, shard);
-}
-
-/* The others of our service that take work and were heard of late. */
-static GArray *others(const struct gate *g, int64_t now)
-{
-	const struct member_node *n = &g->node->member;
-	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct balance_other));
-	struct member *m;
-	uint32_t i;
-
-	for_each_member (&n->fleet, m, i) {
-		struct gate_view *v;
-		struct balance_other o = { .member = m->id };
-
-		if (m->id == n->self ||
-		    strcmp(m->service, g->node->settings.service) ||
-		    !fleet_member_takes_work(&n->fleet, m) ||
-		    member_known_stopped(n, m->id))
-			continue;
-		v = chooser_view(&g->node->entry.chooser, m->id);
-		o.use = v->use;
-		if (now - v->heard_ms < HEARD_MS)
-			g_array_append_val(list, o);
-	}
-	return list;
-}
-
-/* Give some of our keys to a server that has more room for them. */
-static void give_away(struct gate *g, int64_t now)
-{
-	struct member_node *n = &g->node->member;
-	GArray *shards, *list;
-	int64_t to;
-
-	if (!g->balance.n_shards || !n->self)
-		return;
-	balance_tick(&g->balance,
-		     (g->n_running + g->queue.heap->len) /
-			     MAX(g->limit.now, 1.0),
-		     now);
-	shards = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-	list = others(g, now);
-	if (balance_choose(&g->balance, list, may_give, n, now, &to, shards) &&
-	    member_give(n, to, shards, now))
-		g_info("gives %u shards to member %" G_GINT64_FORMAT
-		       ": use %.2f here",
-		       shards->len, (gint64)to, g->balance.use);
-	g_array_unref(list);
-	g_array_unref(shards);
-}
-
 /* Timed duties: probes, queue deadlines, the backend server gone. */
 void gate_tick(struct gate *g)
 {
@@ -878,7 +577,7 @@
 	if (!g->backend_server.announced)
 		return;
 	gate_park_tick(g, now);
-	give_away(g, now);
+	gate_give_away(g, now);
 	gate_probe(g, now);
 	if (g->connect_failures >= MAX_CONNECT_FAILURES) {
 		g_warning("backend server does not accept connections");
