util, builtin: events of requests, histograms, and 'briargrade trace'

Each decision on a request is a JSON line on standard output with its inputs and their age; lines of failures tell all attempts. Token buckets by event, left-out lines counted; a full pipe drops lines instead of blocking. 'trace ID FILE...' orders one request's lines over processes, with clocks aligned by the times of sending and arrival. Histograms of fixed buckets join the counters.

Found with it at once: an entry asked an owner that had let a key go four times in a row, because the one it went to had let a request run to its deadline and passed for silent. Once one candidate has refused they are asked in turn, and a gate that answers others is not silent.

--- a/briargrade.c
+++ b/briargrade.c
@@ -20,6 +20,7 @@
 	{ "declare-lost", cmd_declare_lost, "state that a host is lost" },
 	{ "status", cmd_status, "show a node's view of the fleet" },
 	{ "explain", cmd_explain, "tell who serves a key and why" },
+	{ "trace", cmd_trace, "print one request's way from logs" },
 	{ "audit", cmd_audit, "print the trail of changes" },
 };
 
--- a/builtin/run.c
+++ b/builtin/run.c
@@ -4,6 +4,7 @@
 #include "builtin/builtin.h"
 #include "builtin/options.h"
 #include "node/node.h"
+#include "util/event.h"
 #include "util/log.h"
 #include "util/result.h"
 
@@ -20,6 +21,10 @@
 		fprintf(stderr, "briargrade: %s", errors->str);
 		return EXIT_FAILED;
 	}
+	EVENT(started, NULL,
+	      "\"data_centre\":\"%s\",\"service\":\"%s\",\"interface\":\"%s\"",
+	      event_text(s->data_centre), event_text(s->service),
+	      s->interface == INTERFACE_OWN ? "own" : "platform");
 	g_info("running in data centre %s for service %s", s->data_centre,
 	       s->service);
 	node_run(node);
--- a/member/lease.c
+++ b/member/lease.c
@@ -206,7 +206,7 @@
 	if (n->had_lease && !valid)
 		COUNT(lease_lapses);
 	if (n->had_lease != valid)
-		member_note(n, valid ? "lease gained" : "lease lapsed",
+		member_note(n, valid ? NOTE_LEASE_GAINED : NOTE_LEASE_LAPSED,
 			    n->self);
 	n->had_lease = valid;
 	if (valid)
--- a/member/member.h
+++ b/member/member.h
@@ -117,6 +117,9 @@
 
 /* What member_ops.note says of a member found to have stopped. */
 #define NOTE_STOPPED "known to have stopped"
+/* And of our own lease. */
+#define NOTE_LEASE_GAINED "lease gained"
+#define NOTE_LEASE_LAPSED "lease lapsed"
 
 struct member_ops {
 	/* Send to a member; takes nothing over. */
--- a/net/log-client.c
+++ b/net/log-client.c
@@ -1,8 +1,11 @@
+#include <inttypes.h>
 #include <string.h>
 
 #include "net/clock.h"
 #include "net/log-client.h"
 #include "util/counters.h"
+#include "util/event.h"
+#include "util/histogram.h"
 #include "util/result.h"
 
 #define APPEND_TIMEOUT_MS 3000
@@ -52,6 +55,7 @@
 	c->handlers = handlers;
 	c->user = user;
 	c->wait_ms = DEFAULT_WAIT_MS;
+	c->name = "log";
 	g_strlcpy(c->address, address, sizeof(c->address));
 	g_snprintf(c->writer, sizeof(c->writer), "%08x%08x", g_random_int(),
 		   g_random_int());
@@ -188,6 +192,11 @@
 	}
 	if (b->result) {
 		COUNT(log_failures);
+		if (!c->failures)
+			EVENT(store_lost, NULL,
+			      "\"stream\":\"%s\",\"why\":\"%s\","
+			      "\"next\":%" PRId64,
+			      c->name, result_name(b->result), c->next);
 		c->failures++;
 		c->retry_ms =
 			CLAMP(c->retry_ms * 2, RETRY_MIN_MS, RETRY_MAX_MS);
@@ -195,6 +204,11 @@
 						 c->retry_ms + 1));
 		return;
 	}
+	if (c->failures)
+		EVENT(store_regained, NULL,
+		      "\"stream\":\"%s\",\"failures\":%" PRId64
+		      ",\"end\":%" PRId64,
+		      c->name, c->failures, b->next);
 	c->failures = 0;
 	c->retry_ms = 0;
 	take_records(c, b);
@@ -210,6 +224,7 @@
 
 void log_client_appended(struct log_append *a, int result, bool sent)
 {
+	MEASURE(store_append_ms, clock_now_ms() - a->began_ms);
 	if (result == RESULT_OK) {
 		end_append(a, RESULT_OK);
 		return;
@@ -243,6 +258,7 @@
 	}
 	a = g_new0(struct log_append, 1);
 	a->client = c;
+	a->began_ms = clock_now_ms();
 	a->kind = kind;
 	a->user = append_user;
 	a->answer = g_string_new(NULL);
--- a/net/log-client.h
+++ b/net/log-client.h
@@ -44,6 +44,7 @@
 	GString *body;
 	GString *answer;
 	char id[40];
+	int64_t began_ms;
 	int kind; /* the caller's own mark */
 	void *user;
 	bool in_doubt; /* sent, and no answer came */
@@ -69,6 +70,7 @@
 	void *user;
 	struct fetcher fetcher;
 	struct ev_loop *loop;
+	const char *name; /* of the stream, in log lines */
 	char address[64];
 	char writer[24];
 	uint64_t n_appends;
--- a/net/request-msg.h
+++ b/net/request-msg.h
@@ -26,6 +26,7 @@
 #define REQ_FLAG_REPEATABLE 4 /* asked: may run more than once */
 #define REQ_FLAG_FIRST_SENDING 8 /* asked: its id was never sent before */
 #define REQ_FLAG_REACHED 16 /* refused: by the backend server itself */
+#define REQ_FLAG_TRACED 32 /* asked: log all that happens to it */
 
 struct request_msg {
 	enum request_msg_type type;
--- a/node/backend.c
+++ b/node/backend.c
@@ -4,6 +4,8 @@
 #include "node/backend.h"
 #include "node/node.h"
 #include "platform/announce.h"
+#include "util/event.h"
+#include "util/histogram.h"
 #include "util/result.h"
 
 #define MAX_BODY_BYTES (256 * 1024)
@@ -49,6 +51,8 @@
 {
 	if (n->backend_left)
 		return;
+	EVENT(server_leaves, NULL, "\"server\":\"%s\",\"why\":\"%s\"",
+	      event_text(n->life.id), event_text(why));
 	g_info("backend server %s: %s", n->life.id, why);
 	n->backend_left = true;
 	gate_leave(&n->gate);
@@ -107,6 +111,8 @@
 		if (!member_may_serve(&n->member, i, now, &fence, &end))
 			grants_give(g, i, fence, number, hold_ms, rows, now);
 	}
+	if (rows)
+		MEASURE(grant_ms, hold_ms);
 	text = announce_answer(rows, hold_ms, MAX_ANSWER_BYTES, &n_left_out);
 	if (n_left_out)
 		g_warning("%u rows left out of an answer too long", n_left_out);
@@ -127,6 +133,8 @@
 		     strcmp(a.address, n->settings.backend_server)))
 		g_string_append(why, "not the backend server of this host");
 	if (why->len) {
+		EVENT(server_refused, NULL, "\"server\":\"%s\",\"why\":\"%s\"",
+		      event_text(id), event_text(why->str));
 		g_info("heartbeat of %s not taken: %s", id, why->str);
 		reply_json(r, 400, "{}");
 		goto out;
--- a/node/entry-answer.c
+++ b/node/entry-answer.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <string.h>
 
 #include "net/clock.h"
@@ -5,6 +6,9 @@
 #include "node/entry-request.h"
 #include "node/node.h"
 #include "util/counters.h"
+#include "util/event.h"
+#include "util/histogram.h"
+#include "util/result.h"
 
 /* What the caller gets: a gate's answer, or one of our own. */
 
@@ -12,6 +16,58 @@
 #define MS_PER_S 1000
 #define SIZE_WEIGHT 0.1
 
+/* Keep how an attempt ended, for the line about its request. */
+void entry_note_attempt(struct entry_request *r, const struct attempt *a,
+			int result)
+{
+	struct past_attempt *p = &r->past[r->n_past++ % MAX_PAST];
+
+	p->member = a->member;
+	p->result = result;
+	p->ms = (clock_now_us() - a->sent_us) / 1000;
+}
+
+/* All attempts in one line, so that no other has to be looked up. */
+static const char *past_text(const struct entry_request *r)
+{
+	static char out[256];
+	uint32_t n = MIN(r->n_past, MAX_PAST);
+	uint32_t i;
+	int at = 0;
+
+	out[0] = '\0';
+	for (i = 0; i < n; i++)
+		at += g_snprintf(out + at, sizeof(out) - at,
+				 "%s[%" PRId64 ",\"%s\",%" PRId64 "]",
+				 i ? "," : "", r->past[i].member,
+				 result_name(r->past[i].result), r->past[i].ms);
+	return out;
+}
+
+static void note_end(struct entry_request *r, enum event e, const char *why,
+		     int64_t wait_ms)
+{
+	int64_t now = clock_now_ms();
+	const struct plan *p = &r->plan;
+
+	if (!event_due(e))
+		return;
+	event_write(e, r->attempt_id,
+		    "\"class\":\"%s\",\"service\":\"%s\",\"version\":%" PRId64
+		    ",\"shard\":%" PRId64 ",\"why\":\"%s\",\"age_ms\":%" PRId64
+		    ",\"left_ms\":%" PRId64 ",\"wait_ms\":%" PRId64
+		    ",\"tries\":%u,\"reached\":%u,\"attempts\":[%s]",
+		    event_text(r->class_name), event_text(r->service),
+		    r->version, p->keyed ? (int64_t)r->shard : -1,
+		    event_text(why), now - p->received_ms, p->deadline_ms - now,
+		    wait_ms, p->tries, p->reached, past_text(r));
+}
+
+static double age_ms(const struct entry_request *r)
+{
+	return clock_now_ms() - r->plan.received_ms;
+}
+
 static void add_retry_after(struct entry_request *r, GPtrArray *headers,
 			    int64_t wait_ms)
 {
@@ -58,16 +114,24 @@
 void entry_reply_not_run(struct entry_request *r, const char *text)
 {
 	double jitter = g_rand_double(r->entry->rand);
+	int64_t wait_ms = plan_retry_after_ms(&r->plan, jitter, clock_now_ms());
 
+	if (r->done)
+		return;
 	COUNT(requests_not_run);
-	reply(r, 503, OUTCOME_NOT_RUN,
-	      plan_retry_after_ms(&r->plan, jitter, clock_now_ms()), text);
+	MEASURE(refused_ms, age_ms(r));
+	note_end(r, EVENT_request_refused, text, wait_ms);
+	reply(r, 503, OUTCOME_NOT_RUN, wait_ms, text);
 }
 
 /* Answer for good that it may have run. */
 void entry_reply_unknown(struct entry_request *r)
 {
+	if (r->done)
+		return;
 	COUNT(requests_unknown);
+	MEASURE(unknown_ms, age_ms(r));
+	note_end(r, EVENT_request_unknown, "no whole answer", -1);
 	reply(r, 504, OUTCOME_UNKNOWN, r->plan.repeatable ? MS_PER_S : -1,
 	      "no whole answer came; the request may have run\n");
 }
@@ -76,6 +140,7 @@
 void entry_reject(struct entry_request *r, uint32_t status, const char *text)
 {
 	COUNT(requests_rejected);
+	note_end(r, EVENT_request_rejected, text, -1);
 	reply(r, status, NULL, -1, text);
 }
 
@@ -109,6 +174,19 @@
 	r->received_bytes += m->len;
 }
 
+static void note_answered(struct entry_request *r, const struct attempt *a,
+			  int64_t status)
+{
+	MEASURE(answered_ms, age_ms(r));
+	if (!r->traced)
+		return;
+	EVENT(request_answered, r->attempt_id,
+	      "\"class\":\"%s\",\"gate\":%" PRId64 ",\"status\":%" PRId64
+	      ",\"age_ms\":%.0f,\"tries\":%u,\"hedge\":%s,\"attempts\":[%s]",
+	      event_text(r->class_name), a->member, status, age_ms(r),
+	      r->plan.tries, a->hedge ? "true" : "false", past_text(r));
+}
+
 static void learn_size(struct entry_request *r)
 {
 	struct class_cost *c = entry_cost(r);
@@ -151,6 +229,7 @@
 		return;
 	}
 	entry_cancel_others(r, a);
+	note_answered(r, a, m->status);
 	if (a->hedge)
 		COUNT(hedges_won);
 	headers = answer_headers(m, &length);
--- a/node/entry-attempt.c
+++ b/node/entry-attempt.c
@@ -1,9 +1,11 @@
+#include <inttypes.h>
 #include <string.h>
 
 #include "net/clock.h"
 #include "node/entry-request.h"
 #include "node/gate.h"
 #include "node/node.h"
+#include "util/event.h"
 #include "util/result.h"
 
 /* Attempts at gates: messages that go out, and what is kept about them. */
@@ -101,7 +103,8 @@
 	m->deadline_ms = r->plan.deadline_ms - now;
 	m->flags = (r->plan.keyed ? REQ_FLAG_KEYED : 0) |
 		   (r->plan.repeatable ? REQ_FLAG_REPEATABLE : 0) |
-		   (r->first_sending ? REQ_FLAG_FIRST_SENDING : 0);
+		   (r->first_sending ? REQ_FLAG_FIRST_SENDING : 0) |
+		   (r->traced ? REQ_FLAG_TRACED : 0);
 	m->method = r->http->method;
 	m->url = r->http->url;
 	m->key = r->key;
@@ -111,6 +114,24 @@
 	m->len = r->http->body->len;
 }
 
+static void note_sent(struct entry_request *r, const struct attempt *a,
+		      int64_t now)
+{
+	const struct gate_view *v = chooser_view(&r->entry->chooser, a->member);
+
+	if (!r->traced)
+		return;
+	EVENT(request_sent, r->attempt_id,
+	      "\"class\":\"%s\",\"service\":\"%s\",\"version\":%" PRId64
+	      ",\"gate\":%" PRId64 ",\"shard\":%" PRId64
+	      ",\"gate_load\":%.0f,\"gate_limit\":%.0f,\"slowness\":%.0f"
+	      ",\"heard_ms\":%" PRId64 ",\"left_ms\":%" PRId64 ",\"hedge\":%s",
+	      event_text(r->class_name), event_text(r->service), r->version,
+	      a->member, r->plan.keyed ? (int64_t)r->shard : -1, v->load,
+	      v->limit, v->latency_ms, v->heard_ms ? now - v->heard_ms : -1,
+	      r->plan.deadline_ms - now, a->hedge ? "true" : "false");
+}
+
 /* Ask a gate. Returns false when nothing was sent. */
 bool entry_send_attempt(struct entry_request *r, int64_t member, bool hedge)
 {
@@ -139,6 +160,7 @@
 	fill(r, member, now, &m);
 	m.id = a->id;
 	id = a->id;
+	note_sent(r, a, now);
 	/* Our own gate may answer, and end the request, before this returns. */
 	err = deliver(e, a, &m);
 	if (!err)
--- a/node/entry-classify.c
+++ b/node/entry-classify.c
@@ -147,8 +147,9 @@
 	r->version = f->configuration_version;
 	if (names->idempotency)
 		r->id_header = httpd_header(r->http, names->idempotency);
-	r->first_sending = names->attempt_id &&
-			   httpd_header(r->http, names->attempt_id);
+	if (names->attempt_id)
+		r->attempt_id = httpd_header(r->http, names->attempt_id);
+	r->first_sending = r->attempt_id;
 	take_class(r, k);
 	ss = pick_target(&f->configuration, k, e->rand);
 	g_strlcpy(r->service, ss->name, sizeof(r->service));
--- a/node/entry-pick.c
+++ b/node/entry-pick.c
@@ -44,8 +44,9 @@
 }
 
 /*
- * The next candidate in turn that has not been silent of late; a dead owner
- * would otherwise cost every other try its whole patience.
+ * The next candidate in turn. The first asked is one that has not been silent
+ * of late, or a dead owner would cost every request its whole patience; but once
+ * one has refused, the silent one may be the only owner there is.
  */
 static int64_t pick_candidate(struct entry_request *r, const int64_t *members,
 			      uint32_t count)
@@ -53,7 +54,7 @@
 	int64_t now = clock_now_ms();
 	uint32_t i;
 
-	for (i = 0; i < count; i++) {
+	for (i = 0; i < count && !r->plan.refusals; i++) {
 		int64_t id = members[(r->plan.refusals + i) % count];
 
 		if (chooser_view(&r->entry->chooser, id)->silent_until_ms <=
--- a/node/entry-request.h
+++ b/node/entry-request.h
@@ -23,8 +23,21 @@
 	bool hedge;
 };
 
+/* One attempt that ended, for the line that tells how the request did. */
+struct past_attempt {
+	int64_t member;
+	int result;
+	int64_t ms;
+};
+
+#define MAX_PAST 4
+
 struct entry_request {
 	struct entry *entry;
+	bool traced;
+	struct past_attempt past[MAX_PAST];
+	uint32_t n_past;
+	const char *attempt_id; /* as the caller sent it, or NULL */
 	struct httpd_request *http;
 	struct plan plan;
 	char class_name[NAME_MAX_LEN + 1];
@@ -58,6 +71,8 @@
 bool entry_classify(struct entry_request *r);
 
 /* node/entry-answer.c */
+void entry_note_attempt(struct entry_request *r, const struct attempt *a,
+			int result);
 void entry_reply_not_run(struct entry_request *r, const char *text);
 void entry_reply_unknown(struct entry_request *r);
 void entry_reject(struct entry_request *r, uint32_t status, const char *text);
--- a/node/entry.c
+++ b/node/entry.c
@@ -6,6 +6,7 @@
 #include "node/entry-request.h"
 #include "node/node.h"
 #include "util/counters.h"
+#include "util/event.h"
 #include "util/result.h"
 
 #define TICK_S 0.005
@@ -156,6 +157,7 @@
 		entry_take_data(r, a, m);
 		break;
 	case REQ_REFUSED:
+		entry_note_attempt(r, a, m->number);
 		entry_forget_attempt(e, a);
 		on_refused(r, m);
 		break;
@@ -164,6 +166,7 @@
 			entry_end_answer(r, a, false);
 			break;
 		}
+		entry_note_attempt(r, a, m->number);
 		entry_forget_attempt(e, a);
 		on_failed(r);
 		break;
@@ -232,6 +235,7 @@
 	struct entry *e = r->entry;
 	double age_ms = (clock_now_us() - a->sent_us) / 1000.0;
 	int64_t heard = peers_heard_ms(&e->node->peers, a->address);
+	const struct gate_view *v = chooser_view(&e->chooser, a->member);
 
 	if (r->winner == a)
 		return;
@@ -239,7 +243,9 @@
 		if (a->member != e->node->member.self &&
 		    now - heard > SILENT_LINK_MS)
 			peers_replace(&e->node->peers, a->address);
-		entry_cancel_attempt(e, a, true);
+		entry_note_attempt(r, a, RESULT_TIMEOUT);
+		/* A gate that answers others is slow, not silent. */
+		entry_cancel_attempt(e, a, now - v->heard_ms > SILENT_GATE_MS);
 		on_failed(r);
 		return;
 	}
@@ -303,6 +309,7 @@
 				entry_end_answer(r, a, false);
 				continue;
 			}
+			entry_note_attempt(r, a, RESULT_UNREACHABLE);
 			entry_cancel_attempt(e, a, true);
 			on_failed(r);
 		}
@@ -351,6 +358,7 @@
 	if (!entry_classify(r))
 		return;
 	copy_headers(r);
+	r->traced = event_trace_next();
 	budget_earn(entry_budget(e, r->service));
 	if (!ev_is_active(&e->tick))
 		ev_timer_again(e->node->loop, &e->tick);
@@ -366,6 +374,8 @@
 	if (!r || r->done)
 		return;
 	COUNT(requests_abandoned);
+	EVENT(request_abandoned, r->attempt_id, "\"class\":\"%s\"",
+	      event_text(r->class_name));
 	r->done = true;
 	entry_cancel_others(r, NULL);
 }
--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <string.h>
 
 #include "net/clock.h"
@@ -5,6 +6,8 @@
 #include "node/gate-request.h"
 #include "node/node.h"
 #include "util/counters.h"
+#include "util/event.h"
+#include "util/histogram.h"
 #include "util/result.h"
 
 /* What comes back from the backend server, and goes on to the entry. */
@@ -134,6 +137,15 @@
 				       ? RESULT_NOT_OWNER
 				       : RESULT_OVERLOAD);
 	} else if (!result) {
+		MEASURE(server_ms, ms);
+		if (r->traced)
+			EVENT(gate_answered, r->attempt_id,
+			      "\"member\":%" PRId64 ",\"status\":%ld"
+			      ",\"server_ms\":%.0f,\"bytes\":%" PRId64
+			      ",\"sent_ms\":%" PRId64
+			      ",\"arrived_ms\":%" PRId64,
+			      g->node->member.self, f->status, ms, r->total,
+			      r->sent_ms, r->arrived_ms);
 		queue_learn(&g->queue, r->class_index, ms);
 		queue_count(&g->queue, r->class_index, false);
 		send_part(r, true);
--- a/node/gate-give.c
+++ b/node/gate-give.c
@@ -1,8 +1,10 @@
+#include <inttypes.h>
 #include <string.h>
 
 #include "net/clock.h"
 #include "node/gate-request.h"
 #include "node/node.h"
+#include "util/event.h"
 
 /* Ranges of keys that leave for a server with more room. */
 
@@ -56,9 +58,9 @@
 	list = others(g, now);
 	if (balance_choose(&g->balance, list, may_give, n, now, &to, shards) &&
 	    member_give(n, to, shards, now))
-		g_info("gives %u shards to member %" G_GINT64_FORMAT
-		       ": use %.2f here",
-		       shards->len, (gint64)to, g->balance.use);
+		EVENT(shards_given, NULL,
+		      "\"shards\":%u,\"to\":%" PRId64 ",\"use\":%.2f",
+		      shards->len, to, g->balance.use);
 	g_array_unref(list);
 	g_array_unref(shards);
 }
--- a/node/gate-request.h
+++ b/node/gate-request.h
@@ -29,6 +29,8 @@
 	GByteArray *body;
 	uint32_t class_index; /* UINT32_MAX: not in our configuration */
 	const char *attempt_id; /* that the answer must echo, or NULL */
+	bool traced;
+	int64_t sent_ms; /* by the entry's clock */
 	bool first_sending; /* nobody sent this request's id before */
 	bool repeatable;
 	bool keyed;
--- a/node/gate.c
+++ b/node/gate.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <string.h>
 
 #include "net/clock.h"
@@ -5,6 +6,8 @@
 #include "net/headers.h"
 #include "node/node.h"
 #include "util/counters.h"
+#include "util/event.h"
+#include "util/histogram.h"
 #include "util/invariant.h"
 #include "util/result.h"
 
@@ -139,6 +142,9 @@
 	limit_init(&g->limit, g->node->settings.limit, b->slots,
 		   clock_now_ms());
 	COUNT(gate_cold_starts);
+	EVENT(server_announced, NULL,
+	      "\"life\":\"%s\",\"slots\":%u,\"again\":%s", event_text(b->life),
+	      b->slots, again ? "true" : "false");
 	g_info("backend server %s announced%s: %u slots, %u connections",
 	       b->life, again ? " again" : "", b->slots, b->connections);
 }
@@ -205,6 +211,35 @@
 	return (MIN_WAIT_MS + drain) * g_rand_double_range(g->rand, 1.0, 2.0);
 }
 
+static void note_refused(const struct gate_request *r, int result,
+			 int64_t wait_ms)
+{
+	const struct gate *g = r->gate;
+	const struct member_node *n = &g->node->member;
+	int64_t now = clock_now_ms();
+	int64_t fence = 0, end = 0;
+	bool ours = r->keyed &&
+		    !member_may_serve(n, r->shard, now, &fence, &end);
+
+	EVENT(gate_refused, r->attempt_id,
+	      "\"why\":\"%s\",\"member\":%" PRId64 ",\"shard\":%" PRId64
+	      ",\"ours\":%s,\"granted\":%s,\"awaited\":%s,\"lease_ms\":%" PRId64
+	      ",\"running\":%u,\"waiting\":%u,\"limit\":%.0f,\"cold\":%s"
+	      ",\"draining\":%s,\"by_server\":%s,\"left_ms\":%" PRId64
+	      ",\"wait_ms\":%" PRId64 ",\"sent_ms\":%" PRId64
+	      ",\"arrived_ms\":%" PRId64,
+	      result_name(result), n->self, r->keyed ? r->shard : -1,
+	      ours ? "true" : "false",
+	      r->keyed && grants_granted(&g->grants, r->shard, fence, now)
+		      ? "true"
+		      : "false",
+	      r->keyed && member_awaits(n, r->shard) ? "true" : "false",
+	      member_lease_end_ms(n) - now, g->n_running, g->queue.heap->len,
+	      g->limit.now, cold_now(&g->cold, now) ? "true" : "false",
+	      g->draining ? "true" : "false", r->shed ? "true" : "false",
+	      r->deadline_ms - now, wait_ms, r->sent_ms, r->arrived_ms);
+}
+
 void gate_refuse(struct gate_request *r, int result)
 {
 	struct request_msg m = { .type = REQ_REFUSED,
@@ -219,6 +254,7 @@
 	else
 		COUNT(gate_refused_overload);
 	queue_count(&r->gate->queue, r->class_index, true);
+	note_refused(r, result, m.wait_ms);
 	gate_emit_for(r, &m);
 	gate_request_free(r);
 }
@@ -227,6 +263,14 @@
 {
 	struct request_msg m = { .type = REQ_FAILED, .number = result };
 
+	EVENT(gate_failed, r->attempt_id,
+	      "\"why\":\"%s\",\"member\":%" PRId64 ",\"server_ms\":%" PRId64
+	      ",\"left_ms\":%" PRId64 ",\"sent_ms\":%" PRId64
+	      ",\"arrived_ms\":%" PRId64,
+	      result_name(result), r->gate->node->member.self,
+	      r->started_us ? (clock_now_us() - r->started_us) / 1000 : -1,
+	      r->deadline_ms - clock_now_ms(), r->sent_ms, r->arrived_ms);
+
 	gate_emit_for(r, &m);
 	gate_request_free(r);
 }
@@ -313,6 +357,17 @@
 	if (!ev_is_active(&g->watch))
 		ev_timer_again(g->node->loop, &g->watch);
 	COUNT(gate_admitted);
+	MEASURE(queue_ms, now - r->arrived_ms);
+	if (r->traced)
+		EVENT(gate_started, r->attempt_id,
+		      "\"member\":%" PRId64
+		      ",\"server\":\"%s\",\"shard\":%" PRId64
+		      ",\"fence\":%" PRId64 ",\"queued_ms\":%" PRId64
+		      ",\"running\":%u,\"left_ms\":%" PRId64
+		      ",\"sent_ms\":%" PRId64 ",\"arrived_ms\":%" PRId64,
+		      g->node->member.self, event_text(g->backend_server.id),
+		      r->keyed ? r->shard : -1, fence, now - r->arrived_ms,
+		      g->n_running, left_ms, r->sent_ms, r->arrived_ms);
 	fetch_start(&r->fetch, &g->fetcher, r->method, url, r->headers,
 		    r->body->data, r->body->len, left_ms + ANSWER_GRACE_MS,
 		    false, &gate_fetch_ops, r);
@@ -390,6 +445,7 @@
 
 	if (least) {
 		*least = MIN(*least, offset);
+		MEASURE(hop_ms, offset - *least);
 		return offset - *least;
 	}
 	if (g_hash_table_size(g->origins) >= MAX_ORIGINS)
@@ -432,6 +488,8 @@
 	r->class_index = GPOINTER_TO_UINT(index) - 1;
 	r->repeatable = m->flags & REQ_FLAG_REPEATABLE;
 	r->first_sending = m->flags & REQ_FLAG_FIRST_SENDING;
+	r->traced = m->flags & REQ_FLAG_TRACED;
+	r->sent_ms = m->sent_ms;
 	r->resend_window_ms = m->resend_window_ms;
 	r->target_ms = m->target_ms;
 	r->priority = m->priority;
--- a/node/node.c
+++ b/node/node.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <signal.h>
 #include <string.h>
 
@@ -6,6 +7,7 @@
 #include "node/node.h"
 #include "platform/store.h"
 #include "util/counters.h"
+#include "util/event.h"
 #include "util/result.h"
 
 #define TICK_S 0.05
@@ -128,6 +130,18 @@
 {
 	struct node *n = user;
 
+	if (!strcmp(what, NOTE_LEASE_GAINED))
+		EVENT(lease_gained, NULL, "\"member\":%" PRId64,
+		      n->member.self);
+	else if (!strcmp(what, NOTE_LEASE_LAPSED))
+		EVENT(lease_lapsed, NULL,
+		      "\"member\":%" PRId64 ",\"ago_ms\":%" PRId64,
+		      n->member.self,
+		      clock_now_ms() - member_lease_end_ms(&n->member));
+	else if (!strcmp(what, NOTE_STOPPED))
+		EVENT(member_stopped, NULL,
+		      "\"member\":%" PRId64 ",\"applied\":%" PRId64, subject,
+		      n->member.fleet.applied);
 	g_info("member %" G_GINT64_FORMAT ": %s %" G_GINT64_FORMAT,
 	       (gint64)n->member.self, what, (gint64)subject);
 	if (!strcmp(what, NOTE_STOPPED))
@@ -157,6 +171,13 @@
 	struct node *n = user;
 
 	audit_event(&n->audit, ev);
+	if (ev->type == FLEET_CONFIGURED)
+		EVENT(configured, NULL,
+		      "\"version\":%" PRId64 ",\"source\":%" PRId64
+		      ",\"operators_version\":%" PRId64,
+		      ev->offset, n->member.fleet.source,
+		      (int64_t)json_integer_value(json_object_get(
+			      n->member.fleet.document, "source")));
 	if (ev->type == FLEET_MEMBER_JOINED)
 		remember_address(n, ev->member);
 	/* One process to a peer address: the newer one proves it. */
@@ -462,6 +483,8 @@
 	idle = gate_idle(&n->gate) && entry_idle(&n->entry);
 	if (!idle && asked_ms < n->settings.stop_limit_ms)
 		return;
+	EVENT(stopped, NULL, "\"requests\":%u,\"running\":%u,\"ms\":%" PRId64,
+	      n->entry.requests->len, n->gate.n_running, asked_ms);
 	g_info("stopped, %s in progress", idle ? "nothing" : "something");
 	ev_break(n->loop, EVBREAK_ALL);
 }
@@ -533,6 +556,8 @@
 	if (n->stopping)
 		return;
 	g_info("asked to stop: finishing what is in progress");
+	EVENT(stopping, NULL, "\"requests\":%u,\"running\":%u",
+	      n->entry.requests->len, n->gate.n_running);
 	n->stopping = true;
 	n->stopping_ms = clock_now_ms();
 	if (keeps_backend(n))
@@ -605,6 +630,8 @@
 	log_client_init(&n->operators, n->loop, address, &store_operator_ops,
 			&operator_handlers, n);
 	log_client_recover_first(&n->operators);
+	n->log.name = "fleet";
+	n->operators.name = "operators";
 	n->operators.wait_ms = LOG_WAIT_LONG_MS;
 }
 
--- a/node/operator.c
+++ b/node/operator.c
@@ -6,6 +6,7 @@
 #include "node/node.h"
 #include "state/records.h"
 #include "util/counters.h"
+#include "util/histogram.h"
 #include "util/result.h"
 
 #define MAX_DOCUMENT_BYTES (4 * 1024 * 1024)
@@ -127,6 +128,7 @@
 	GString *text = g_string_new(NULL);
 
 	counters_text(text);
+	histograms_text(text);
 	g_string_append_printf(text,
 			       "applied_offset %" PRId64 "\n"
 			       "configuration_version %" PRId64 "\n"
--- a/node/reload.c
+++ b/node/reload.c
@@ -2,6 +2,7 @@
 #include <sys/stat.h>
 
 #include "node/node.h"
+#include "util/event.h"
 
 /*
  * Reading the settings again, on SIGHUP or when the file has changed. Only what
@@ -45,6 +46,7 @@
 		g_warning("settings not read again: %s", errors->str);
 	} else {
 		take_over(&n->settings, new);
+		EVENT(reloaded, NULL, "\"seeds\":%u", n->settings.n_seeds);
 		g_info("settings read again, %u seeds", n->settings.n_seeds);
 	}
 	g_string_free(errors, TRUE);
--- a/util/counters.h
+++ b/util/counters.h
@@ -61,7 +61,9 @@
 	X(peer_messages_malformed) \
 	X(peer_sends_dropped)      \
 	X(peer_links_opened)       \
-	X(peer_links_closed)
+	X(peer_links_closed)       \
+	X(log_lines_left_out)      \
+	X(log_lines_dropped)
 
 enum counter {
 #define COUNTER_ENUM(name) COUNTER_##name,
--- /dev/null
+++ b/util/event.c
@@ -0,0 +1,149 @@
+#include <inttypes.h>
+#include <poll.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "util/counters.h"
+#include "util/event.h"
+
+#define MAX_LINE 1024 /* below PIPE_BUF, so that a write is whole or none */
+#define MAX_TEXT 64
+#define N_TEXTS 4
+#define TRACED_PER_S 4.0
+#define MS_PER_S 1000.0
+
+struct bucket {
+	double tokens;
+	int64_t filled_ms;
+	uint64_t left_out;
+};
+
+static const struct {
+	const char *name;
+	double rate;
+	double burst;
+} kinds[] = {
+#define EVENT_KIND(name, rate, burst) { #name, rate, burst },
+	EVENT_LIST(EVENT_KIND)
+#undef EVENT_KIND
+};
+
+static struct bucket buckets[N_EVENTS];
+static struct bucket traced;
+static char host_name[64];
+static bool enabled;
+
+static int64_t boot_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_BOOTTIME, &ts);
+	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+void event_setup(const char *host)
+{
+	int i;
+
+	g_strlcpy(host_name, host, sizeof(host_name));
+	for (i = 0; i < N_EVENTS; i++) {
+		buckets[i].tokens = kinds[i].burst;
+		buckets[i].filled_ms = boot_ms();
+	}
+	traced.tokens = TRACED_PER_S;
+	traced.filled_ms = boot_ms();
+	enabled = true;
+}
+
+static bool take(struct bucket *b, double rate, double burst)
+{
+	int64_t now = boot_ms();
+
+	b->tokens =
+		MIN(burst, b->tokens + (now - b->filled_ms) / MS_PER_S * rate);
+	b->filled_ms = now;
+	if (b->tokens < 1)
+		return false;
+	b->tokens -= 1;
+	return true;
+}
+
+bool event_due(enum event e)
+{
+	if (!enabled)
+		return false;
+	if (take(&buckets[e], kinds[e].rate, kinds[e].burst))
+		return true;
+	buckets[e].left_out++;
+	COUNT(log_lines_left_out);
+	return false;
+}
+
+bool event_trace_next(void)
+{
+	return enabled && take(&traced, TRACED_PER_S, TRACED_PER_S);
+}
+
+void event_put_line(const char *line, size_t len)
+{
+	struct pollfd p = { .fd = STDOUT_FILENO, .events = POLLOUT };
+
+	/*
+	 * Whoever reads the other end may be slow or stuck. Writing into a
+	 * full pipe would then stop this process with all its requests.
+	 */
+	if (poll(&p, 1, 0) != 1 || !(p.revents & POLLOUT) ||
+	    write(STDOUT_FILENO, line, len) < 0)
+		COUNT(log_lines_dropped);
+}
+
+const char *event_text(const char *s)
+{
+	static char texts[N_TEXTS][MAX_TEXT + 1];
+	static uint32_t next;
+	char *out = texts[next++ % N_TEXTS];
+	uint32_t i;
+
+	for (i = 0; s && s[i] && i < MAX_TEXT; i++)
+		out[i] = g_ascii_isalnum(s[i]) || strchr("._-:/", s[i]) ? s[i]
+									: '?';
+	out[i] = '\0';
+	return out;
+}
+
+void event_write(enum event e, const char *id, const char *fmt, ...)
+{
+	char line[MAX_LINE];
+	uint64_t left_out = buckets[e].left_out;
+	int n;
+	va_list ap;
+
+	n = g_snprintf(line, sizeof(line),
+		       "{\"unix_ms\":%" PRId64 ",\"boot_ms\":%" PRId64
+		       ",\"host\":\"%s\",\"event\":\"%s\"",
+		       g_get_real_time() / 1000, boot_ms(), host_name,
+		       kinds[e].name);
+	if (id)
+		n += g_snprintf(line + n, sizeof(line) - n, ",\"id\":\"%s\"",
+				event_text(id));
+	if (left_out)
+		n += g_snprintf(line + n, sizeof(line) - n,
+				",\"left_out\":%" PRIu64, left_out);
+	buckets[e].left_out = 0;
+	if (*fmt) {
+		n += g_snprintf(line + n, sizeof(line) - n, ",");
+		va_start(ap, fmt);
+		n += g_vsnprintf(line + n, sizeof(line) - n, fmt, ap);
+		va_end(ap);
+	}
+	/* A line cut short would not be JSON: it is left out instead. */
+	if (n + 3 >= MAX_LINE) {
+		COUNT(log_lines_dropped);
+		return;
+	}
+	memcpy(line + n, "}\n", 2);
+	event_put_line(line, n + 2);
+}
--- a/util/log.c
+++ b/util/log.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "util/event.h"
 #include "util/log.h"
 
 static GLogLevelFlags lowest = G_LOG_LEVEL_INFO;
@@ -39,8 +40,10 @@
 			      level_name(level), "host", host_name, "message",
 			      message);
 	char *text = json_dumps(o, JSON_COMPACT);
+	g_autofree char *line = NULL;
 
-	fprintf(stderr, "%s\n", text);
+	line = g_strconcat(text, "\n", NULL);
+	event_put_line(line, strlen(line));
 	free(text);
 	json_decref(o);
 }
@@ -74,5 +77,7 @@
 		lowest = G_LOG_LEVEL_WARNING;
 	else if (!strcmp(level, "debug"))
 		lowest = G_LOG_LEVEL_DEBUG;
+	if (json)
+		event_setup(host);
 	g_log_set_writer_func(write_line, NULL, NULL);
 }
