net: a request cancelled within a callback of libcurl; log lines of any bytes

A request cancelled there is now silenced and let go once libcurl is done, and counted (fetch_orphans).

Beside it a log line with bytes that are not UTF-8 had no JSON, and the node ended on it.

--- a/net/fetch.c
+++ b/net/fetch.c
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include "net/fetch.h"
+#include "util/counters.h"
 #include "util/result.h"
 
 #define CONNECT_TIMEOUT_MS 1000
@@ -38,6 +39,46 @@
 	x->n_running--;
 }
 
+/*
+ * libcurl refuses to let go of any request while it is in a callback, and goes
+ * on to use its handle. Reset and used for the next request meanwhile, that
+ * handle would write the answer's bytes to standard output, and then crash. So
+ * a request cancelled there is only silenced, and let go once libcurl is done.
+ */
+static void orphan(struct fetch *f)
+{
+	struct fetcher *x = f->fetcher;
+
+	COUNT(fetch_orphans);
+	curl_easy_setopt(f->easy, CURLOPT_PRIVATE, NULL);
+	curl_easy_setopt(f->easy, CURLOPT_WRITEDATA, NULL);
+	curl_easy_setopt(f->easy, CURLOPT_HEADERDATA, NULL);
+	curl_easy_setopt(f->easy, CURLOPT_PREREQDATA, NULL);
+	curl_easy_pause(f->easy, CURLPAUSE_ALL);
+	g_ptr_array_add(x->orphans, f->easy);
+	/* Its headers stay with the handle, a few hundred bytes, until then. */
+	curl_easy_setopt(f->easy, CURLOPT_HTTPHEADER, NULL);
+	curl_slist_free_all(f->headers);
+	f->headers = NULL;
+	f->easy = NULL;
+	x->n_running--;
+	ev_prepare_start(x->loop, &x->bury);
+}
+
+static void on_bury(struct ev_loop *loop, ev_prepare *w, int events)
+{
+	struct fetcher *x = w->data;
+
+	(void)events;
+	while (x->orphans->len) {
+		CURL *easy = g_ptr_array_remove_index_fast(x->orphans, 0);
+
+		curl_multi_remove_handle(x->multi, easy);
+		curl_easy_cleanup(easy);
+	}
+	ev_prepare_stop(loop, w);
+}
+
 static int result_of(const struct fetch *f, CURLcode code)
 {
 	if (f->mixed)
@@ -69,6 +110,8 @@
 			continue;
 		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE,
 				  (char **)&f);
+		if (!f)
+			continue;
 		result = result_of(f, msg->data.result);
 		headers = f->answer_headers;
 		finish_one(f);
@@ -163,6 +206,9 @@
 	x->sockets = g_ptr_array_new_with_free_func(g_free);
 	ev_init(&x->timer, on_timer);
 	x->timer.data = x;
+	x->orphans = g_ptr_array_new();
+	ev_prepare_init(&x->bury, on_bury);
+	x->bury.data = x;
 	curl_multi_setopt(x->multi, CURLMOPT_SOCKETFUNCTION, set_socket);
 	curl_multi_setopt(x->multi, CURLMOPT_SOCKETDATA, x);
 	curl_multi_setopt(x->multi, CURLMOPT_TIMERFUNCTION, set_timer);
@@ -179,6 +225,8 @@
 	uint32_t i;
 
 	ev_timer_stop(x->loop, &x->timer);
+	on_bury(x->loop, &x->bury, 0);
+	g_ptr_array_unref(x->orphans);
 	for (i = 0; i < x->idle->len; i++)
 		curl_easy_cleanup(g_ptr_array_index(x->idle, i));
 	curl_multi_cleanup(x->multi);
@@ -205,7 +253,7 @@
 	(void)from;
 	(void)to_port;
 	(void)from_port;
-	if (f->sent)
+	if (!f || f->sent)
 		return CURL_PREREQFUNC_ABORT;
 	f->sent = true;
 	return CURL_PREREQFUNC_OK;
@@ -251,6 +299,9 @@
 	size_t len = size * n;
 	char *colon = memchr(line, ':', len);
 
+	if (!f)
+		return 0;
+
 	if (len >= 5 && !memcmp(line, "HTTP/", 5))
 		g_ptr_array_set_size(f->answer_headers, 0);
 	if (len == 2 && !memcmp(line, "\r\n", 2))
@@ -277,13 +328,18 @@
 static size_t on_write(char *data, size_t size, size_t n, void *user)
 {
 	struct fetch *f = user;
+	struct fetcher *x;
+	bool go_on = true;
 
+	if (!f)
+		return 0;
+	x = f->fetcher;
+	x->depth++;
 	head_is_done(f);
-	if (!f->ops->on_data)
-		return size * n;
-	if (!f->ops->on_data(f, data, size * n))
-		return CURL_WRITEFUNC_PAUSE;
-	return size * n;
+	if (f->ops->on_data)
+		go_on = f->ops->on_data(f, data, size * n);
+	x->depth--;
+	return go_on ? size * n : CURL_WRITEFUNC_PAUSE;
 }
 
 static void set_body(CURL *easy, const char *method, const void *body,
@@ -385,7 +441,10 @@
 
 	if (!f->easy)
 		return;
-	finish_one(f);
+	if (f->fetcher->depth)
+		orphan(f);
+	else
+		finish_one(f);
 	g_ptr_array_unref(headers);
 }
 
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -18,6 +18,9 @@
 	ev_timer timer;
 	GPtrArray *idle; /* CURL * handles kept for use again */
 	GPtrArray *sockets; /* struct fetch_socket */
+	uint32_t depth; /* callbacks of libcurl that we are in */
+	GPtrArray *orphans; /* CURL * cancelled within a callback */
+	ev_prepare bury; /* runs while there are any */
 	int64_t max_idle_s; /* a connection idle for longer is not reused */
 	uint32_t n_running;
 };
--- a/util/counters.h
+++ b/util/counters.h
@@ -62,6 +62,7 @@
 	X(peer_sends_dropped)      \
 	X(peer_links_opened)       \
 	X(peer_links_closed)       \
+	X(fetch_orphans)           \
 	X(log_lines_left_out)      \
 	X(log_lines_dropped)
 
--- a/util/log.c
+++ b/util/log.c
@@ -36,9 +36,11 @@
 static void write_json(const char *when, GLogLevelFlags level,
 		       const char *message)
 {
+	/* Text from outside may be anything, and JSON takes UTF-8 alone. */
+	g_autofree char *valid = g_utf8_make_valid(message, -1);
 	json_t *o = json_pack("{s:s,s:s,s:s,s:s}", "time", when, "level",
 			      level_name(level), "host", host_name, "message",
-			      message);
+			      valid);
 	char *text = json_dumps(o, JSON_COMPACT);
 	g_autofree char *line = NULL;
 
