--- a/util/result.h
+++ b/util/result.h
@@ -19,7 +19,7 @@
 	RESULT_NOT_OWNER = -8, /* this node may not serve the key */
 	RESULT_OVERLOAD = -9, /* no room: refused before it was started */
 	RESULT_TIMEOUT = -10, /* no answer within the time allowed */
-	RESULT_CONFLICT = -11, /* another operator's change came first */
+	RESULT_CONFLICT = -11, /* another change came first */
 	RESULT_UNREACHABLE = -12, /* the other side could not be reached */
 	RESULT_CUT = -13, /* the answer ended before it was whole */
 	RESULT_CANCELLED = -14, /* the caller or the entry gave up */
