member: changes in quick succession do not put off those who publish next

Each new version started the wait of the second and later in turn anew, so with the first nodes gone (a release was on) nobody published while a storm of changes every 0.2 s went on. The wait counts from the first change not in force. Test: with the first three killed and a change each 100 ms, none was in force after 2 s; now they are.

--- a/member/member.c
+++ b/member/member.c
@@ -213,11 +213,18 @@
 void member_set_published(struct member_node *n, int64_t source, json_t *doc,
 			  int64_t now_ms)
 {
+	bool pending = n->published && n->published_source > n->fleet.source;
+
 	n->now_ms = MAX(n->now_ms, now_ms);
 	json_decref(n->published);
 	n->published = json_incref(doc);
 	n->published_source = source;
-	n->published_since_ms = n->now_ms;
+	/*
+	 * Changes in quick succession would put the wait of those who act
+	 * after the first node off again and again, should that one be gone.
+	 */
+	if (!pending)
+		n->published_since_ms = n->now_ms;
 }
 
 void member_set_life(struct member_node *n, const char *life)
--- a/t/test-member.c
+++ b/t/test-member.c
@@ -417,6 +417,41 @@
 	g_array_unref(shards);
 }
 
+/*
+ * Operators publish in quick succession while the nodes that would bring it
+ * into the log first are gone. The next in turn must count its wait from the
+ * first change that is not in force, not from each new one: it would wait as
+ * long as they go on, and callers be served by a configuration long replaced.
+ */
+static void test_published_in_a_storm(void)
+{
+	struct sim s;
+	struct fleet *f;
+	json_t *doc;
+	int64_t source;
+	uint32_t i, rank;
+
+	start_quietly(&s, 5, 0);
+	f = sim_newest(&s);
+	doc = json_deep_copy(f->document);
+	for (i = 0; i < SIM_NODES; i++) {
+		rank = assign_rank(f, "publish", s.nodes[i].member.self);
+		if (rank < 3)
+			sim_kill(&s, i);
+	}
+	for (source = 1; source <= 20; source++) {
+		for (i = 0; i < SIM_NODES; i++)
+			if (s.nodes[i].up)
+				member_set_published(
+					&s.nodes[i].member, source, doc,
+					s.nodes[i].member.now_ms);
+		sim_run(&s, 100);
+	}
+	g_assert_cmpint(sim_newest(&s)->source, >=, 8);
+	json_decref(doc);
+	sim_finish(&s);
+}
+
 int main(int argc, char **argv)
 {
 	uint32_t i;
@@ -427,6 +462,8 @@
 	if (g_getenv("FIRST_SEED"))
 		first_seed = atoi(g_getenv("FIRST_SEED"));
 	g_test_add_func("/member/random-faults", test_random_faults);
+	g_test_add_func("/member/published-in-a-storm",
+			test_published_in_a_storm);
 	g_test_add_func("/member/gives-at-once", test_gives_at_once);
 	g_test_add_func("/member/stale-successor", test_stale_successor);
 	g_test_add_func("/member/shard-comes-and-goes",
