t: three failed requests, and what their logs tell

t0021: refused by a cold server with room, lost with the entry that took it, a booking whose answer was lost; 'trace' names each cause from the logs alone. Texts in events keep their spaces.

--- a/t/platform-server.c
+++ b/t/platform-server.c
@@ -18,7 +18,8 @@
  * it does not hold, ids echoed, and a ledger of all it ran. POST /control:
  * work_ms=N, drain=1 (says that it leaves), crash=1 (starts again at once with
  * another id, holding nothing), mute=0|1 (no heartbeats), extra=N (sends a
- * second answer behind each of N), unsigned=N, lose=N (runs, then closes).
+ * second answer behind each of N), unsigned=N, lose=N (runs, then closes),
+ * cold_ms=N (says that it is cold for so long).
  */
 
 #define MAX_BODY (8 * 1024 * 1024)
@@ -46,7 +47,7 @@
 static int64_t born_ms, number, beat_sent_ms;
 static bool draining, mute;
 static double work_ms = 1;
-static int64_t lose, without_signature, wrong_id;
+static int64_t lose, without_signature, wrong_id, cold_ms;
 static GArray *held; /* struct grant_row */
 static int64_t held_until_ms;
 static GString *released;
@@ -221,7 +222,8 @@
 		      "info", "service", service, "version", "v1", "zone",
 		      data_centre, "slots", 18, "status", "state",
 		      draining ? "draining" : "ready", "seq",
-		      (json_int_t)++number, "cold_left_ms", 0, "holds",
+		      (json_int_t)++number, "cold_left_ms", (int)cold_ms,
+		      "holds",
 		      rows_json());
 	gone = g_strdup_printf("[%s]", released->str);
 	json_object_set_new(o, "released", json_loads(gone, 0, NULL));
@@ -366,6 +368,7 @@
 	lose = argument(r, "lose", lose);
 	without_signature = argument(r, "unsigned", without_signature);
 	wrong_id = argument(r, "wrong_id", wrong_id);
+	cold_ms = argument(r, "cold_ms", cold_ms);
 	mute = argument(r, "mute", mute);
 	draining = argument(r, "drain", draining);
 	if (argument(r, "crash", 0))
--- /dev/null
+++ b/t/t0021-platform-trace.sh
@@ -0,0 +1,55 @@
+#!/bin/bash
+# Three requests fail, each for another reason, and the logs alone must tell
+# which: refused though servers had room, lost around a node's restart, and a
+# booking of which nobody knows whether it ran.
+EXTRA_SETTINGS='"log_format": "json",'
+. "$(dirname "$0")/lib-platform.sh"
+start_platform "records bookings" "hakata tenjin kurume kitakyu"
+platform_config 7
+wait_platform
+# way ID: the events of a request without what differs from run to run.
+way() {
+	briargrade trace "$1" "$DIR"/node-*.log | sed -E '
+		s/^ *[+-][0-9]+ ms +//
+		s/host-[0-9]+ +/ /
+		s/\[[0-9]+,("[a-z-]+"),[0-9]+\]/\1/g
+		s/"not-owner",//g' |
+		grep -oE '^ [a-z_]+|why="[^"]*"|cold=true|running=[0-9]+|by_server=true|attempts=.*' |
+		tr '\n' ' ' | sed 's/ \(gate\|request\)_/\n\1_/g' |
+		sed 's/ *$//' | grep -E '^(gate|request)_(refused|failed|unknown)' |
+		grep -v not-owner.*running | sort
+}
+told() { grep -q "\"event\":\"$2\",\"id\":\"$1\"" "$DIR"/node-*.log; }
+
+echo "# refused though servers had room"
+key=$(ask "http://$(backend_of 0)/rows" | jq '.[0][0]')
+server_control 0 cold_ms=20000
+for k in $(seq 1 60); do
+	REQUEST_ID=cold-$k call 2 GET /look/1 -H "X-Mesh-Shard-Key: $key" \
+		-o /dev/null >>"$DIR/codes" &
+	waits="${waits:-} $!"
+done
+wait $waits
+echo "some were: $(grep -q 503 "$DIR/codes" && echo yes)"
+id=$(grep -ohE '"request_refused","id":"cold-[0-9]+"' "$DIR"/node-*.log |
+	head -1 | grep -oE 'cold-[0-9]+')
+way "$id"
+server_control 0 cold_ms=0
+
+echo "# lost around a node's restart"
+for i in 1 3 5 7; do server_control $i work_ms=1200; done
+REQUEST_ID=restart call 3 POST /book/1 -o /dev/null 2>/dev/null &
+asked=$!
+busy() { for i in 1 3 5 7; do [ "$(field $i in_flight)" -ge 1 ] && return; done; false; }
+wait_for "work" busy
+kill_node 3
+start_platform_node 3 bookings tenjin
+wait $asked
+echo "the entry went with it: $(told restart request_unknown && echo no || echo yes)"
+
+echo "# unknown outcome of a booking"
+wait_for "it to join" members_are 3 8
+for i in 1 3 5 7; do server_control $i "work_ms=1&lose=1"; done
+REQUEST_ID=unknown call 0 POST /book/1 -o /dev/null
+wait_for "the line" told unknown request_unknown
+way unknown
--- a/util/event.c
+++ b/util/event.c
@@ -107,8 +107,8 @@
 	char *out = texts[next++ % N_TEXTS];
 	uint32_t i;
 
-	for (i = 0; s && s[i] && i < MAX_TEXT; i++)
-		out[i] = g_ascii_isalnum(s[i]) || strchr("._-:/", s[i]) ? s[i]
+	for (i = 0; s && s[i] && s[i] != '\n' && i < MAX_TEXT; i++)
+		out[i] = g_ascii_isprint(s[i]) && !strchr("\"\\", s[i]) ? s[i]
 									: '?';
 	out[i] = '\0';
 	return out;
