--- a/t/platform-server.c
+++ b/t/platform-server.c
@@ -223,8 +223,7 @@
 		      data_centre, "slots", 18, "status", "state",
 		      draining ? "draining" : "ready", "seq",
 		      (json_int_t)++number, "cold_left_ms", (int)cold_ms,
-		      "holds",
-		      rows_json());
+		      "holds", rows_json());
 	gone = g_strdup_printf("[%s]", released->str);
 	json_object_set_new(o, "released", json_loads(gone, 0, NULL));
 	beat_body = json_dumps(o, JSON_COMPACT);
--- a/t/test-member.c
+++ b/t/test-member.c
@@ -442,9 +442,9 @@
 	for (source = 1; source <= 20; source++) {
 		for (i = 0; i < SIM_NODES; i++)
 			if (s.nodes[i].up)
-				member_set_published(
-					&s.nodes[i].member, source, doc,
-					s.nodes[i].member.now_ms);
+				member_set_published(&s.nodes[i].member, source,
+						     doc,
+						     s.nodes[i].member.now_ms);
 		sim_run(&s, 100);
 	}
 	g_assert_cmpint(sim_newest(&s)->source, >=, 8);
