net, node: no handle reused that libcurl holds; rows before handovers

A handle that libcurl would not let go of, for whatever reason, is silenced and let go later instead of being reset. An answer to a heartbeat too long for its rows with handovers goes without these: a row left out would be let go.

--- a/net/fetch.c
+++ b/net/fetch.c
@@ -23,22 +23,6 @@
 	ev_io io;
 };
 
-static void finish_one(struct fetch *f)
-{
-	struct fetcher *x = f->fetcher;
-
-	curl_multi_remove_handle(x->multi, f->easy);
-	curl_slist_free_all(f->headers);
-	f->headers = NULL;
-	curl_easy_reset(f->easy);
-	if (x->idle->len < MAX_IDLE_HANDLES)
-		g_ptr_array_add(x->idle, f->easy);
-	else
-		curl_easy_cleanup(f->easy);
-	f->easy = NULL;
-	x->n_running--;
-}
-
 /*
  * libcurl refuses to let go of any request while it is in a callback, and goes
  * on to use its handle. Reset and used for the next request meanwhile, that
@@ -65,6 +49,26 @@
 	ev_prepare_start(x->loop, &x->bury);
 }
 
+static void finish_one(struct fetch *f)
+{
+	struct fetcher *x = f->fetcher;
+
+	/* One that libcurl still holds must not be reset, nor used again. */
+	if (x->depth || curl_multi_remove_handle(x->multi, f->easy)) {
+		orphan(f);
+		return;
+	}
+	curl_slist_free_all(f->headers);
+	f->headers = NULL;
+	curl_easy_reset(f->easy);
+	if (x->idle->len < MAX_IDLE_HANDLES)
+		g_ptr_array_add(x->idle, f->easy);
+	else
+		curl_easy_cleanup(f->easy);
+	f->easy = NULL;
+	x->n_running--;
+}
+
 static void on_bury(struct ev_loop *loop, ev_prepare *w, int events)
 {
 	struct fetcher *x = w->data;
@@ -441,10 +445,7 @@
 
 	if (!f->easy)
 		return;
-	if (f->fetcher->depth)
-		orphan(f);
-	else
-		finish_one(f);
+	finish_one(f);
 	g_ptr_array_unref(headers);
 }
 
--- a/node/backend.c
+++ b/node/backend.c
@@ -114,6 +114,14 @@
 	if (rows)
 		MEASURE(grant_ms, hold_ms);
 	text = announce_answer(rows, hold_ms, MAX_ANSWER_BYTES, &n_left_out);
+	/* Cold keys are better than keys let go because a row had no room. */
+	for (i = 0; n_left_out && i < rows->len; i++)
+		g_array_index(rows, struct grant_row, i).handover[0] = '\0';
+	if (n_left_out) {
+		g_free(text);
+		text = announce_answer(rows, hold_ms, MAX_ANSWER_BYTES,
+				       &n_left_out);
+	}
 	if (n_left_out)
 		g_warning("%u rows left out of an answer too long", n_left_out);
 	if (rows)
