node, state: streams and lookups in files of their own

What reads the fleet's and the operators' streams moves to node/streams.c, finding members and shards to state/lookup.c; holds.c asks configuration_service() instead of searching itself.

--- a/member/holds.c
+++ b/member/holds.c
@@ -16,13 +16,10 @@
 
 static int64_t guard_ms(const struct member_node *n)
 {
-	const struct configuration *cfg = &n->fleet.configuration;
-	uint32_t i;
+	const struct service_settings *s =
+		configuration_service(&n->fleet.configuration, n->me.service);
 
-	for (i = 0; i < cfg->n_services; i++)
-		if (!strcmp(cfg->services[i].name, n->me.service))
-			return cfg->services[i].guard_ms;
-	return 0;
+	return s ? s->guard_ms : 0;
 }
 
 static bool is_gone(const struct member_node *n, int64_t id)
--- a/node/node.h
+++ b/node/node.h
@@ -93,6 +93,10 @@
 void node_backend_announced(struct node *n);
 void node_backend_left(struct node *n);
 
+/* node/streams.c */
+void streams_init(struct node *n);
+void streams_finish(struct node *n);
+
 /* node/reload.c */
 void node_reload(struct node *n);
 void reload_tick(struct node *n, int64_t now_ms);
--- /dev/null
+++ b/node/streams.c
@@ -0,0 +1,272 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "net/clock.h"
+#include "node/node.h"
+#include "platform/store.h"
+#include "util/event.h"
+#include "util/result.h"
+
+/*
+ * The streams that a node reads: the fleet's own, whose records make its state,
+ * and the operators', where they publish in one of their own.
+ */
+
+#define MAX_SNAPSHOT_PARTS 1024
+
+struct snapshot_parts {
+	uint32_t n_parts;
+	uint32_t n_have;
+	char **data;
+};
+
+struct scanned_record {
+	int64_t offset;
+	char *id;
+	json_t *record;
+};
+
+static void parts_free(gpointer p)
+{
+	struct snapshot_parts *s = p;
+	uint32_t i;
+
+	for (i = 0; i < s->n_parts; i++)
+		g_free(s->data[i]);
+	g_free(s->data);
+	g_free(s);
+}
+
+static void scanned_free(gpointer p)
+{
+	struct scanned_record *r = p;
+
+	g_free(r->id);
+	json_decref(r->record);
+	g_free(r);
+}
+
+static void apply(struct node *n, int64_t offset, const char *id,
+		  const json_t *record)
+{
+	member_on_record(&n->member, offset, id, record, clock_now_ms());
+	audit_flush(&n->audit);
+}
+
+static void drop_scan(struct node *n)
+{
+	g_hash_table_remove_all(n->snapshots);
+	g_ptr_array_set_size(n->scanned, 0);
+}
+
+static void replay_scanned(struct node *n)
+{
+	uint32_t i;
+
+	for (i = 0; i < n->scanned->len; i++) {
+		struct scanned_record *r = g_ptr_array_index(n->scanned, i);
+
+		if (r->offset > n->member.fleet.applied)
+			apply(n, r->offset, r->id, r->record);
+	}
+	drop_scan(n);
+	log_client_seek(&n->log, n->member.fleet.applied + 1);
+}
+
+static void load_parts(struct node *n, const struct snapshot_parts *parts)
+{
+	GString *text = g_string_new(NULL);
+	json_t *state;
+	uint32_t i;
+	int err = RESULT_INVALID;
+
+	for (i = 0; i < parts->n_parts; i++)
+		g_string_append(text, parts->data[i]);
+	state = json_loadb(text->str, text->len, 0, NULL);
+	if (state)
+		err = member_load(&n->member, state, clock_now_ms());
+	json_decref(state);
+	g_string_free(text, TRUE);
+	if (err) {
+		g_warning("snapshot in the log not usable: %s",
+			  result_name(err));
+		return;
+	}
+	g_info("loaded the snapshot of offset %" G_GINT64_FORMAT,
+	       (gint64)n->member.fleet.applied);
+	replay_scanned(n);
+}
+
+static void take_snapshot_part(struct node *n, const json_t *record)
+{
+	int64_t upto = json_integer_value(json_object_get(record, "upto"));
+	int64_t part = json_integer_value(json_object_get(record, "part"));
+	int64_t n_parts = json_integer_value(json_object_get(record, "parts"));
+	const char *data = json_string_value(json_object_get(record, "data"));
+	struct snapshot_parts *s = g_hash_table_lookup(n->snapshots, &upto);
+
+	if (!data || n_parts < 1 || n_parts > MAX_SNAPSHOT_PARTS || part < 0 ||
+	    part >= n_parts || (s && s->n_parts != n_parts))
+		return;
+	if (!s) {
+		s = g_new0(struct snapshot_parts, 1);
+		s->n_parts = n_parts;
+		s->data = g_new0(char *, n_parts);
+		g_hash_table_insert(n->snapshots,
+				    g_memdup2(&upto, sizeof(upto)), s);
+	}
+	if (s->data[part])
+		return;
+	s->data[part] = g_strdup(data);
+	if (++s->n_have == s->n_parts)
+		load_parts(n, s);
+}
+
+static void scan_record(struct node *n, int64_t offset, const char *id,
+			const json_t *record)
+{
+	const char *type = json_string_value(json_object_get(record, "type"));
+	struct scanned_record *r = g_new(struct scanned_record, 1);
+
+	r->offset = offset;
+	r->id = g_strdup(id);
+	r->record = json_incref((json_t *)record);
+	g_ptr_array_add(n->scanned, r);
+	if (type && !strcmp(type, "snapshot"))
+		take_snapshot_part(n, record);
+}
+
+static void on_record(void *user, int64_t offset, const char *id,
+		      const json_t *record)
+{
+	struct node *n = user;
+
+	if (n->log.trimmed) {
+		scan_record(n, offset, id, record);
+		return;
+	}
+	if (offset > n->member.fleet.applied)
+		apply(n, offset, id, record);
+	n->log.next = n->member.fleet.applied + 1;
+}
+
+static void on_tail(void *user, int64_t sent_ms)
+{
+	struct node *n = user;
+
+	if (n->log.trimmed) {
+		/* All there is was read, and without a snapshot it is enough
+		 * only if it begins where we stand. */
+		int64_t end = n->log.scan_from;
+
+		replay_scanned(n);
+		if (n->member.fleet.applied + 1 < end)
+			return;
+	}
+	member_on_log_tail(&n->member, sent_ms, clock_now_ms());
+}
+
+static void on_trimmed(void *user, int64_t first)
+{
+	struct node *n = user;
+
+	g_info("the log begins at offset %" G_GINT64_FORMAT
+	       "; looking for a snapshot",
+	       (gint64)first);
+	drop_scan(n);
+	log_client_scan(&n->log, first);
+}
+
+static void on_appended(void *user, int kind, void *append_user, int result)
+{
+	struct node *n = user;
+
+	if (kind == APPEND_OPERATOR)
+		operator_appended(n, append_user, result);
+	else if (kind < N_APPEND_KINDS)
+		member_append_done(&n->member, kind, result, clock_now_ms());
+}
+
+static void on_published(void *user, int64_t offset, const char *id,
+			 const json_t *record)
+{
+	struct node *n = user;
+
+	n->operators.next = offset + 1;
+	if (published_take(&n->published, id, record))
+		n->published_changed = true;
+}
+
+static void on_published_tail(void *user, int64_t sent_ms)
+{
+	struct node *n = user;
+	json_t *doc;
+
+	(void)sent_ms;
+	if (n->operators.trimmed)
+		log_client_seek(&n->operators, n->operators.scan_from);
+	if (!n->published_changed)
+		return;
+	n->published_changed = false;
+	doc = published_document(&n->published);
+	if (doc)
+		member_set_published(&n->member, n->operators.next, doc,
+				     clock_now_ms());
+	json_decref(doc);
+}
+
+static void on_published_trimmed(void *user, int64_t first)
+{
+	struct node *n = user;
+
+	log_client_scan(&n->operators, first);
+}
+
+static const struct log_handlers operator_handlers = {
+	.on_record = on_published,
+	.on_tail = on_published_tail,
+	.on_trimmed = on_published_trimmed,
+};
+
+static const struct log_handlers log_handlers = {
+	.on_record = on_record,
+	.on_tail = on_tail,
+	.on_trimmed = on_trimmed,
+	.on_appended = on_appended,
+};
+
+/* Begin to read. */
+void streams_init(struct node *n)
+{
+	const char *address = n->settings.log;
+
+	n->snapshots = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					     g_free, parts_free);
+	n->scanned = g_ptr_array_new_with_free_func(scanned_free);
+	published_init(&n->published);
+	if (n->settings.interface == INTERFACE_OWN) {
+		log_client_init(&n->log, n->loop, address, &log_http_ops,
+				&log_handlers, n);
+		return;
+	}
+	log_client_init(&n->log, n->loop, address, &store_fleet_ops,
+			&log_handlers, n);
+	log_client_recover_first(&n->log);
+	log_client_init(&n->operators, n->loop, address, &store_operator_ops,
+			&operator_handlers, n);
+	log_client_recover_first(&n->operators);
+	n->log.name = "fleet";
+	n->operators.name = "operators";
+	n->operators.wait_ms = LOG_WAIT_LONG_MS;
+}
+
+/* Stop reading, and drop appends under way. */
+void streams_finish(struct node *n)
+{
+	log_client_finish(&n->log);
+	if (n->operators.ops)
+		log_client_finish(&n->operators);
+	published_finish(&n->published);
+	g_hash_table_unref(n->snapshots);
+	g_ptr_array_unref(n->scanned);
+}
