entry: a stopping node takes up no more

Once no new connections are taken, what still comes in on open ones is told at once that it did not run.

--- a/node/entry.c
+++ b/node/entry.c
@@ -357,6 +357,14 @@
 		entry_reply_not_run(r, "too many requests at once\n");
 		return;
 	}
+	/*
+	 * A stopping process ends within seconds, and what it took up now
+	 * would be cut then, though a server works on it.
+	 */
+	if (e->httpd.closed) {
+		entry_reply_not_run(r, "this node is stopping\n");
+		return;
+	}
 	if (!entry_classify(r))
 		return;
 	copy_headers(r);
