gate: keys that cannot leave a data centre out of service are served no more

A gate whose data centre has been out for 3.5 s begins nothing; one that starts in such a data centre begins nothing at all. Ruled out: the configuration, in force on every node after 80 ms.

--- a/node/gate.c
+++ b/node/gate.c
@@ -25,6 +25,11 @@
  * to say that it may have run.
  */
 #define WORD_MARGIN_MS 40
+/*
+ * Keys leave a data centre within about two heartbeats of 0.9 s; the platform's
+ * bound on the last work there is 5 s.
+ */
+#define OUT_LIMIT_MS 3500
 /* A server stops at the deadline that it was given; its word may yet come. */
 #define ANSWER_GRACE_MS 50
 
@@ -275,6 +280,18 @@
 	gate_request_free(r);
 }
 
+/*
+ * Whether our data centre has been out of service for so long that its keys
+ * should have moved. They may not have, when earlier moves are not settled or
+ * nobody is there to take them; served on here, they would bring work to a data
+ * centre that operators have emptied.
+ */
+static bool out_for_good(const struct gate *g, int64_t now)
+{
+	return g->version >= 0 && !g->in_service &&
+	       now - g->out_since_ms >= OUT_LIMIT_MS;
+}
+
 bool gate_may_serve(struct gate_request *r, int64_t *fence,
 		    int64_t *lease_end_ms)
 {
@@ -284,7 +301,7 @@
 
 	*fence = 0;
 	*lease_end_ms = INT64_MAX;
-	if (r->gate->draining)
+	if (r->gate->draining || out_for_good(r->gate, now))
 		return false;
 	if (!r->keyed)
 		return node_takes_work(node);
@@ -396,6 +413,20 @@
 		start(q.request);
 }
 
+/* known: this process has seen a configuration before. */
+static void follow_service(struct gate *g, bool known)
+{
+	const struct node *n = g->node;
+	bool in = configuration_in_service(&n->member.fleet.configuration,
+					   n->settings.data_centre);
+
+	if (g->in_service && known && !in)
+		g->out_since_ms = clock_now_ms();
+	else if (in || !known)
+		g->out_since_ms = 0;
+	g->in_service = in;
+}
+
 static void follow_configuration(struct gate *g)
 {
 	const struct fleet *f = &g->node->member.fleet;
@@ -405,6 +436,7 @@
 
 	if (g->version == f->configuration_version)
 		return;
+	follow_service(g, g->version >= 0);
 	g->version = f->configuration_version;
 	queue_set_classes(&g->queue, f->configuration.n_classes);
 	g_hash_table_remove_all(g->class_indexes);
--- a/node/gate.h
+++ b/node/gate.h
@@ -50,6 +50,12 @@
 	uint32_t *shard_load; /* in flight or waiting, per shard */
 	uint32_t n_shards;
 	bool draining;
+	/*
+	 * When our data centre was taken out of service; 0 it is in, or it was
+	 * out already when this process first heard.
+	 */
+	int64_t out_since_ms;
+	bool in_service; /* by the newest configuration */
 	int64_t version; /* configuration that the queue follows */
 	GHashTable *class_indexes; /* name -> index into its classes + 1 */
 	GHashTable *origins; /* uint64_t entry -> int64_t least clock offset */
