--- a/t/lib-platform.sh
+++ b/t/lib-platform.sh
@@ -82,7 +82,7 @@
  \"action\":{\"service\":\"bookings\",\"timeout_ms\":1500,\"attempts\":2}}
 ${2:-}]}],
 \"clusters\":[{\"name\":\"records\",\"max_conns\":130,\"cold_start_s\":3,
-\"cold_per_s\":25,\"sharded\":true,\"warmup_s\":2,\"grants\":\"heartbeat\"},
+\"cold_per_s\":${COLD_PER_S:-25},\"sharded\":true,\"warmup_s\":2,\"grants\":\"heartbeat\"},
 {\"name\":\"bookings\",\"max_conns\":130,\"cold_start_s\":3,\"cold_per_s\":25}]}"
 }
 
--- a/t/t0021-platform-trace.sh
+++ b/t/t0021-platform-trace.sh
@@ -23,7 +23,14 @@
 
 echo "# refused though servers had room"
 key=$(ask "http://$(backend_of 0)/rows" | jq '.[0][0]')
-server_control 0 cold_ms=20000
+server_control 0 cold_ms=60000
+before=$(field 0 configuration_version)
+COLD_PER_S=1 platform_config 8
+newer() { [ "$(field 0 configuration_version)" -gt "$before" ]; }
+wait_for "a rate that few requests exceed" newer
+beat=$(server_stat 0 beats)
+heard() { [ "$(server_stat 0 beats)" -gt $((beat + 1)) ]; }
+wait_for "a heartbeat that says so" heard
 for k in $(seq 1 60); do
 	REQUEST_ID=cold-$k call 2 GET /look/1 -H "X-Mesh-Shard-Key: $key" \
 		-o /dev/null >>"$DIR/codes" &
