--- a/state/fleet.h
+++ b/state/fleet.h
@@ -175,7 +175,6 @@
  */
 int shard_of_key(const struct fleet_service *s, const char *key,
 		 uint32_t *shard);
-uint32_t shard_first_key(const struct fleet_service *s, uint32_t shard);
 bool witness_set_has(const struct witness_set *w, int64_t id);
 
 #define for_each_member(f, m, i)                               \
--- a/state/lookup.c
+++ b/state/lookup.c
@@ -96,13 +96,6 @@
 	return RESULT_OK;
 }
 
-/* The lowest key of a shard, where keys are numbers; the next one's ends it. */
-uint32_t shard_first_key(const struct fleet_service *s, uint32_t shard)
-{
-	return ((uint64_t)shard * s->key_numbers + s->n_shards - 1) /
-	       s->n_shards;
-}
-
 /* Tell whether a member is in a witness set. */
 bool witness_set_has(const struct witness_set *w, int64_t id)
 {
