net, node: a read of the store that hears nothing is begun anew

There, the store was slow to 27.1 s; nodes that had started since had the change at 28.08 s, and ten older ones at 31.08 to 31.12 s, all at once, without a 'store_lost': their reads, which had waited there before, told nothing until their ten seconds were over. That their peers knew more did not help: those had joined by records that the older ones lacked, so no address was known to fetch from.

Ruled out: the order of publishing and appends in doubt (the record lay in the stream from 28.08 s on).

Now a read under way is replaced when peers have known more for 0.2 s, or when others have read further in the operators' stream; a peer's address is learned from its message; four nodes, by rank, wait for three seconds instead of ten, in case nobody hears of anything; and beyond its wait a read is given one second instead of three, doubled for a slow store (a node that started then asked twice in vain for three seconds, as every answer took longer).

--- a/net/log-client.c
+++ b/net/log-client.c
@@ -14,13 +14,21 @@
 #define DEFAULT_WAIT_MS 400
 #define LOG_CONNECTIONS 8
 #define MAX_APPENDS 64
-#define DOUBT_MS 10000
+/*
+ * An answer beyond the wait for news takes some milliseconds. A log that takes
+ * longer than this is slow, and is given twice as long each time.
+ */
+#define PATIENCE_MIN_MS 1000
+#define PATIENCE_MAX_MS 8000
+/* A read younger than this may still tell of the news by itself. */
+#define RENEW_AGE_MS 500
 
 static void start_read(struct log_client *c)
 {
 	if (c->reading)
 		return;
 	c->reading = true;
+	c->renewed = false;
 	c->read_sent_ms = clock_now_ms();
 	c->read_from = c->trimmed ? c->scan_from : c->next;
 	COUNT(log_reads);
@@ -55,6 +63,7 @@
 	c->handlers = handlers;
 	c->user = user;
 	c->wait_ms = DEFAULT_WAIT_MS;
+	c->patience_ms = PATIENCE_MIN_MS;
 	c->name = "log";
 	g_strlcpy(c->address, address, sizeof(c->address));
 	g_snprintf(c->writer, sizeof(c->writer), "%08x%08x", g_random_int(),
@@ -116,6 +125,28 @@
 	c->scan_from = from;
 }
 
+/*
+ * A read that waits for news at a store that went away, or on a connection that
+ * something between has lost track of, waits until its time is over, ten
+ * seconds, while others hear of every change. One notices by a peer that knows
+ * more. Begun again it is answered at once.
+ */
+void log_client_renew(struct log_client *c)
+{
+	if (!c->reading || c->renewed ||
+	    clock_now_ms() - c->read_sent_ms < RENEW_AGE_MS)
+		return;
+	COUNT(log_reads_renewed);
+	EVENT(store_read_renewed, NULL,
+	      "\"stream\":\"%s\",\"next\":%" PRId64 ",\"age_ms\":%" PRId64,
+	      c->name, c->next, clock_now_ms() - c->read_sent_ms);
+	fetch_cancel(&c->read_fetch);
+	c->reading = false;
+	ev_timer_stop(c->loop, &c->timer);
+	start_read(c);
+	c->renewed = true;
+}
+
 static void end_append(struct log_append *a, int result)
 {
 	struct log_client *c = a->client;
@@ -190,6 +221,10 @@
 		read_again(c, RETRY_MIN_MS);
 		return;
 	}
+	if (b->result == RESULT_TIMEOUT)
+		c->patience_ms = MIN(c->patience_ms * 2, PATIENCE_MAX_MS);
+	else if (!b->result)
+		c->patience_ms = MAX(c->patience_ms / 2, PATIENCE_MIN_MS);
 	if (b->result) {
 		COUNT(log_failures);
 		if (!c->failures)
@@ -317,7 +352,7 @@
 
 	g_string_set_size(c->read_answer, 0);
 	fetch_start(&c->read_fetch, &c->fetcher, "GET", url, NULL, NULL, 0,
-		    wait_ms + APPEND_TIMEOUT_MS, false, &read_ops, c);
+		    wait_ms + c->patience_ms, false, &read_ops, c);
 }
 
 static bool on_append_data(struct fetch *f, const void *data, size_t len)
--- a/net/log-client.h
+++ b/net/log-client.h
@@ -79,7 +79,9 @@
 	int64_t read_from;
 	int64_t read_sent_ms;
 	int64_t wait_ms; /* how long a read may wait for news */
+	int64_t patience_ms; /* how long beyond that for its answer */
 	bool reading;
+	bool renewed; /* the read under way replaced one that heard nothing */
 	json_t *newest; /* during recover */
 	int64_t newest_end;
 	uint32_t n_pages;
@@ -111,6 +113,13 @@
 /* Read everything from an offset on, in search of a snapshot. */
 void log_client_scan(struct log_client *c, int64_t from);
 
+/*
+ * There is news that the read under way should have told of by now: replace it
+ * by a new one, on a new connection. No effect on a read that is young, or that
+ * was itself begun for this.
+ */
+void log_client_renew(struct log_client *c);
+
 /* Append a record, which is stolen. */
 void log_client_append(struct log_client *c, int kind, void *append_user,
 		       json_t *record);
--- a/node/node.c
+++ b/node/node.c
@@ -138,13 +138,13 @@
 	.note = op_note,
 };
 
-static void remember_address(struct node *n, const struct member *m)
+static void remember_address(struct node *n, int64_t id, const char *address)
 {
 	/* Addresses of those long gone: only a witness just left matters. */
 	if (g_hash_table_size(n->addresses) >= MAX_ADDRESSES)
 		g_hash_table_remove_all(n->addresses);
-	g_hash_table_replace(n->addresses, g_memdup2(&m->id, sizeof(m->id)),
-			     g_strdup(m->peer));
+	g_hash_table_replace(n->addresses, g_memdup2(&id, sizeof(id)),
+			     g_strdup(address));
 }
 
 /*
@@ -178,7 +178,7 @@
 	     !strcmp(ev->reason, FLEET_REASON_ENDED)))
 		n->superseded = *ev->member;
 	if (ev->type == FLEET_MEMBER_JOINED) {
-		remember_address(n, ev->member);
+		remember_address(n, ev->member->id, ev->member->peer);
 		note_superseded(n, ev->member);
 	}
 	operator_on_event(n, ev);
@@ -194,6 +194,9 @@
 		       current_source->address);
 		return;
 	}
+	/* It may have joined by a record that we lack, and is to be asked for. */
+	if (msg.from && !fleet_member(&n->member.fleet, msg.from))
+		remember_address(n, msg.from, current_source->address);
 	member_on_message(&n->member, &msg, clock_now_ms());
 	audit_flush(&n->audit);
 	if (!n->log.trimmed && n->log.next <= n->member.fleet.applied)
@@ -342,9 +345,7 @@
 	reload_tick(n, now);
 	ask_seeds(n, now);
 	operator_tick(n);
-	/* A node with its lease from peers need not keep asking the log. */
-	n->log.wait_ms = member_needs_log(&n->member) ? LOG_WAIT_SHORT_MS
-						      : LOG_WAIT_LONG_MS;
+	streams_tick(n, now);
 	if (n->stopping)
 		tick_stop(n);
 }
--- a/node/node.h
+++ b/node/node.h
@@ -55,6 +55,8 @@
 	struct log_client operators; /* what operators publish, elsewhere */
 	struct published published;
 	bool published_changed;
+	int64_t source_ahead_ms; /* others read further since; 0 not */
+	int64_t next_wait_ms; /* when the reads' waits are worked out anew */
 	struct audit audit;
 	GPtrArray *publishes; /* struct publish */
 	GHashTable *addresses; /* last address of each member seen */
@@ -95,6 +97,7 @@
 
 /* node/streams.c */
 void streams_init(struct node *n);
+void streams_tick(struct node *n, int64_t now);
 void streams_finish(struct node *n);
 
 /* node/reload.c */
--- a/node/streams.c
+++ b/node/streams.c
@@ -13,6 +13,13 @@
  */
 
 #define MAX_SNAPSHOT_PARTS 1024
+/* A read tells of news within some milliseconds of others hearing of it. */
+#define DEAF_MS 200
+/* One of four is heard of within a second on the mean; more cost more calls. */
+#define N_LOOKOUTS 4
+#define LOG_WAIT_LOOKOUT_MS 3000
+/* Ranks change with the members, and are worked out anew that often. */
+#define WAIT_EVERY_MS 1000
 
 struct snapshot_parts {
 	uint32_t n_parts;
@@ -235,6 +242,45 @@
 	.on_appended = on_appended,
 };
 
+/*
+ * How long a read may wait for news. When the store comes back from being away,
+ * reads that waited there may all be silent, and nobody hears of any news until
+ * one of them ends. So a few nodes, whichever are first by rank, wait for less;
+ * the others learn from their peers that they missed something.
+ */
+static int64_t wait_ms(const struct node *n)
+{
+	const struct member_node *m = &n->member;
+
+	if (m->self && assign_rank(&m->fleet, "publish", m->self) < N_LOOKOUTS)
+		return LOG_WAIT_LOOKOUT_MS;
+	return LOG_WAIT_LONG_MS;
+}
+
+/* Adjust the waits, and begin reads anew that others know to have missed news. */
+void streams_tick(struct node *n, int64_t now)
+{
+	const struct member_node *m = &n->member;
+
+	if (m->behind_since_ms && now - m->behind_since_ms > DEAF_MS)
+		log_client_renew(&n->log);
+	if (now >= n->next_wait_ms) {
+		n->next_wait_ms = now + WAIT_EVERY_MS;
+		n->operators.wait_ms = wait_ms(n);
+	}
+	/* A node with its lease from peers need not keep asking the log. */
+	n->log.wait_ms = member_needs_log(m) ? LOG_WAIT_SHORT_MS
+					     : n->operators.wait_ms;
+	if (!n->operators.ops)
+		return;
+	if (m->fleet.source <= n->operators.next)
+		n->source_ahead_ms = 0;
+	else if (!n->source_ahead_ms)
+		n->source_ahead_ms = now;
+	else if (now - n->source_ahead_ms > DEAF_MS)
+		log_client_renew(&n->operators);
+}
+
 /* Begin to read. */
 void streams_init(struct node *n)
 {
--- a/t/platform-store.c
+++ b/t/platform-store.c
@@ -14,7 +14,8 @@
  * an operator's record (an empty body removes it). POST /control makes it
  * misbehave: down=0|1, lose=N (answers lost after the write), late_ms=N (the
  * next lose takes effect that much later, if its condition still holds),
- * trim=1 (forget the history, keep the newest), busy=0|1 (429).
+ * trim=1 (forget the history, keep the newest), busy=0|1 (429), deaf=1 (the
+ * reads that wait now are never answered, and their connections stay open).
  */
 
 #define MAX_BODY (4 * 1024 * 1024)
@@ -39,6 +40,7 @@
 	struct topic *topic;
 	int64_t from;
 	int64_t until_ms;
+	bool deaf;
 };
 
 struct late {
@@ -120,7 +122,7 @@
 	for (i = readers->len; i-- > 0;) {
 		struct reader *w = g_ptr_array_index(readers, i);
 
-		if (down)
+		if (down || w->deaf)
 			continue;
 		if (w->from >= w->topic->records->len &&
 		    w->from >= w->topic->first && now < w->until_ms)
@@ -319,6 +321,8 @@
 	busy = argument(r, "busy", busy);
 	lose = argument(r, "lose", lose);
 	late_ms = argument(r, "late_ms", late_ms);
+	for (i = 0; argument(r, "deaf", 0) && i < readers->len; i++)
+		((struct reader *)g_ptr_array_index(readers, i))->deaf = true;
 	for (i = 0; argument(r, "trim", 0) && i < G_N_ELEMENTS(topics); i++)
 		topics[i].first = topics[i].records->len;
 	httpd_reply_text(r, 200, "done\n");
--- a/util/counters.h
+++ b/util/counters.h
@@ -51,6 +51,7 @@
 	X(log_appends)             \
 	X(log_append_answers_lost) \
 	X(log_reads)               \
+	X(log_reads_renewed)       \
 	X(log_failures)            \
 	X(peer_messages_in)        \
 	X(peer_messages_out)       \
--- a/util/event.h
+++ b/util/event.h
@@ -22,6 +22,7 @@
 	X(reloaded, 10, 10)                  \
 	X(configured, 10, 20)                \
 	X(store_lost, 2, 10)                 \
+	X(store_read_renewed, 2, 10)         \
 	X(store_regained, 2, 10)             \
 	X(server_announced, 10, 20)          \
 	X(server_leaves, 10, 20)             \
