member: a fence is raised once the owner's witnesses know of its record

Cause: a record that names another heir of a shard, or moves it back to its owner, gives the shard a new fence, and the owner served under it as soon as it had read it. If it then dies and neither its witnesses nor the heir before have read the record, that heir rightly takes over, under the offset of the record that named it, which is lower. A backend server would take late work of the dead owner for newer.

--- a/member/holds.c
+++ b/member/holds.c
@@ -190,14 +190,34 @@
 	return true;
 }
 
+/*
+ * Serve on under the fence of a newer record. Not before our witnesses know of
+ * it: should we be lost, an heir named before that record may take over without
+ * having read it, under a fence that is lower than the record's.
+ */
+static void raise_fence(struct member_node *n, uint32_t i, uint8_t step)
+{
+	const struct shard *sh = holds_shard(n, i);
+	struct hold *h = &n->holds[i];
+
+	if (h->served_fence == sh->fence * 2)
+		return;
+	if (!step && rule_on(n, RULE_WITNESSES_KNOW_FENCE) &&
+	    !witnesses_know(n, sh->fence)) {
+		lease_ask_now(n);
+		return;
+	}
+	h->step = step;
+	h->served_fence = fence_of(n, i);
+}
+
 static void update_entitled(struct member_node *n, uint32_t i, uint8_t step)
 {
 	const struct shard *sh = holds_shard(n, i);
 	struct hold *h = &n->holds[i];
 
 	if (h->state == HOLD_HELD) {
-		h->step = step;
-		h->served_fence = fence_of(n, i);
+		raise_fence(n, i, step);
 		return;
 	}
 	if (h->state != HOLD_WAITING) {
--- a/t/sim.c
+++ b/t/sim.c
@@ -496,6 +496,10 @@
 				(gint64)s->now, nd->slot, shard, (gint64)fence,
 				s->top_slot[shard],
 				(gint64)s->top_fence[shard]);
+		if (s->verbose && s->fence_breaches == 1) {
+			print_log(s);
+			sim_print(s);
+		}
 	}
 	if (fence < s->top_fence[shard])
 		return;
--- a/t/test-member.c
+++ b/t/test-member.c
@@ -168,6 +168,62 @@
 	g_assert_cmpuint(without, >, 0);
 }
 
+/*
+ * A record that names another heir and leaves the owner, which neither the heir
+ * before nor the owner's witnesses hear of; then the owner dies.
+ */
+static uint64_t unheard_heir(uint32_t seed, uint32_t rules)
+{
+	struct fleet_service *sv;
+	struct sim s;
+	const struct member *m;
+	uint64_t breaches;
+	int64_t a, b, c = 0;
+	uint32_t j;
+	json_t *r;
+
+	start_quietly(&s, seed, rules);
+	sv = fleet_service(sim_newest(&s), "records");
+	a = sv->shards[0].owner;
+	b = sv->shards[0].successor;
+	m = fleet_member(sim_newest(&s), a);
+	for (j = 0; j < 5; j++)
+		if (s.nodes[j].member.self != a && s.nodes[j].member.self != b)
+			c = s.nodes[j].member.self;
+	for (j = 0; j < m->witnesses.n; j++)
+		put_behind(&s, m->witnesses.id[j]);
+	s.nodes[sim_slot(&s, b)].behind_until = s.now + 20000;
+	r = record_move("records", 0, "test");
+	record_move_add(r, 0, a, c, sv->shards[0].fence);
+	sim_append(&s, r);
+	sim_run(&s, 600);
+	sim_kill(&s, sim_slot(&s, a));
+	s.log_down_until = s.now + 10000;
+	sim_run(&s, 6000);
+	g_assert_cmpuint(s.breaches, ==, 0);
+	breaches = s.fence_breaches;
+	sim_finish(&s);
+	return breaches;
+}
+
+/*
+ * An owner serves a key under the fence of a record that only it has read, and
+ * dies. The heir named before it takes over, rightly, under a fence below that:
+ * a backend server that checks fences would take late work of the dead owner
+ * for newer than its own.
+ */
+static void test_unheard_heir(void)
+{
+	uint64_t without = 0;
+	uint32_t seed;
+
+	for (seed = 1; seed <= 10; seed++) {
+		g_assert_cmpuint(unheard_heir(seed, 0), ==, 0);
+		without += unheard_heir(seed, RULE_WITNESSES_KNOW_FENCE);
+	}
+	g_assert_cmpuint(without, >, 0);
+}
+
 static int64_t other_member(struct sim *s, int64_t a, int64_t b, int64_t c)
 {
 	int64_t id;
@@ -679,6 +735,7 @@
 	g_test_add_func("/member/shard-comes-and-goes",
 			test_shard_comes_and_goes);
 	g_test_add_func("/member/unheard-move", test_unheard_move);
+	g_test_add_func("/member/unheard-heir", test_unheard_heir);
 	g_test_add_func("/member/returning-witness", test_returning_witness);
 	g_test_add_func("/member/unknown-past", test_unknown_past);
 	g_test_add_func("/member/heir-forgets", test_heir_forgets);
