net: lookups sent ahead on a connection begin before their turn

Options: another server library (style and the rest of the design ask for this one); a connection taken apart by a parser of our own (no). Chosen: what waits in the socket is looked at without taking it out, by a parser from a library (http-parser); a request that asks for nothing but an answer, of a class that may be repeated, begins at once, and takes the place of the one that libmicrohttpd reads later, if method, target and every header are the same. Those that may not be repeated wait for their turn: should the connection end, their callers take them for never read.

A caller that leaves with bytes unread is now noticed as well (POLLRDHUP).

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 endif
 ALL_CFLAGS = -std=gnu11 $(WARNINGS) $(CFLAGS) -I. -MMD -MP \
 	$(shell pkg-config --cflags $(PKGS))
-LIBS = $(shell pkg-config --libs $(PKGS)) -lev -lm
+LIBS = $(shell pkg-config --libs $(PKGS)) -lev -lhttp_parser -lm
 
 PURE = util state member gate route settings audit platform
 LIB_SRC = $(foreach d,$(PURE) net node,$(wildcard $(d)/*.c))
@@ -66,7 +66,7 @@
 
 # Debian's packages; nothing is installed when all are there.
 PACKAGES = libev-dev libzmq3-dev libmicrohttpd-dev libcurl4-openssl-dev \
-	libjansson-dev libglib2.0-dev libmsgpack-dev libxxhash-dev gcc make \
+	libjansson-dev libglib2.0-dev libmsgpack-dev libhttp-parser-dev libxxhash-dev gcc make \
 	pkg-config jq curl
 packages:
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
--- /dev/null
+++ b/net/ahead.c
@@ -0,0 +1,203 @@
+#include <errno.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <http_parser.h>
+
+#include "net/ahead.h"
+#include "net/headers.h"
+#include "util/counters.h"
+
+/* More waits than a caller has reason to send ahead; it is left to its turn. */
+#define LOOK_BYTES (8 * 1024)
+#define MAX_AHEAD 8
+
+struct head {
+	struct httpd_request *request;
+	GString *url;
+	GString *name;
+	GString *value;
+	bool in_value;
+	bool plain; /* asks for an answer, and carries nothing */
+	bool whole;
+};
+
+static void end_header(struct head *h)
+{
+	if (h->in_value)
+		header_add(h->request->headers, h->name->str, h->value->str);
+	g_string_set_size(h->name, 0);
+	g_string_set_size(h->value, 0);
+	h->in_value = false;
+}
+
+static int on_url(http_parser *p, const char *at, size_t len)
+{
+	struct head *h = p->data;
+
+	g_string_append_len(h->url, at, len);
+	return 0;
+}
+
+static int on_name(http_parser *p, const char *at, size_t len)
+{
+	struct head *h = p->data;
+
+	if (h->in_value)
+		end_header(h);
+	g_string_append_len(h->name, at, len);
+	return 0;
+}
+
+static int on_value(http_parser *p, const char *at, size_t len)
+{
+	struct head *h = p->data;
+
+	h->in_value = true;
+	g_string_append_len(h->value, at, len);
+	return 0;
+}
+
+static int on_headers(http_parser *p)
+{
+	struct head *h = p->data;
+
+	end_header(h);
+	h->plain = p->method == HTTP_GET && p->http_major == 1 &&
+		   p->http_minor == 1 && p->content_length == ULLONG_MAX &&
+		   !(p->flags & F_CHUNKED) && !p->upgrade;
+	return 0;
+}
+
+static int on_whole(http_parser *p)
+{
+	struct head *h = p->data;
+
+	h->whole = true;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings settings = {
+	.on_url = on_url,
+	.on_header_field = on_name,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers,
+	.on_message_complete = on_whole,
+};
+
+/* The first request in data; sets *len to its length. NULL: none to begin. */
+static struct httpd_request *read_head(struct httpd *d, const char *data,
+				       size_t *len)
+{
+	struct head h = { .request = httpd_request_new(d),
+			  .url = g_string_new(NULL),
+			  .name = g_string_new(NULL),
+			  .value = g_string_new(NULL) };
+	struct httpd_request *r = h.request;
+	http_parser parser;
+
+	r->headers = headers_new();
+	http_parser_init(&parser, HTTP_REQUEST);
+	parser.data = &h;
+	*len = http_parser_execute(&parser, &settings, data, *len);
+	r->method = g_strdup("GET");
+	r->url = g_strdup(h.url->str);
+	r->path = g_strndup(r->url, strcspn(r->url, "?"));
+	/* Decoding is libmicrohttpd's; what needs it waits for its turn. */
+	if (!h.whole || !h.plain || strchr(r->url, '%') || r->url[0] != '/') {
+		httpd_request_free(r);
+		r = NULL;
+	}
+	g_string_free(h.url, TRUE);
+	g_string_free(h.name, TRUE);
+	g_string_free(h.value, TRUE);
+	return r;
+}
+
+void ahead_look(struct httpd_connection *c)
+{
+	struct httpd *d = c->httpd;
+	char data[LOOK_BYTES];
+	ssize_t n = recv(c->fd, data, sizeof(data), MSG_PEEK | MSG_DONTWAIT);
+
+	if (!d->ops->may_begin || n <= 0 || n == sizeof(data))
+		return;
+	while (c->ahead_bytes < (size_t)n &&
+	       g_queue_get_length(&c->ahead) < MAX_AHEAD) {
+		size_t len = n - c->ahead_bytes;
+		struct httpd_request *r =
+			read_head(d, data + c->ahead_bytes, &len);
+
+		if (!r)
+			return;
+		if (!d->ops->may_begin(d->user, r)) {
+			httpd_request_free(r);
+			return;
+		}
+		COUNT(requests_begun_ahead);
+		c->ahead_bytes += len;
+		r->from = c;
+		g_queue_push_tail(&c->ahead, r);
+		d->ops->on_request(d->user, r);
+	}
+}
+
+struct header_walk {
+	const GPtrArray *headers;
+	uint32_t at;
+	bool same;
+};
+
+static enum MHD_Result same_header(void *user, enum MHD_ValueKind kind,
+				   const char *name, const char *value)
+{
+	struct header_walk *w = user;
+
+	(void)kind;
+	w->same = w->same && w->at + 1 < w->headers->len &&
+		  !strcasecmp(name, g_ptr_array_index(w->headers, w->at)) &&
+		  !strcmp(value ? value : "",
+			  g_ptr_array_index(w->headers, w->at + 1));
+	w->at += 2;
+	return MHD_YES;
+}
+
+static bool same(const struct httpd_request *begun,
+		 const struct httpd_request *r)
+{
+	struct header_walk w = { begun->headers, 0, true };
+
+	if (strcmp(begun->method, r->method) || strcmp(begun->url, r->url))
+		return false;
+	MHD_get_connection_values(r->connection, MHD_HEADER_KIND, same_header,
+				  &w);
+	return w.same && w.at == begun->headers->len;
+}
+
+struct httpd_request *ahead_take(struct httpd_connection *c,
+				 const struct httpd_request *r)
+{
+	struct httpd_request *begun = g_queue_pop_head(&c->ahead);
+
+	/* libmicrohttpd has taken out of the socket what was looked at there. */
+	c->ahead_bytes = 0;
+	if (!begun)
+		return NULL;
+	if (same(begun, r))
+		return begun;
+	g_queue_push_head(&c->ahead, begun);
+	ahead_drop(c);
+	return NULL;
+}
+
+void ahead_drop(struct httpd_connection *c)
+{
+	struct httpd_request *r;
+
+	while ((r = g_queue_pop_head(&c->ahead))) {
+		r->httpd->ops->on_closed(r->httpd->user, r);
+		httpd_request_free(r);
+	}
+	c->ahead_bytes = 0;
+}
--- /dev/null
+++ b/net/ahead.h
@@ -0,0 +1,29 @@
+#ifndef NET_AHEAD_H
+#define NET_AHEAD_H
+
+#include "net/httpd.h"
+
+/*
+ * Requests that a caller sends before the answer to an earlier one on the same
+ * connection. libmicrohttpd leaves them in the socket until that answer is out,
+ * so each would begin only when the one before has ended. Their heads are
+ * looked at there, without being taken out, by a parser from a library, and
+ * those that ask for nothing but an answer begin at once. When libmicrohttpd
+ * comes to read the same bytes, the request that has begun takes the place of
+ * the one it reads; answers leave in the order of the requests.
+ */
+
+/* Look at what waits on a connection whose request is being worked on. */
+void ahead_look(struct httpd_connection *c);
+
+/*
+ * libmicrohttpd has read the request r. Returns the one begun ahead for it, now
+ * the caller's, or NULL when there is none; those that do not fit are dropped.
+ */
+struct httpd_request *ahead_take(struct httpd_connection *c,
+				 const struct httpd_request *r);
+
+/* The connection is closed: end what was begun ahead on it. */
+void ahead_drop(struct httpd_connection *c);
+
+#endif
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -1,11 +1,15 @@
+#define _GNU_SOURCE /* POLLRDHUP */
 #include <arpa/inet.h>
 #include <errno.h>
+#include <poll.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "net/address.h"
+#include "net/ahead.h"
+#include "net/headers.h"
 #include "net/httpd.h"
 #include "util/result.h"
 
@@ -13,6 +17,8 @@
 #define IDLE_TIMEOUT_S 120
 #define STREAM_BLOCK_BYTES (64 * 1024)
 #define DRAIN_IDLE_S 1u
+/* A tenth of the shortest target in use is lost on a request sent ahead. */
+#define LOOK_EVERY_S 0.01
 
 static void run(struct httpd *h)
 {
@@ -58,21 +64,35 @@
 	ev_io_stop(r->httpd->loop, &r->watch);
 	if (!r->suspended)
 		return;
+	if (r->from && r->from->current == r)
+		r->from->current = NULL;
 	r->suspended = false;
 	r->httpd->dirty = true;
 	MHD_resume_connection(r->connection);
 }
 
+static void caller_left(struct httpd_request *r)
+{
+	struct httpd *h = r->httpd;
+
+	ev_timer_stop(h->loop, &r->from->look);
+	if (r->answered)
+		return;
+	if (h->ops->on_gone)
+		h->ops->on_gone(h->user, r);
+	/* Whatever is written fails, and that ends the request. */
+	httpd_reply_text(r, MHD_HTTP_SERVICE_UNAVAILABLE, "");
+}
+
 /*
  * libmicrohttpd does not look at the socket of a suspended connection. A
  * caller that leaves would go unnoticed, and a backend server go on working
- * for nobody. Bytes that wait to be read are a next request, no leaving; after
- * them nothing more can be seen without reading them.
+ * for nobody. Bytes that wait to be read are a next request, no leaving; while
+ * they wait the socket is always readable, so a timer looks for more.
  */
 static void on_watch(struct ev_loop *loop, ev_io *w, int events)
 {
 	struct httpd_request *r = w->data;
-	struct httpd *h = r->httpd;
 	char byte;
 	ssize_t n = recv(w->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 
@@ -80,43 +100,62 @@
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	ev_io_stop(loop, w);
-	if (n > 0 || r->answered)
+	if (n <= 0) {
+		caller_left(r);
 		return;
-	if (h->ops->on_gone)
-		h->ops->on_gone(h->user, r);
-	/* Whatever is written fails, and that ends the request. */
-	httpd_reply_text(r, MHD_HTTP_SERVICE_UNAVAILABLE, "");
+	}
+	if (!r->from->current)
+		return;
+	ev_timer_again(loop, &r->from->look);
+	ahead_look(r->from);
+}
+
+static void on_look(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct httpd_connection *c = w->data;
+	struct pollfd p = { .fd = c->fd, .events = POLLRDHUP };
+
+	(void)events;
+	if (!c->current) {
+		ev_timer_stop(loop, w);
+		return;
+	}
+	if (poll(&p, 1, 0) > 0 && p.revents) {
+		caller_left(c->current);
+		return;
+	}
+	ahead_look(c);
 }
 
 static void watch_caller(struct httpd_request *r)
 {
 	if (!r->from || r->from->fd < 0)
 		return;
+	r->from->current = r;
 	ev_io_init(&r->watch, on_watch, r->from->fd, EV_READ);
 	r->watch.data = r;
 	ev_io_start(r->httpd->loop, &r->watch);
 }
 
-static struct httpd_request *
-request_new(struct httpd *h, struct MHD_Connection *c, const char *method)
+struct httpd_request *httpd_request_new(struct httpd *h)
 {
 	struct httpd_request *r = g_new0(struct httpd_request, 1);
 
 	r->httpd = h;
-	r->connection = c;
-	r->method = g_strdup(method);
 	r->body = g_byte_array_new();
 	ev_init(&r->watch, on_watch);
 	return r;
 }
 
-static void request_free(struct httpd_request *r)
+void httpd_request_free(struct httpd_request *r)
 {
 	ev_io_stop(r->httpd->loop, &r->watch);
 	g_free(r->method);
 	g_free(r->path);
 	g_free(r->url);
 	g_byte_array_unref(r->body);
+	if (r->headers)
+		g_ptr_array_unref(r->headers);
 	if (r->pending)
 		g_byte_array_unref(r->pending);
 	if (r->response)
@@ -127,9 +166,10 @@
 /* libmicrohttpd hands the raw target over only here, before it is split. */
 static void *on_uri(void *user, const char *uri, struct MHD_Connection *c)
 {
-	struct httpd_request *r = request_new(user, c, "");
+	struct httpd_request *r = httpd_request_new(user);
 	const union MHD_ConnectionInfo *info;
 
+	r->connection = c;
 	r->url = g_strdup(uri);
 	info = MHD_get_connection_info(c, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
 	r->from = info ? info->socket_context : NULL;
@@ -157,6 +197,16 @@
 	return ok;
 }
 
+static enum MHD_Result wait_for_answer(struct httpd_request *r)
+{
+	if (r->response)
+		return send_queued(r);
+	MHD_suspend_connection(r->connection);
+	r->suspended = true;
+	watch_caller(r);
+	return MHD_YES;
+}
+
 static enum MHD_Result on_access(void *user, struct MHD_Connection *c,
 				 const char *path, const char *method,
 				 const char *version, const char *data,
@@ -164,6 +214,7 @@
 {
 	struct httpd *h = user;
 	struct httpd_request *r = *state;
+	struct httpd_request *begun;
 
 	(void)c;
 	(void)version;
@@ -186,13 +237,15 @@
 				 "the body is too large\n");
 		return send_queued(r);
 	}
+	begun = r->from ? ahead_take(r->from, r) : NULL;
+	if (begun) {
+		begun->connection = r->connection;
+		httpd_request_free(r);
+		*state = begun;
+		return wait_for_answer(begun);
+	}
 	h->ops->on_request(h->user, r);
-	if (r->response)
-		return send_queued(r);
-	MHD_suspend_connection(r->connection);
-	r->suspended = true;
-	watch_caller(r);
-	return MHD_YES;
+	return wait_for_answer(r);
 }
 
 static void on_completed(void *user, struct MHD_Connection *c, void **state,
@@ -206,9 +259,12 @@
 	if (!r)
 		return;
 	h->ops->on_closed(h->user, r);
-	if (r->from)
+	if (r->from) {
 		r->from->busy = false;
-	request_free(r);
+		if (r->from->current == r)
+			r->from->current = NULL;
+	}
+	httpd_request_free(r);
 	*state = NULL;
 }
 
@@ -221,8 +277,11 @@
 	struct httpd_connection *n = *socket_context;
 
 	if (what == MHD_CONNECTION_NOTIFY_CLOSED) {
-		if (n)
+		if (n) {
+			ev_timer_stop(h->loop, &n->look);
+			ahead_drop(n);
 			g_ptr_array_remove_fast(h->connections, n);
+		}
 		*socket_context = NULL;
 		return;
 	}
@@ -231,6 +290,9 @@
 	n->httpd = h;
 	n->connection = c;
 	n->fd = info ? info->connect_fd : -1;
+	ev_timer_init(&n->look, on_look, 0, LOOK_EVERY_S);
+	n->look.data = n;
+	g_queue_init(&n->ahead);
 	g_ptr_array_add(h->connections, n);
 	*socket_context = n;
 }
@@ -333,9 +395,31 @@
 	return !h->connections->len;
 }
 
+static enum MHD_Result copy_header(void *user, enum MHD_ValueKind kind,
+				   const char *name, const char *value)
+{
+	(void)kind;
+	header_add(user, name, value ? value : "");
+	return MHD_YES;
+}
+
+GPtrArray *httpd_headers(const struct httpd_request *r)
+{
+	GPtrArray *out;
+
+	if (r->headers)
+		return g_ptr_array_ref(r->headers);
+	out = headers_new();
+	MHD_get_connection_values(r->connection, MHD_HEADER_KIND, copy_header,
+				  out);
+	return out;
+}
+
 /* A request header by name, NULL when absent. */
 const char *httpd_header(const struct httpd_request *r, const char *name)
 {
+	if (r->headers)
+		return header_find(r->headers, name);
 	return MHD_lookup_connection_value(r->connection, MHD_HEADER_KIND,
 					   name);
 }
@@ -343,6 +427,8 @@
 /* A query argument by name, NULL when absent. */
 const char *httpd_argument(const struct httpd_request *r, const char *name)
 {
+	if (!r->connection)
+		return NULL;
 	return MHD_lookup_connection_value(r->connection, MHD_GET_ARGUMENT_KIND,
 					   name);
 }
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -24,6 +24,12 @@
 	 * NULL; on_closed follows.
 	 */
 	void (*on_gone)(void *user, struct httpd_request *r);
+	/*
+	 * Whether a request without a body may begin before it is its turn on
+	 * its connection, and be dropped should the connection end. May be
+	 * NULL: none may.
+	 */
+	bool (*may_begin)(void *user, const struct httpd_request *r);
 	/* The caller went away, or its answer is finished; r ends here. */
 	void (*on_closed)(void *user, struct httpd_request *r);
 	/* A streamed answer has room again. */
@@ -52,12 +58,17 @@
 	int fd;
 	bool busy; /* a request on it has begun and is not finished */
 	bool closing; /* it was told to close when idle for a moment */
+	struct httpd_request *current; /* suspended while it is worked on */
+	ev_timer look; /* for what else comes meanwhile */
+	GQueue ahead; /* struct httpd_request begun before their turn */
+	size_t ahead_bytes; /* what these take of what waits in the socket */
 };
 
 struct httpd_request {
 	struct httpd *httpd;
-	struct MHD_Connection *connection;
+	struct MHD_Connection *connection; /* NULL before its turn */
 	struct httpd_connection *from;
+	GPtrArray *headers; /* of one begun before its turn, else NULL */
 	ev_io watch; /* for the caller's leaving, while suspended */
 	char *method;
 	char *path; /* decoded, without the query */
@@ -97,6 +108,12 @@
 /* Whether no connection is open. */
 bool httpd_quiet(const struct httpd *h);
 
+/* For net/ahead.c: one that has not been read from a connection. */
+struct httpd_request *httpd_request_new(struct httpd *h);
+void httpd_request_free(struct httpd_request *r);
+
+/* All headers, name and value in turn; the caller unrefs. */
+GPtrArray *httpd_headers(const struct httpd_request *r);
 const char *httpd_header(const struct httpd_request *r, const char *name);
 const char *httpd_argument(const struct httpd_request *r, const char *name);
 
--- a/node/entry-classify.c
+++ b/node/entry-classify.c
@@ -117,14 +117,22 @@
 	return true;
 }
 
-static const struct class_settings *match(struct entry_request *r)
+static const struct class_settings *match(const struct entry *e,
+					  const struct httpd_request *http)
 {
-	const struct fleet *f = &r->entry->node->member.fleet;
-	const char *url = r->http->url;
-	g_autofree char *path = g_strndup(url, strcspn(url, "?"));
+	const struct fleet *f = &e->node->member.fleet;
+	g_autofree char *path = g_strndup(http->url, strcspn(http->url, "?"));
+
+	return configuration_match(&f->configuration, http->method,
+				   httpd_header(http, "Host"), path);
+}
+
+bool entry_is_repeatable(const struct entry *e,
+			 const struct httpd_request *http)
+{
+	const struct class_settings *k = match(e, http);
 
-	return configuration_match(&f->configuration, r->http->method,
-				   httpd_header(r->http, "Host"), path);
+	return k && k->repeatable;
 }
 
 bool entry_classify(struct entry_request *r)
@@ -144,7 +152,7 @@
 		entry_reply_not_run(r, "no configuration is in force yet\n");
 		return false;
 	}
-	k = match(r);
+	k = match(e, r->http);
 	if (!k) {
 		entry_reject(r, 404, "no class matches this method and path\n");
 		return false;
--- a/node/entry-request.h
+++ b/node/entry-request.h
@@ -70,6 +70,10 @@
  */
 bool entry_classify(struct entry_request *r);
 
+/* Whether a request is of a class that may be repeated. */
+bool entry_is_repeatable(const struct entry *e,
+			 const struct httpd_request *http);
+
 /* node/entry-answer.c */
 void entry_note_attempt(struct entry_request *r, const struct attempt *a,
 			int result);
--- a/node/entry.c
+++ b/node/entry.c
@@ -319,28 +319,33 @@
 	chooser_forget(&e->chooser, member);
 }
 
-static enum MHD_Result copy_header(void *user, enum MHD_ValueKind kind,
-				   const char *name, const char *value)
-{
-	GPtrArray *headers = user;
-
-	(void)kind;
-	if (!header_is_hop_by_hop(name))
-		header_add(headers, name, value ? value : "");
-	return MHD_YES;
-}
-
 static void copy_headers(struct entry_request *r)
 {
 	const struct settings *s = &r->entry->node->settings;
+	GPtrArray *all = httpd_headers(r->http);
+	uint32_t i;
 
 	r->headers = headers_new();
-	MHD_get_connection_values(r->http->connection, MHD_HEADER_KIND,
-				  copy_header, r->headers);
+	for (i = 0; i + 1 < all->len; i += 2)
+		if (!header_is_hop_by_hop(g_ptr_array_index(all, i)))
+			header_add(r->headers, g_ptr_array_index(all, i),
+				   g_ptr_array_index(all, i + 1));
+	g_ptr_array_unref(all);
 	/* Whatever the caller says of itself, we know where it came in. */
 	header_set(r->headers, s->headers->caller_service, s->service);
 }
 
+/*
+ * One that may not be repeated waits for its turn: should the connection end
+ * before, the caller takes it for never read and sends it again.
+ */
+static bool may_begin(void *user, const struct httpd_request *http)
+{
+	struct entry *e = user;
+
+	return !e->node->stopping && entry_is_repeatable(e, http);
+}
+
 static void on_request(void *user, struct httpd_request *http)
 {
 	struct entry *e = user;
@@ -424,6 +429,7 @@
 static const struct httpd_ops entry_ops = {
 	.on_request = on_request,
 	.on_gone = on_gone,
+	.may_begin = may_begin,
 	.on_closed = on_closed,
 	.on_drained = on_drained,
 };
--- /dev/null
+++ b/t/t0027-platform-sent-ahead.sh
@@ -0,0 +1,40 @@
+#!/bin/bash
+# A caller sends three slow lookups one after the other on one connection,
+# without waiting for answers. Served in turn, the third takes three times as
+# long as one. They must be worked on together, be answered in their order, and
+# each answer be the one to its own request. One that may not be repeated waits
+# for its turn, since its caller sends it again if the connection ends before.
+. "$(dirname "$0")/lib-platform.sh"
+start_platform "records bookings" "hakata tenjin kurume kitakyu"
+platform_config 7
+wait_platform
+for i in 1 3 5 7; do server_control $i work_ms=3000; done
+# get ID [HEADER]
+get() {
+	printf 'GET /list/%s HTTP/1.1\r\nHost: a.example\r\n%s' "$1" "${2:-}"
+	printf 'X-Mesh-Request-Id: %s\r\nX-Mesh-Deadline-Ms: 15000\r\n\r\n' "$1"
+}
+platform_config 8 ',{"name":"slow","kind":"safe","goal_ms":400,"priority":2,
+	"match":{"path_prefix":"/list/"},"action":{"service":"bookings",
+	"timeout_ms":15000,"attempts":2}}'
+in_force() {
+	[ "$(ask "http://$(operator_of 0)/configuration" | jq .document.source)" = 8 ]
+}
+wait_for "version 8" in_force
+in_progress() {
+	local i sum=0
+	for i in 1 3 5 7; do sum=$((sum + $(field $i in_flight))); done
+	[ $sum -ge "$1" ]
+}
+exec 3<>"/dev/tcp/127.0.0.1/$((BASE_PORT + 1))"
+get one >&3
+wait_for "the first to begin" in_progress 1
+get two >&3
+get three $'Connection: close\r\n' >&3
+wait_for "three to be worked on" in_progress 3
+echo "three worked on together"
+printf 'POST /book/1 HTTP/1.1\r\nHost: a.example\r\nX-Mesh-Request-Id: four\r\nX-Mesh-Deadline-Ms: 1500\r\nContent-Length: 2\r\n\r\nhi' >&3
+echo "not to be repeated, ran before its turn: $(ran four)"
+grep -a -o -e 'HTTP/1.1 [0-9]*' -e 'X-Mesh-Request-Id: [a-z]*' <&3
+exec 3>&-
+echo "and in the end ran $(ran four)"
--- a/util/counters.h
+++ b/util/counters.h
@@ -50,6 +50,7 @@
 	X(snapshots_loaded)        \
 	X(log_appends)             \
 	X(log_append_answers_lost) \
+	X(requests_begun_ahead)    \
 	X(log_reads)               \
 	X(log_reads_renewed)       \
 	X(log_failures)            \
