net: a lookup sent ahead is not begun twice

Cause: a request that came in one piece with the one before it lies in libmicrohttpd's buffer, out of sight, while a later one waits in the socket and has begun.

Ruled out: hedging (two of the arrivals were at the same server, 33 ms apart); headers that compare unequal (it takes two requests in one piece).

What has begun stays until its own turn, and what waits in the socket is counted as read only when libmicrohttpd has taken a request that was there. t0027 plays it: the last request ran twice before, once now.

--- a/net/ahead.c
+++ b/net/ahead.c
@@ -138,6 +138,7 @@
 		COUNT(requests_begun_ahead);
 		c->ahead_bytes += len;
 		r->from = c;
+		r->in_socket = true;
 		g_queue_push_tail(&c->ahead, r);
 		d->ops->on_request(d->user, r);
 	}
@@ -175,20 +176,37 @@
 	return w.same && w.at == begun->headers->len;
 }
 
+static void no_longer_in_socket(gpointer request, gpointer user)
+{
+	struct httpd_request *r = request;
+
+	(void)user;
+	r->in_socket = false;
+}
+
 struct httpd_request *ahead_take(struct httpd_connection *c,
 				 const struct httpd_request *r)
 {
-	struct httpd_request *begun = g_queue_pop_head(&c->ahead);
-
-	/* libmicrohttpd has taken out of the socket what was looked at there. */
-	c->ahead_bytes = 0;
-	if (!begun)
+	struct httpd_request *begun = g_queue_peek_head(&c->ahead);
+
+	/*
+	 * One that came together with the request before it was in
+	 * libmicrohttpd's buffer by then, out of our sight. The first begun
+	 * comes after it, and its turn is not yet.
+	 */
+	if (!begun || !same(begun, r))
 		return NULL;
-	if (same(begun, r))
-		return begun;
-	g_queue_push_head(&c->ahead, begun);
-	ahead_drop(c);
-	return NULL;
+	g_queue_pop_head(&c->ahead);
+	/*
+	 * Read from the socket now, and whatever else waited there with it.
+	 * Looked at from its start again, what comes next would otherwise be
+	 * taken for what follows these, or these be begun twice.
+	 */
+	if (begun->in_socket) {
+		g_queue_foreach(&c->ahead, no_longer_in_socket, NULL);
+		c->ahead_bytes = 0;
+	}
+	return begun;
 }
 
 void ahead_drop(struct httpd_connection *c)
--- a/net/ahead.h
+++ b/net/ahead.h
@@ -18,7 +18,7 @@
 
 /*
  * libmicrohttpd has read the request r. Returns the one begun ahead for it, now
- * the caller's, or NULL when there is none; those that do not fit are dropped.
+ * the caller's, or NULL when it is none of those.
  */
 struct httpd_request *ahead_take(struct httpd_connection *c,
 				 const struct httpd_request *r);
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -69,6 +69,7 @@
 	struct MHD_Connection *connection; /* NULL before its turn */
 	struct httpd_connection *from;
 	GPtrArray *headers; /* of one begun before its turn, else NULL */
+	bool in_socket; /* the same, and libmicrohttpd has not read it yet */
 	ev_io watch; /* for the caller's leaving, while suspended */
 	char *method;
 	char *path; /* decoded, without the query */
--- a/t/t0027-platform-sent-ahead.sh
+++ b/t/t0027-platform-sent-ahead.sh
@@ -16,7 +16,9 @@
 }
 platform_config 8 ',{"name":"slow","kind":"safe","goal_ms":400,"priority":2,
 	"match":{"path_prefix":"/list/"},"action":{"service":"bookings",
-	"timeout_ms":15000,"attempts":2}}'
+	"timeout_ms":15000,"attempts":2}},{"name":"once","kind":"unsafe",
+	"goal_ms":400,"priority":1,"match":{"path_prefix":"/once/"},
+	"action":{"service":"bookings","timeout_ms":15000,"attempts":2}}'
 in_force() {
 	[ "$(ask "http://$(operator_of 0)/configuration" | jq .document.source)" = 8 ]
 }
@@ -30,11 +32,23 @@
 get one >&3
 wait_for "the first to begin" in_progress 1
 get two >&3
-get three $'Connection: close\r\n' >&3
+get three >&3
 wait_for "three to be worked on" in_progress 3
 echo "three worked on together"
-printf 'POST /book/1 HTTP/1.1\r\nHost: a.example\r\nX-Mesh-Request-Id: four\r\nX-Mesh-Deadline-Ms: 1500\r\nContent-Length: 2\r\n\r\nhi' >&3
+printf 'POST /once/1 HTTP/1.1\r\nHost: a.example\r\nX-Mesh-Request-Id: four\r\nX-Mesh-Deadline-Ms: 15000\r\nContent-Length: 2\r\n\r\nhi' >&3
 echo "not to be repeated, ran before its turn: $(ran four)"
+get five $'Connection: close\r\n' >&3
 grep -a -o -e 'HTTP/1.1 [0-9]*' -e 'X-Mesh-Request-Id: [a-z]*' <&3
 exec 3>&-
-echo "and in the end ran $(ran four)"
+echo "and after the third, once: $(ran four)"
+
+# Two in one piece: the second is out of sight until the first is answered, and
+# one that comes later is not, and must not begin twice.
+exec 3<>"/dev/tcp/127.0.0.1/$((BASE_PORT + 1))"
+{ get six; get seven; } | cat >&3
+wait_for "the first to begin" in_progress 1
+get eight $'Connection: close\r\n' >&3
+wait_for "the last to begin" in_progress 2
+grep -a -o -e 'HTTP/1.1 [0-9]*' -e 'X-Mesh-Request-Id: [a-z]*' <&3
+exec 3>&-
+for id in one two three five six seven eight; do echo "$id ran $(ran $id)"; done
