--- a/Makefile
+++ b/Makefile
@@ -91,7 +91,7 @@
 FIRST_SEED ?= 1
 soak: $(OUT)/bin/test-member
 	SEEDS=$(SEEDS) FIRST_SEED=$(FIRST_SEED) $(OUT)/bin/test-member \
-		-p /member/random-faults
+		-p /member/random-faults -p /member/random-grants
 
 check:
 	clang-format --dry-run --Werror $(SOURCES)
