--- a/member/holds.c
+++ b/member/holds.c
@@ -154,17 +154,6 @@
 	COUNT(shards_released);
 }
 
-/* Whether a member that went was an earlier incarnation of this host. */
-static bool was_ours(const struct member_node *n, int64_t id)
-{
-	uint32_t i;
-
-	for (i = 0; i < n->own_before->len; i++)
-		if (g_array_index(n->own_before, int64_t, i) == id)
-			return true;
-	return false;
-}
-
 /*
  * Whether all who may hold a shard can be asked. Records that we read at the
  * start were made at an unknown time before, so what they would have us wait
@@ -185,7 +174,7 @@
 	predecessors_of(holds_shard(n, i), p);
 	for (k = 0; k < MAX_PREDECESSORS; k++)
 		if (p[k].from && !fleet_member(&n->fleet, p[k].from) &&
-		    !was_ours(n, p[k].from))
+		    !ids_contain(n->own_before, p[k].from))
 			return false;
 	return true;
 }
@@ -465,16 +454,6 @@
 		g_array_append_val(n->handed, msg->from);
 }
 
-static bool has_our_ids(const struct member_node *n, int64_t heir)
-{
-	uint32_t i;
-
-	for (i = 0; i < n->handed->len; i++)
-		if (g_array_index(n->handed, int64_t, i) == heir)
-			return true;
-	return false;
-}
-
 /*
  * Whether every heir has our ids, or has had time enough. Heirs that take over
  * without them must answer "unknown" to each id that they do not know.
@@ -491,7 +470,8 @@
 		return true;
 	heirs = witness_successors(n, n->self);
 	for (i = 0; i < heirs->len; i++)
-		all = all && has_our_ids(n, g_array_index(heirs, int64_t, i));
+		all = all &&
+		      ids_contain(n->handed, g_array_index(heirs, int64_t, i));
 	g_array_unref(heirs);
 	return all;
 }
--- a/member/internal.h
+++ b/member/internal.h
@@ -24,6 +24,17 @@
 	return ms + ms * 3 * n->timing.drift_ppm / 1000000 + 1;
 }
 
+/* Whether an array of int64_t holds id. */
+static inline bool ids_contain(const GArray *ids, int64_t id)
+{
+	uint32_t i;
+
+	for (i = 0; i < ids->len; i++)
+		if (g_array_index(ids, int64_t, i) == id)
+			return true;
+	return false;
+}
+
 void member_send(struct member_node *n, int64_t to, struct member_msg *msg);
 void member_append(struct member_node *n, enum append_kind kind, json_t *r);
 void member_note(struct member_node *n, const char *what, int64_t subject);
--- a/member/sync.c
+++ b/member/sync.c
@@ -83,16 +83,6 @@
 		n->peer_caught_up = true;
 }
 
-static bool contains(const GArray *ids, int64_t id)
-{
-	uint32_t i;
-
-	for (i = 0; i < ids->len; i++)
-		if (g_array_index(ids, int64_t, i) == id)
-			return true;
-	return false;
-}
-
 /*
  * Each member that does not wait at the log has two readers who pass records on
  * to it, so that the loss of one goes unnoticed.
@@ -117,7 +107,7 @@
 		uint32_t second = (first + 1) % readers->len;
 
 		if (n->is_reader && (first == place || second == place) &&
-		    !contains(readers, m->id))
+		    !ids_contain(readers, m->id))
 			g_array_append_val(n->followers, m->id);
 	}
 	g_array_unref(readers);
--- a/member/takeover.c
+++ b/member/takeover.c
@@ -111,12 +111,7 @@
 
 bool member_known_stopped(const struct member_node *n, int64_t id)
 {
-	uint32_t i;
-
-	for (i = 0; i < n->stopped->len; i++)
-		if (g_array_index(n->stopped, int64_t, i) == id)
-			return true;
-	return false;
+	return ids_contain(n->stopped, id);
 }
 
 /* A witness tells of its promise about a subject. */
--- a/member/witness.c
+++ b/member/witness.c
@@ -83,7 +83,7 @@
 	const struct member *m = fleet_member(&n->fleet, subject);
 	struct fleet_service *s = m ? fleet_service(&n->fleet, m->service)
 				    : NULL;
-	uint32_t i, j;
+	uint32_t i;
 
 	for (i = 0; s && i < s->n_shards; i++) {
 		const struct shard *sh = &s->shards[i];
@@ -91,10 +91,7 @@
 
 		if (sh->owner != subject || !id)
 			continue;
-		for (j = 0; j < out->len; j++)
-			if (g_array_index(out, int64_t, j) == id)
-				break;
-		if (j == out->len)
+		if (!ids_contain(out, id))
 			g_array_append_val(out, id);
 	}
 	return out;
--- a/t/sim-faults.c
+++ b/t/sim-faults.c
@@ -195,3 +195,10 @@
 	record_move_add(r, shard, owner, successor, sv->shards[shard].fence);
 	sim_append(s, r);
 }
+
+/* Append a record of the test's own, which is stolen. */
+void sim_append(struct sim *s, json_t *record)
+{
+	sim_add_record(s, "", record);
+	json_decref(record);
+}
--- a/t/sim.c
+++ b/t/sim.c
@@ -547,13 +547,6 @@
 	}
 }
 
-/* Append a record of the test's own, which is stolen. */
-void sim_append(struct sim *s, json_t *record)
-{
-	sim_add_record(s, "", record);
-	json_decref(record);
-}
-
 /* The newest state that any node has. */
 struct fleet *sim_newest(struct sim *s)
 {
