net: an append without an answer is settled at once

Now the read under way ends, and one that does not wait follows within 5 ms. /net/lost-answer-is-settled: no second read within 100 ms before, one after.

--- a/net/log-client.c
+++ b/net/log-client.c
@@ -22,6 +22,19 @@
 #define PATIENCE_MAX_MS 8000
 /* A read younger than this may still tell of the news by itself. */
 #define RENEW_AGE_MS 500
+/* The clock has moved on by then, so that the read counts as a later one. */
+#define DOUBT_READ_MS 5
+
+static bool has_doubts(const struct log_client *c)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->appends->len; i++)
+		if (((struct log_append *)g_ptr_array_index(c->appends, i))
+			    ->in_doubt)
+			return true;
+	return false;
+}
 
 static void start_read(struct log_client *c)
 {
@@ -35,7 +48,7 @@
 	if (c->trimmed && c->ops->recover)
 		c->ops->recover(c);
 	else
-		c->ops->read(c, c->read_from, c->wait_ms);
+		c->ops->read(c, c->read_from, has_doubts(c) ? 0 : c->wait_ms);
 }
 
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
@@ -134,6 +147,19 @@
 	start_read(c);
 }
 
+/*
+ * Only a read that begins later tells whether an append without an answer took
+ * effect, and until then nothing more of its kind is appended. The one under
+ * way may wait for news for seconds, so it ends here.
+ */
+static void read_after_doubt(struct log_client *c)
+{
+	if (c->reading)
+		fetch_cancel(&c->read_fetch);
+	c->reading = false;
+	read_again(c, DOUBT_READ_MS);
+}
+
 /*
  * A read that waits for news at a store that went away, or on a connection that
  * something between has lost track of, waits until its time is over, ten
@@ -267,7 +293,7 @@
 	}
 	settle_doubts(c);
 	c->handlers->on_tail(c->user, c->read_sent_ms);
-	read_again(c, c->trimmed ? 0 : c->pause_ms);
+	read_again(c, c->trimmed || has_doubts(c) ? 0 : c->pause_ms);
 }
 
 void log_client_appended(struct log_append *a, int result, bool sent)
@@ -277,9 +303,9 @@
 		end_append(a, RESULT_OK);
 		return;
 	}
-	/* What came first must be read, and so must whether ours came at all. */
-	read_at_once(a->client);
 	if (result == RESULT_CONFLICT) {
+		/* What came first must be read before it is tried again. */
+		read_at_once(a->client);
 		end_append(a, result);
 		return;
 	}
@@ -291,6 +317,7 @@
 	COUNT(log_append_answers_lost);
 	a->in_doubt = true;
 	a->doubt_ms = clock_now_ms();
+	read_after_doubt(a->client);
 }
 
 void log_client_append(struct log_client *c, int kind, void *append_user,
--- a/t/test-net.c
+++ b/t/test-net.c
@@ -4,6 +4,7 @@
 #include "member/msg.h"
 #include "net/address.h"
 #include "net/headers.h"
+#include "net/log-client.h"
 #include "net/request-msg.h"
 #include "util/result.h"
 
@@ -113,6 +114,82 @@
 	g_assert_false(header_is_hop_by_hop("X-Request-Id"));
 }
 
+static uint32_t n_reads;
+static int64_t last_wait_ms;
+static int lost_result;
+
+static void fake_read(struct log_client *c, int64_t from, int64_t wait_ms)
+{
+	(void)c;
+	(void)from;
+	n_reads++;
+	last_wait_ms = wait_ms;
+}
+
+/* The append goes out, and its answer never comes. */
+static void fake_append(struct log_client *c, struct log_append *a)
+{
+	(void)c;
+	log_client_appended(a, RESULT_CUT, true);
+}
+
+static void ignore_tail(void *user, int64_t sent_ms)
+{
+	(void)user;
+	(void)sent_ms;
+}
+
+static void note_appended(void *user, int kind, void *append_user, int result)
+{
+	(void)user;
+	(void)kind;
+	(void)append_user;
+	lost_result = result;
+}
+
+static void end_loop(struct ev_loop *loop, ev_timer *w, int events)
+{
+	(void)w;
+	(void)events;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+/*
+ * The answer to an append is lost while a read waits for news, ten seconds at
+ * most. Until a later read has found the end without the record, the node
+ * appends nothing more of that kind: an operator's change that it should bring
+ * in would wait as long. So that read must not wait, and come at once.
+ */
+static void test_lost_answer_is_settled(void)
+{
+	static const struct log_ops ops = { .read = fake_read,
+					    .append = fake_append };
+	static const struct log_handlers handlers = {
+		.on_tail = ignore_tail, .on_appended = note_appended
+	};
+	struct ev_loop *loop = ev_default_loop(0);
+	struct log_batch end = { .next = 0 };
+	struct log_client c;
+	ev_timer stop;
+
+	log_client_init(&c, loop, "127.0.0.1:1", &ops, &handlers, NULL);
+	c.wait_ms = 10000;
+	c.pause_ms = 10000;
+	ev_run(loop, EVRUN_ONCE);
+	g_assert_cmpuint(n_reads, ==, 1);
+	g_assert_cmpint(last_wait_ms, ==, 10000);
+	lost_result = RESULT_OK;
+	log_client_append(&c, 0, NULL, json_object());
+	ev_timer_init(&stop, end_loop, 0.1, 0);
+	ev_timer_start(loop, &stop);
+	ev_run(loop, 0);
+	g_assert_cmpuint(n_reads, ==, 2);
+	g_assert_cmpint(last_wait_ms, ==, 0);
+	log_client_read_done(&c, &end);
+	g_assert_cmpint(lost_result, ==, RESULT_UNREACHABLE);
+	log_client_finish(&c);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -120,5 +197,7 @@
 	g_test_add_func("/net/malformed", test_malformed);
 	g_test_add_func("/net/address", test_address);
 	g_test_add_func("/net/hop-by-hop", test_hop_by_hop);
+	g_test_add_func("/net/lost-answer-is-settled",
+			test_lost_answer_is_settled);
 	return g_test_run();
 }
