gate: how keys are granted is a table of functions

Cause: a further customer's backend servers are told what they hold by calls to them instead of by the answers to their heartbeats. What may be granted and until when is the same, so the heartbeat way moves out of gate/grants.c and gate/renew.c into gate/grant-beat.c behind struct grant_ops, chosen by the setting "grants".

--- /dev/null
+++ b/gate/grant-beat.h
@@ -0,0 +1,34 @@
+#ifndef GATE_GRANT_BEAT_H
+#define GATE_GRANT_BEAT_H
+
+#include <glib.h>
+
+#include "gate/grants.h"
+#include "member/member.h"
+
+/*
+ * Grants by heartbeat. The backend server reports in each heartbeat what it
+ * holds and what it let go, and each answer names all that it is to hold and
+ * for how long: every shard that this node may serve now, for as long as its
+ * lease lasts. What an answer leaves out the server lets go. No input or
+ * output; the time is passed in.
+ */
+
+/*
+ * A heartbeat of number beat. hold_max_ms bounds how long a grant that a
+ * process before this one gave can last.
+ */
+void grant_beat_heard(struct grants *g, int64_t beat, const GArray *holds,
+		      const GArray *released, int64_t hold_max_ms,
+		      int64_t now_ms);
+
+/*
+ * The rows (struct grant_row) of the answer to heartbeat number beat, and for
+ * how many milliseconds of the server's clock they hold. NULL when nothing can
+ * be said of any shard, which changes nothing at the server. The caller frees.
+ */
+GArray *grant_beat_rows(struct grants *g, const struct member_node *m,
+			int64_t beat, int64_t hold_max_ms, int64_t now_ms,
+			int64_t *hold_ms);
+
+#endif
--- a/gate/grants.h
+++ b/gate/grants.h
@@ -6,16 +6,20 @@
 #include <glib.h>
 
 /*
- * What a backend server that checks grants has been given to hold. It reports
- * in each heartbeat what it holds and what it let go, and each answer names all
- * that it is to hold and for how long; what an answer leaves out it lets go. A
- * shard may go to another server only when this one is known not to hold it,
- * so for each shard this keeps the latest moment until which it may. Times are
- * the node's own clock, passed in.
+ * What a backend server that checks grants has been given to hold. A shard may
+ * go to another server only when this one is known not to hold it, so for each
+ * shard this keeps the latest moment until which it may. How the server is told
+ * differs from one kind of server to another: a table of functions, chosen by
+ * the settings. Times are the node's own clock, passed in.
  */
 
 #define HANDOVER_MAX_LEN 63
 
+/* A backend server's clock may run 2% slow (the platform's own bound). */
+#define GRANT_SLOW_CLOCK 1.02
+/* The way of what grants, and the rounding of two millisecond clocks. */
+#define GRANT_MARGIN_MS 20
+
 /* Keys [from, to] as a backend server names them. */
 struct grant_row {
 	int64_t from;
@@ -34,38 +38,45 @@
 	char *handover_out; /* from our server when it let go */
 };
 
+struct grants;
+
+/* A way of telling a backend server what it is to hold. */
+struct grant_ops {
+	const char *name;
+	/* Another life of the server: it holds nothing of what the last had. */
+	void (*on_life)(struct grants *g);
+	/* Whether the server may hold a shard, by any grant ever given. */
+	bool (*may_hold)(const struct grants *g, uint32_t shard,
+			 int64_t now_ms);
+	/* Whether the server holds a shard that is ours under fence. */
+	bool (*granted)(const struct grants *g, uint32_t shard, int64_t fence,
+			int64_t now_ms);
+};
+
+/* By the answers to its heartbeats: gate/grant-beat.h. */
+extern const struct grant_ops grant_by_heartbeat;
+
+/* The way of that name, or NULL. */
+const struct grant_ops *grant_ops_by_name(const char *name);
+
 struct grants {
+	const struct grant_ops *ops; /* NULL: the server checks no grants */
 	struct grant *shards;
 	uint32_t n_shards;
 	uint32_t n_keys;
 	bool heard; /* a heartbeat has told what the server holds */
 };
 
-void grants_init(struct grants *g);
+/* ops: NULL when the backend server checks no grants. */
+void grants_init(struct grants *g, const struct grant_ops *ops);
 void grants_finish(struct grants *g);
 
 /* Follow the configuration; a change of shape forgets everything. */
 void grants_resize(struct grants *g, uint32_t n_shards, uint32_t n_keys);
 
-/*
- * A heartbeat of number beat. hold_max_ms bounds how long a grant that a
- * process before this one gave can last.
- */
-void grants_on_beat(struct grants *g, int64_t beat, const GArray *holds,
-		    const GArray *released, int64_t hold_max_ms,
-		    int64_t now_ms);
-
-/* Another life of the backend server: it holds nothing yet. */
+/* Another life of the backend server. */
 void grants_forget_server(struct grants *g);
 
-/*
- * Note that the answer to heartbeat number beat grants a shard under fence for
- * hold_ms on the server's clock, and add its row to the answer, joined to the
- * last one where they fit together.
- */
-void grants_give(struct grants *g, uint32_t shard, int64_t fence, int64_t beat,
-		 int64_t hold_ms, GArray *rows, int64_t now_ms);
-
 /* Whether the server may hold a shard, by any grant it was ever given. */
 bool grants_may_hold(const struct grants *g, uint32_t shard, int64_t now_ms);
 
@@ -76,6 +87,13 @@
 bool grants_granted(const struct grants *g, uint32_t shard, int64_t fence,
 		    int64_t now_ms);
 
+/* The keys of a shard, as the backend server counts them. */
+int64_t grants_first_key(const struct grants *g, uint32_t shard);
+int64_t grants_last_key(const struct grants *g, uint32_t shard);
+
+/* Forget all that is known of a shard. */
+void grants_clear(struct grant *s);
+
 /* The longest hold_ms after which a slow server clock ends before end_ms. */
 int64_t grants_hold_ms(int64_t end_ms, int64_t max_ms, int64_t now_ms);
 
--- a/node/backend.c
+++ b/node/backend.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "gate/renew.h"
+#include "gate/grant-beat.h"
 #include "net/clock.h"
 #include "node/backend.h"
 #include "node/node.h"
@@ -78,9 +78,9 @@
 static char *answer(struct node *n, int64_t number)
 {
 	int64_t hold_ms;
-	GArray *rows = renew_rows(&n->gate.grants, &n->member, number,
-				  n->settings.hold_max_ms, clock_now_ms(),
-				  &hold_ms);
+	GArray *rows = grant_beat_rows(&n->gate.grants, &n->member, number,
+				       n->settings.hold_max_ms, clock_now_ms(),
+				       &hold_ms);
 	uint32_t n_left_out;
 	char *text;
 	uint32_t i;
@@ -129,8 +129,8 @@
 	}
 	follow_state(n, &a, news);
 	gate_follow_configuration(&n->gate);
-	grants_on_beat(&n->gate.grants, a.number, a.holds, a.released,
-		       n->settings.hold_max_ms, clock_now_ms());
+	grant_beat_heard(&n->gate.grants, a.number, a.holds, a.released,
+			 n->settings.hold_max_ms, clock_now_ms());
 	text = answer(n, a.number);
 	reply_json(r, 200, text);
 out:
--- a/node/gate-health.c
+++ b/node/gate-health.c
@@ -95,7 +95,7 @@
 	g_autofree char *url = NULL;
 
 	/* Heartbeats tell it without the server's work, where it sends them. */
-	if (g->node->settings.grants_by_heartbeat)
+	if (g->grants.ops)
 		return;
 	if (!g->connect_failures && now - g->heard_ms < every)
 		return;
--- a/node/gate-park.c
+++ b/node/gate-park.c
@@ -29,8 +29,8 @@
 	struct gate *g = r->gate;
 	uint32_t most = g->backend_server.slots * PARKED_PER_SLOT;
 
-	if (!r->keyed || !g->node->settings.grants_by_heartbeat ||
-	    g->draining || g->parked->len >= most || !on_its_way(r))
+	if (!r->keyed || !g->grants.ops || g->draining ||
+	    g->parked->len >= most || !on_its_way(r))
 		return false;
 	COUNT(gate_parked);
 	r->state = GATE_PARKED;
--- a/node/gate.c
+++ b/node/gate.c
@@ -91,7 +91,7 @@
 	queue_init(&g->queue, QUEUE_PER_SLOT);
 	ids_init(&g->ids, MAX_IDS);
 	cold_init(&g->cold, clock_now_ms());
-	grants_init(&g->grants);
+	grants_init(&g->grants, node->settings.grants);
 	balance_init(&g->balance);
 	g->class_indexes =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -308,7 +308,7 @@
 	if (member_may_serve(&node->member, r->shard, now, fence, lease_end_ms))
 		return false;
 	/* Sent before it holds the key, the server would turn it away. */
-	return !node->settings.grants_by_heartbeat ||
+	return !r->gate->grants.ops ||
 	       grants_granted(&r->gate->grants, r->shard, *fence, now);
 }
 
@@ -348,7 +348,7 @@
 	left_ms = r->deadline_ms - now;
 	if (now >= r->answer_by_ms)
 		left_ms = 0;
-	if (!g->node->settings.grants_by_heartbeat)
+	if (!g->grants.ops)
 		left_ms = MIN(left_ms, lease_end_ms - now);
 	if (left_ms <= 0) {
 		gate_refuse(r, RESULT_TIMEOUT);
@@ -459,7 +459,7 @@
 	}
 	if (s && s->key_numbers)
 		balance_resize(&g->balance, s->n_shards);
-	if (s && g->node->settings.grants_by_heartbeat && s->key_numbers)
+	if (s && g->grants.ops && s->key_numbers)
 		grants_resize(&g->grants, s->n_shards, s->key_numbers);
 }
 
--- a/node/node.c
+++ b/node/node.c
@@ -76,7 +76,7 @@
 	const struct fleet_service *s =
 		fleet_service(&n->member.fleet, n->settings.service);
 
-	return n->settings.grants_by_heartbeat && s && s->key_numbers &&
+	return n->gate.grants.ops && s && s->key_numbers &&
 	       !n->gate.grants.heard;
 }
 
@@ -267,8 +267,7 @@
  */
 static bool keeps_backend(const struct node *n)
 {
-	return n->settings.grants_by_heartbeat && !n->backend_left &&
-	       n->life.id[0];
+	return n->gate.grants.ops && !n->backend_left && n->life.id[0];
 }
 
 /* How long callers may still be sent here after we were asked to stop. */
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -20,6 +20,7 @@
 				      "ready_address",
 				      "announce_address",
 				      "seeds_by_host",
+				      "grants",
 				      "hold_max_ms",
 				      "lease_ms",
 				      "kept_idle_s",
@@ -175,7 +176,6 @@
 	if (!strcmp(name, "platform")) {
 		s->interface = INTERFACE_PLATFORM;
 		s->headers = &headers_platform;
-		s->grants_by_heartbeat = true;
 		return;
 	}
 	s->interface = INTERFACE_OWN;
@@ -184,6 +184,25 @@
 		json_check_fail(c, "$.interface", "must be own or platform");
 }
 
+/*
+ * How the backend server is told what keys it holds. Empty is as if left out:
+ * a template of settings has nothing to say where its platform names no way.
+ */
+static void read_grants(struct json_check *c, const json_t *o,
+			struct settings *s)
+{
+	const char *usual = s->interface == INTERFACE_PLATFORM ? "heartbeat"
+							       : "none";
+	const char *name = json_check_string(c, o, "$", "grants", "", 15);
+
+	if (!name[0])
+		name = usual;
+	s->grants = grant_ops_by_name(name);
+	if (!s->grants && strcmp(name, "none"))
+		json_check_fail(c, "$.grants",
+				"must be heartbeat, call or none");
+}
+
 static void read_times(struct json_check *c, const json_t *o,
 		       struct settings *s)
 {
@@ -215,6 +234,7 @@
 	memset(s, 0, sizeof(*s));
 	json_check_fields(c, o, "$", fields);
 	read_interface(c, o, s);
+	read_grants(c, o, s);
 	read_text(c, o, "host", s->host, sizeof(s->host));
 	read_text(c, o, "data_centre", s->data_centre, sizeof(s->data_centre));
 	read_text(c, o, "service", s->service, sizeof(s->service));
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 #include <glib.h>
 
+#include "gate/grants.h"
 #include "gate/limit.h"
 #include "net/headers.h"
 #include "route/choose.h"
@@ -38,8 +39,8 @@
 	bool log_json;
 	char ready_address[SETTINGS_ADDRESS_MAX + 1]; /* "" none of its own */
 	char announce_address[SETTINGS_ADDRESS_MAX + 1]; /* "" none */
-	/* Backend servers are told with each heartbeat what keys they hold. */
-	bool grants_by_heartbeat;
+	/* How backend servers are told what keys they hold, NULL not at all. */
+	const struct grant_ops *grants;
 	int64_t hold_max_ms; /* longest that one such grant may last */
 	int64_t lease_ms;
 	/* A connection to the backend server idle for longer is not reused. */
--- a/t/sim-backend.c
+++ b/t/sim-backend.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "gate/renew.h"
+#include "gate/grant-beat.h"
 #include "t/sim.h"
 
 /*
@@ -62,9 +62,11 @@
 	if (service && service->key_numbers)
 		grants_resize(&nd->grants, service->n_shards,
 			      service->key_numbers);
-	grants_on_beat(&nd->grants, ++b->number, holds, NULL, HOLD_MAX_MS, now);
+	grant_beat_heard(&nd->grants, ++b->number, holds, NULL, HOLD_MAX_MS,
+			 now);
 	g_array_unref(holds);
-	return renew_rows(&nd->grants, m, b->number, HOLD_MAX_MS, now, hold_ms);
+	return grant_beat_rows(&nd->grants, m, b->number, HOLD_MAX_MS, now,
+			       hold_ms);
 }
 
 static void check_fence(struct sim_node *nd, uint32_t i, int64_t fence)
--- a/t/sim.c
+++ b/t/sim.c
@@ -188,7 +188,7 @@
 	nd->version = -1;
 	nd->paused_until = 0;
 	s->process[slot]++;
-	grants_init(&nd->grants);
+	grants_init(&nd->grants, &grant_by_heartbeat);
 	nd->life_known = 0;
 	if (s->granted && !sim_has_backend(nd))
 		member_set_life(&nd->member, "life");
--- a/t/test-settings.c
+++ b/t/test-settings.c
@@ -158,7 +158,7 @@
 		g_error("%s", errors->str);
 	g_assert_cmpstr(s.seeds[0], ==, "127.0.0.9:2");
 	g_assert_true(s.headers == &headers_platform);
-	g_assert_true(s.grants_by_heartbeat);
+	g_assert_true(s.grants == &grant_by_heartbeat);
 	g_assert_cmpint(s.lease_ms, ==, 2500);
 	g_assert_cmpint(s.hold_max_ms, ==, 7000);
 	g_assert_cmpint(s.stop_limit_ms, ==, 4000);
