--- a/Makefile
+++ b/Makefile
@@ -24,13 +24,14 @@
 CMD_SRC = briargrade.c $(wildcard builtin/*.c)
 LIB_OBJ = $(LIB_SRC:%.c=$(OUT)/%.o)
 CMD_OBJ = $(CMD_SRC:%.c=$(OUT)/%.o)
-# The member library once more, with its safety rules made switchable.
-RULE_OBJ = $(patsubst %.c,$(OUT)/rules/%.o,$(wildcard member/*.c))
-OTHER_OBJ = $(filter-out $(OUT)/member/%,$(LIB_OBJ))
+# What keeps one owner to a key once more, with its safety rules made switchable.
+RULE_SRC = $(wildcard member/*.c) gate/grant-call.c
+RULE_OBJ = $(RULE_SRC:%.c=$(OUT)/rules/%.o)
+OTHER_OBJ = $(filter-out $(RULE_SRC:%.c=$(OUT)/%.o),$(LIB_OBJ))
 
 PROGRAMS = briargrade log-standin backend-standin platform-store \
 	platform-server load slope
-TESTS = test-member test-schedules test-recovery test-state test-gate test-route test-settings test-net
+TESTS = test-grants test-member test-schedules test-recovery test-state test-gate test-route test-settings test-net
 BINARIES = $(PROGRAMS:%=$(OUT)/bin/%) $(TESTS:%=$(OUT)/bin/%)
 SOURCES = $(wildcard *.c builtin/*.[ch] t/*.[ch] \
 	$(foreach d,$(PURE) net node,$(d)/*.[ch]))
@@ -91,7 +92,8 @@
 FIRST_SEED ?= 1
 soak: $(OUT)/bin/test-member
 	SEEDS=$(SEEDS) FIRST_SEED=$(FIRST_SEED) $(OUT)/bin/test-member \
-		-p /member/random-faults -p /member/random-grants
+		-p /member/random-faults -p /member/random-grants \
+		-p /member/random-calls
 
 check:
 	clang-format --dry-run --Werror $(SOURCES)
--- /dev/null
+++ b/gate/grant-owner.c
@@ -0,0 +1,28 @@
+#include "gate/grant-owner.h"
+
+static bool serves(const void *user, uint32_t shard, int64_t now_ms,
+		   int64_t *fence)
+{
+	int64_t lease_end_ms;
+
+	return !member_may_serve(user, shard, now_ms, fence, &lease_end_ms);
+}
+
+static bool expects(const void *user, uint32_t shard)
+{
+	return member_expects(user, shard);
+}
+
+static const struct grant_owner_ops member_owner = {
+	.serves = serves,
+	.expects = expects,
+};
+
+void grant_owner_from(struct grant_owner *o, const struct member_node *m)
+{
+	o->ops = &member_owner;
+	o->user = m;
+	o->lease_end_ms = member_lease_end_ms(m);
+	o->newest_fence = 2 * m->fleet.applied + 1;
+	o->current = member_is_current(m);
+}
--- a/gate/grants.c
+++ b/gate/grants.c
@@ -9,7 +9,8 @@
 
 const struct grant_ops *grant_ops_by_name(const char *name)
 {
-	static const struct grant_ops *const all[] = { &grant_by_heartbeat };
+	static const struct grant_ops *const all[] = { &grant_by_heartbeat,
+						       &grant_by_call };
 	uint32_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(all); i++)
@@ -18,10 +19,12 @@
 	return NULL;
 }
 
-void grants_init(struct grants *g, const struct grant_ops *ops)
+void grants_init(struct grants *g, const struct grant_ops *ops,
+		 int64_t past_until_ms)
 {
 	memset(g, 0, sizeof(*g));
 	g->ops = ops;
+	g->past_until_ms = past_until_ms;
 }
 
 void grants_clear(struct grant *s)
@@ -43,16 +46,20 @@
 
 void grants_resize(struct grants *g, uint32_t n_shards, uint32_t n_keys)
 {
-	const struct grant_ops *ops;
+	struct grants was = *g;
 
 	if (g->n_shards == n_shards && g->n_keys == n_keys)
 		return;
-	ops = g->ops;
 	grants_finish(g);
-	g->ops = ops;
+	g->ops = was.ops;
+	g->past_until_ms = was.past_until_ms;
+	g->n_lives = was.n_lives;
+	g->disabled_rules = was.disabled_rules;
 	g->shards = g_new0(struct grant, n_shards);
 	g->n_shards = n_shards;
 	g->n_keys = n_keys;
+	if (g->ops->on_resize)
+		g->ops->on_resize(g);
 }
 
 int64_t grants_first_key(const struct grants *g, uint32_t shard)
@@ -71,6 +78,12 @@
 		g->ops->on_life(g);
 }
 
+void grants_misdirected(struct grants *g, uint32_t shard, int64_t now_ms)
+{
+	if (g->ops && g->ops->on_misdirected && shard < g->n_shards)
+		g->ops->on_misdirected(g, shard, now_ms);
+}
+
 bool grants_may_hold(const struct grants *g, uint32_t shard, int64_t now_ms)
 {
 	return shard < g->n_shards && g->ops->may_hold(g, shard, now_ms);
--- a/gate/grants.h
+++ b/gate/grants.h
@@ -28,9 +28,24 @@
 	char handover[HANDOVER_MAX_LEN + 1]; /* "" none */
 };
 
+enum grant_state {
+	GRANT_FREE, /* no answered grant is left */
+	GRANT_HELD, /* a call that the server answered gave it */
+	GRANT_UNKNOWN, /* it may have been given before we knew the server */
+};
+
 struct grant {
 	int64_t fence; /* of the last grant by this process, 0 none */
 	int64_t until_ms; /* the server may hold the shard until then */
+	/* By call only: */
+	enum grant_state state;
+	int64_t sure_until_ms; /* the server surely holds it until then */
+	int64_t doubt_until_ms; /* a call without an answer may hold so long */
+	int64_t retry_ms; /* no call before then */
+	int64_t fenced; /* the server has seen a higher fence than this */
+	bool asked; /* part of a call on its way */
+	bool alone; /* a run that it was part of was refused: call by call */
+	/* By heartbeat only: */
 	int64_t beat; /* number of the heartbeat whose answer granted it */
 	bool confirmed; /* reported as held under this fence since */
 	bool held; /* reported as held, under any, in the last heartbeat */
@@ -43,8 +58,13 @@
 /* A way of telling a backend server what it is to hold. */
 struct grant_ops {
 	const char *name;
-	/* Another life of the server: it holds nothing of what the last had. */
+	/* The configuration has told how many shards there are. */
+	void (*on_resize)(struct grants *g);
+	/* A life of the server that this process has not heard of before. */
 	void (*on_life)(struct grants *g);
+	/* The server turned a request away: it does not hold the shard. */
+	void (*on_misdirected)(struct grants *g, uint32_t shard,
+			       int64_t now_ms);
 	/* Whether the server may hold a shard, by any grant ever given. */
 	bool (*may_hold)(const struct grants *g, uint32_t shard,
 			 int64_t now_ms);
@@ -56,6 +76,9 @@
 /* By the answers to its heartbeats: gate/grant-beat.h. */
 extern const struct grant_ops grant_by_heartbeat;
 
+/* By calls to it: gate/grant-call.h. */
+extern const struct grant_ops grant_by_call;
+
 /* The way of that name, or NULL. */
 const struct grant_ops *grant_ops_by_name(const char *name);
 
@@ -65,15 +88,25 @@
 	uint32_t n_shards;
 	uint32_t n_keys;
 	bool heard; /* a heartbeat has told what the server holds */
+	int64_t past_until_ms; /* what was granted before us has ended then */
+	uint32_t n_lives; /* of the server, seen by this process */
+	uint32_t disabled_rules; /* tests only, enum grant_rule */
 };
 
-/* ops: NULL when the backend server checks no grants. */
-void grants_init(struct grants *g, const struct grant_ops *ops);
+/*
+ * ops: NULL when the backend server checks no grants. What a process before
+ * this one granted has ended by past_until_ms.
+ */
+void grants_init(struct grants *g, const struct grant_ops *ops,
+		 int64_t past_until_ms);
 void grants_finish(struct grants *g);
 
 /* Follow the configuration; a change of shape forgets everything. */
 void grants_resize(struct grants *g, uint32_t n_shards, uint32_t n_keys);
 
+/* The backend server says that it does not hold a shard of ours. */
+void grants_misdirected(struct grants *g, uint32_t shard, int64_t now_ms);
+
 /* Another life of the backend server. */
 void grants_forget_server(struct grants *g);
 
--- a/member/holds.c
+++ b/member/holds.c
@@ -663,3 +663,17 @@
 		return false;
 	return n->holds[shard].state != HOLD_HELD && entitled(n, shard, &step);
 }
+
+bool member_expects(const struct member_node *n, uint32_t shard)
+{
+	const struct member *owner;
+	uint8_t step;
+
+	if (shard >= n->n_holds || entitled(n, shard, &step))
+		return shard < n->n_holds;
+	if (n->self || !n->want_member)
+		return false;
+	owner = fleet_member(&n->fleet, holds_shard(n, shard)->owner);
+	return owner && !strcmp(owner->host, n->me.host) && n->me.life[0] &&
+	       !strcmp(owner->life, n->me.life);
+}
--- a/member/member.h
+++ b/member/member.h
@@ -289,6 +289,12 @@
 /* Whether a shard is ours by the log, and others may still be serving it. */
 bool member_awaits(const struct member_node *n, uint32_t shard);
 
+/*
+ * Whether a shard is ours by the log, or was of the process before this one
+ * beside the same backend server, whose place we are about to take.
+ */
+bool member_expects(const struct member_node *n, uint32_t shard);
+
 /* Whether a member is known to have stopped though the log still lists it. */
 bool member_known_stopped(const struct member_node *n, int64_t id);
 
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -4,6 +4,7 @@
 #include <strings.h>
 #include <sys/socket.h>
 
+#include "net/clock.h"
 #include "net/fetch.h"
 #include "util/counters.h"
 #include "util/result.h"
@@ -38,6 +39,7 @@
 	curl_easy_setopt(f->easy, CURLOPT_WRITEDATA, NULL);
 	curl_easy_setopt(f->easy, CURLOPT_HEADERDATA, NULL);
 	curl_easy_setopt(f->easy, CURLOPT_PREREQDATA, NULL);
+	curl_easy_setopt(f->easy, CURLOPT_SOCKOPTDATA, NULL);
 	curl_easy_pause(f->easy, CURLPAUSE_ALL);
 	g_ptr_array_add(x->orphans, f->easy);
 	/* Its headers stay with the handle, a few hundred bytes, until then. */
@@ -259,6 +261,8 @@
 	(void)from_port;
 	if (!f || f->sent)
 		return CURL_PREREQFUNC_ABORT;
+	if (f->send_by_ms && clock_now_ms() > f->send_by_ms)
+		return CURL_PREREQFUNC_ABORT;
 	f->sent = true;
 	return CURL_PREREQFUNC_OK;
 }
@@ -270,14 +274,18 @@
  */
 static int set_keepalive(void *user, curl_socket_t fd, curlsocktype purpose)
 {
+	struct fetch *f = user;
 	int on = 1;
 	int idle_s = KEEPALIVE_IDLE_S;
 	int interval_s = KEEPALIVE_INTERVAL_S;
 	int probes = KEEPALIVE_PROBES;
 	unsigned int unacknowledged_ms = UNACKNOWLEDGED_MS;
 
-	(void)user;
 	(void)purpose;
+	if (f && f->open_by_ms && clock_now_ms() > f->open_by_ms) {
+		f->unopened = true;
+		return CURL_SOCKOPT_ERROR;
+	}
 	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
@@ -430,6 +438,7 @@
 	curl_easy_setopt(f->easy, CURLOPT_PREREQFUNCTION, before_sending);
 	curl_easy_setopt(f->easy, CURLOPT_PREREQDATA, f);
 	curl_easy_setopt(f->easy, CURLOPT_SOCKOPTFUNCTION, set_keepalive);
+	curl_easy_setopt(f->easy, CURLOPT_SOCKOPTDATA, f);
 	curl_easy_setopt(f->easy, CURLOPT_MAXAGE_CONN, (long)x->max_idle_s);
 	if (fresh)
 		curl_easy_setopt(f->easy, CURLOPT_FRESH_CONNECT, 1L);
@@ -439,6 +448,12 @@
 	curl_multi_add_handle(x->multi, f->easy);
 }
 
+void fetch_bound(struct fetch *f, int64_t send_by_ms, int64_t open_by_ms)
+{
+	f->send_by_ms = send_by_ms;
+	f->open_by_ms = open_by_ms;
+}
+
 void fetch_cancel(struct fetch *f)
 {
 	GPtrArray *headers = f->answer_headers;
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -52,6 +52,9 @@
 	long status;
 	bool head_done;
 	bool sent; /* some byte of the request may have left */
+	int64_t send_by_ms; /* not to be sent later, 0 at any time */
+	int64_t open_by_ms; /* no connection to be opened later, 0 any time */
+	bool unopened; /* failed for the latter */
 	bool mixed; /* check_head refused the answer */
 	GPtrArray *answer_headers; /* name and value in turn */
 	char error[CURL_ERROR_SIZE];
@@ -70,6 +73,13 @@
 		 size_t len, int64_t timeout_ms, bool fresh,
 		 const struct fetch_ops *ops, void *user);
 
+/*
+ * Bound a request just started, by our clock: later than send_by_ms it is not
+ * sent, and later than open_by_ms no connection is opened for it. It fails with
+ * sent false then.
+ */
+void fetch_bound(struct fetch *f, int64_t send_by_ms, int64_t open_by_ms);
+
 /* Drop a request; on_done is not called. Its connection closes. */
 void fetch_cancel(struct fetch *f);
 
--- a/node/backend.c
+++ b/node/backend.c
@@ -129,6 +129,11 @@
 	}
 	follow_state(n, &a, news);
 	gate_follow_configuration(&n->gate);
+	if (n->gate.grants.ops == &grant_by_call) {
+		reply_json(r, 200, "{}");
+		granter_on_beat(&n->granter);
+		goto out;
+	}
 	grant_beat_heard(&n->gate.grants, a.number, a.holds, a.released,
 			 n->settings.hold_max_ms, clock_now_ms());
 	text = answer(n, a.number);
--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -118,6 +118,23 @@
 	return true;
 }
 
+/* Our picture of what the server holds is wrong. */
+static void misdirected(const struct gate_request *r, int64_t now)
+{
+	struct grants *g = &r->gate->grants;
+	const struct grant *s;
+
+	if (r->shard >= g->n_shards)
+		return;
+	s = &g->shards[r->shard];
+	EVENT(grant_misdirected, r->attempt_id,
+	      "\"shard\":%" PRId64 ",\"fence\":%" PRId64
+	      ",\"state\":%d,\"sure_ms\":%" PRId64 ",\"until_ms\":%" PRId64,
+	      r->shard, s->fence, s->state, s->sure_until_ms - now,
+	      s->until_ms - now);
+	grants_misdirected(g, r->shard, now);
+}
+
 static void on_done(struct fetch *f, int result)
 {
 	struct gate_request *r = f->user;
@@ -133,6 +150,8 @@
 		g->connect_failures++;
 	if (r->shed) {
 		COUNT(gate_backend_shed);
+		if (f->status == STATUS_MISDIRECTED && r->keyed)
+			misdirected(r, now);
 		gate_refuse(r, f->status == STATUS_MISDIRECTED
 				       ? RESULT_NOT_OWNER
 				       : RESULT_OVERLOAD);
--- a/node/gate.c
+++ b/node/gate.c
@@ -91,7 +91,8 @@
 	queue_init(&g->queue, QUEUE_PER_SLOT);
 	ids_init(&g->ids, MAX_IDS);
 	cold_init(&g->cold, clock_now_ms());
-	grants_init(&g->grants, node->settings.grants);
+	grants_init(&g->grants, node->settings.grants,
+		    clock_now_ms() + node->settings.lease_ms + GRANT_MARGIN_MS);
 	balance_init(&g->balance);
 	g->class_indexes =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/node/node.c
+++ b/node/node.c
@@ -77,7 +77,7 @@
 		fleet_service(&n->member.fleet, n->settings.service);
 
 	return n->gate.grants.ops && s && s->key_numbers &&
-	       !n->gate.grants.heard;
+	       (!n->gate.grants.heard || !n->gate.grants.n_shards);
 }
 
 static uint32_t op_in_flight(void *user, uint32_t shard)
@@ -340,6 +340,7 @@
 	n->member.log_up = log_client_up(&n->log);
 	member_tick(&n->member, now);
 	gate_tick(&n->gate);
+	granter_tick(&n->granter);
 	backend_tick(n);
 	reload_tick(n, now);
 	ask_seeds(n, now);
@@ -460,6 +461,7 @@
 	n->member.on_event = on_event;
 	n->member.on_event_user = n;
 	gate_init(&n->gate, n);
+	granter_init(&n->granter, n);
 	err = entry_init(&n->entry, n);
 	if (err)
 		return cannot_listen(errors, s->caller_address, err);
@@ -488,6 +490,7 @@
 	ev_signal_stop(n->loop, &n->sigint);
 	ev_signal_stop(n->loop, &n->sighup);
 	operator_finish(n);
+	granter_finish(&n->granter);
 	gate_finish(&n->gate);
 	streams_finish(n);
 	backend_finish(n);
--- a/node/node.h
+++ b/node/node.h
@@ -9,6 +9,7 @@
 #include "member/member.h"
 #include "node/entry.h"
 #include "node/gate.h"
+#include "node/granter.h"
 #include "net/httpd.h"
 #include "net/log-client.h"
 #include "net/peer.h"
@@ -46,6 +47,7 @@
 	struct log_client log;
 	struct entry entry;
 	struct gate gate;
+	struct granter granter;
 	struct httpd operator_httpd;
 	struct httpd ready_httpd; /* the platform asks here whether we are */
 	struct httpd announce_httpd; /* the backend server's heartbeats */
--- a/t/lib-platform.sh
+++ b/t/lib-platform.sh
@@ -26,7 +26,7 @@
  "snapshot_records": 64, "move_batch": 160, "hold_share": 0.125,
  "retry_share": 0.2, "retry_reserve": 64, "hedge": false, "limit": "fixed",
  "choice": "soonest", "far_ms": 10, "far_ms_per_kb": 10,
- "stop_limit_ms": 5600, ${EXTRA_SETTINGS:-} "log_level": "info",
+ "stop_limit_ms": 5600, "grants": "${GRANTS:-heartbeat}", ${EXTRA_SETTINGS:-} "log_level": "info",
  "test_hooks": true}
 JSON
 	"$BIN/briargrade" run --settings "$DIR/node-$1.json" \
@@ -41,7 +41,8 @@
 start_platform_server() {
 	"$BIN/platform-server" --listen "$(backend_of "$1")" \
 		--node "$(announce_of "$1")" --service "${NODE_SERVICE[$1]}" \
-		--data-centre "${NODE_DC[$1]}" 2>>"$DIR/backend-$1.log" &
+		--data-centre "${NODE_DC[$1]}" --grants "${GRANTS:-heartbeat}" \
+		2>>"$DIR/backend-$1.log" &
 	BACKEND_PID[$1]=$!
 	PIDS="$PIDS $!"
 }
@@ -82,7 +83,7 @@
  \"action\":{\"service\":\"bookings\",\"timeout_ms\":1500,\"attempts\":2}}
 ${2:-}]}],
 \"clusters\":[{\"name\":\"records\",\"max_conns\":130,\"cold_start_s\":3,
-\"cold_per_s\":${COLD_PER_S:-25},\"sharded\":true,\"warmup_s\":2,\"grants\":\"heartbeat\"},
+\"cold_per_s\":${COLD_PER_S:-25},\"sharded\":true,\"warmup_s\":2,\"grants\":\"${GRANTS:-heartbeat}\"},
 {\"name\":\"bookings\",\"max_conns\":130,\"cold_start_s\":3,\"cold_per_s\":25}]}"
 }
 
--- a/t/platform-server.c
+++ b/t/platform-server.c
@@ -15,11 +15,15 @@
 /*
  * Stands in for a backend server on the platform: heartbeats to the node beside
  * it, rows of keys held under fences for a limited time, refusal of keys that
- * it does not hold, ids echoed, and a ledger of all it ran. POST /control:
+ * it does not hold, ids echoed, and a ledger of all it ran. With --grants call
+ * it is told what it holds by calls instead of by the answers to its
+ * heartbeats. POST /control:
  * work_ms=N, drain=1 (says that it leaves), crash=1 (starts again at once with
  * another id, holding nothing), mute=0|1 (no heartbeats), extra=N (sends a
  * second answer behind each of N), unsigned=N, lose=N (runs, then closes),
- * cold_ms=N (says that it is cold for so long).
+ * cold_ms=N (says that it is cold for so long), late=N (leaves N calls that
+ * grant keys unanswered and carries them out 1 s later), refuse=N (refuses N
+ * such calls as if it had seen a higher fence).
  */
 
 #define MAX_BODY (8 * 1024 * 1024)
@@ -27,6 +31,9 @@
 #define SOON_MS 20
 #define BEAT_LIMIT_MS 1000
 #define STATUS_MISDIRECTED 421
+#define STATUS_FENCED 409
+#define N_KEYS 65536
+#define LATE_S 1.0
 
 struct job {
 	struct httpd_request *r;
@@ -45,11 +52,16 @@
 static const char *service = "records", *data_centre = "hakata";
 static char id[32];
 static int64_t born_ms, number, beat_sent_ms;
-static bool draining, mute;
+static bool draining, mute, by_call;
+static int64_t late, refuse;
 static double work_ms = 1;
 static int64_t lose, without_signature, wrong_id, cold_ms;
 static GArray *held; /* struct grant_row */
-static int64_t held_until_ms;
+static int64_t held_until_ms; /* all of held, by heartbeat */
+static struct held_key {
+	int64_t until_ms;
+	int64_t fence;
+} keys[N_KEYS]; /* by call */
 static GString *released;
 static GHashTable *ledger;
 static uint64_t n_served, n_misdirected, n_cancelled, n_gave, n_lives;
@@ -62,12 +74,16 @@
 	draining = false;
 	g_array_set_size(held, 0);
 	g_string_set_size(released, 0);
+	memset(keys, 0, sizeof(keys));
 }
 
 static bool holds(int64_t key)
 {
 	uint32_t i;
 
+	if (by_call)
+		return key >= 0 && key < N_KEYS &&
+		       clock_now_ms() < keys[key].until_ms;
 	if (clock_now_ms() >= held_until_ms)
 		return false;
 	for (i = 0; i < held->len; i++) {
@@ -79,11 +95,36 @@
 	return false;
 }
 
-static json_t *rows_json(void)
+/* Neighbouring keys held under one fence, as rows. */
+static json_t *rows_by_call(void)
 {
 	json_t *list = json_array();
+	int64_t now = clock_now_ms();
+	int64_t from, key;
+
+	for (from = 0; from < N_KEYS; from = key) {
+		key = from + 1;
+		if (keys[from].until_ms <= now)
+			continue;
+		while (key < N_KEYS && keys[key].until_ms > now &&
+		       keys[key].fence == keys[from].fence)
+			key++;
+		json_array_append_new(list,
+				      json_pack("[I,I,I]", (json_int_t)from,
+						(json_int_t)(key - 1),
+						(json_int_t)keys[from].fence));
+	}
+	return list;
+}
+
+static json_t *rows_json(void)
+{
+	json_t *list;
 	uint32_t i;
 
+	if (by_call)
+		return rows_by_call();
+	list = json_array();
 	if (clock_now_ms() >= held_until_ms)
 		g_array_set_size(held, 0);
 	for (i = 0; i < held->len; i++) {
@@ -224,8 +265,11 @@
 		      draining ? "draining" : "ready", "seq",
 		      (json_int_t)++number, "cold_left_ms", (int)cold_ms,
 		      "holds", rows_json());
+	if (by_call)
+		json_object_del(o, "holds");
 	gone = g_strdup_printf("[%s]", released->str);
-	json_object_set_new(o, "released", json_loads(gone, 0, NULL));
+	if (!by_call)
+		json_object_set_new(o, "released", json_loads(gone, 0, NULL));
 	beat_body = json_dumps(o, JSON_COMPACT);
 	json_decref(o);
 	url = g_strdup_printf("http://%s/-/instances/%s/heartbeat",
@@ -334,22 +378,24 @@
 
 static void on_stats(struct httpd_request *r)
 {
-	int64_t keys = 0;
+	int64_t n_keys = 0;
 	uint32_t i;
 	g_autofree char *text = NULL;
 
+	for (i = 0; by_call && i < N_KEYS; i++)
+		n_keys += keys[i].until_ms > clock_now_ms();
 	for (i = 0; clock_now_ms() < held_until_ms && i < held->len; i++) {
 		struct grant_row *row =
 			&g_array_index(held, struct grant_row, i);
 
-		keys += row->to - row->from + 1;
+		n_keys += row->to - row->from + 1;
 	}
 	text = g_strdup_printf(
 		"served %" G_GUINT64_FORMAT "\nmisdirected %" G_GUINT64_FORMAT
 		"\ncancelled %" G_GUINT64_FORMAT "\nlet_go %" G_GUINT64_FORMAT
 		"\nkeys %" G_GINT64_FORMAT "\nbeats %" G_GINT64_FORMAT "\n",
 		(guint64)n_served, (guint64)n_misdirected, (guint64)n_cancelled,
-		(guint64)n_gave, (gint64)keys, (gint64)number);
+		(guint64)n_gave, (gint64)n_keys, (gint64)number);
 	httpd_reply_text(r, 200, text);
 }
 
@@ -370,16 +416,115 @@
 	cold_ms = argument(r, "cold_ms", cold_ms);
 	mute = argument(r, "mute", mute);
 	draining = argument(r, "drain", draining);
+	late = argument(r, "late", late);
+	refuse = argument(r, "refuse", refuse);
 	if (argument(r, "crash", 0))
 		start_life();
 	beat_in(0);
 	httpd_reply_text(r, 200, "done\n");
 }
 
+struct order {
+	int64_t from, to, fence, until_ms;
+	ev_timer timer;
+};
+
+static bool read_order(struct httpd_request *r, struct order *o)
+{
+	json_t *body = json_loadb((char *)r->body->data, r->body->len, 0, NULL);
+
+	o->from = json_integer_value(json_object_get(body, "from"));
+	o->to = json_integer_value(json_object_get(body, "target_version"));
+	o->fence = json_integer_value(json_object_get(body, "fence"));
+	o->until_ms = clock_now_ms() +
+		      json_integer_value(json_object_get(body, "hold_ms"));
+	json_decref(body);
+	return o->from >= 0 && o->to >= o->from && o->to < N_KEYS;
+}
+
+static bool outranked(const struct order *o)
+{
+	int64_t key;
+
+	for (key = o->from; key <= o->to; key++)
+		if (keys[key].fence > o->fence)
+			return true;
+	return false;
+}
+
+static void take_order(const struct order *o)
+{
+	int64_t key;
+
+	for (key = o->from; key <= o->to; key++) {
+		keys[key].fence = o->fence;
+		keys[key].until_ms = o->until_ms;
+	}
+}
+
+static void on_late(struct ev_loop *l, ev_timer *w, int events)
+{
+	struct order *o = w->data;
+
+	(void)l;
+	(void)events;
+	if (!outranked(o))
+		take_order(o);
+	g_free(o);
+}
+
+static void on_grant(struct httpd_request *r)
+{
+	struct order *o = g_new0(struct order, 1);
+
+	if (!read_order(r, o)) {
+		httpd_reply_text(r, 400, "");
+	} else if (refuse > 0 || outranked(o)) {
+		refuse -= refuse > 0;
+		httpd_reply_text(r, STATUS_FENCED, "");
+	} else if (late > 0) {
+		/* The request stays open until its sender gives up. */
+		late--;
+		ev_timer_init(&o->timer, on_late, LATE_S, 0);
+		o->timer.data = o;
+		ev_timer_start(loop, &o->timer);
+		return;
+	} else {
+		take_order(o);
+		httpd_reply_text(r, 200, "");
+	}
+	g_free(o);
+}
+
+static void on_release(struct httpd_request *r)
+{
+	GPtrArray *headers = headers_new();
+	g_autofree char *token =
+		g_strdup_printf("%08x%08x", g_random_int() | 1, g_random_int());
+	struct order o;
+	int64_t key;
+	bool any = false;
+
+	if (read_order(r, &o))
+		for (key = o.from; key <= o.to; key++) {
+			any = any || keys[key].until_ms > clock_now_ms();
+			keys[key].until_ms = 0;
+		}
+	n_gave += any;
+	if (any)
+		header_add(headers, "X-Mesh-Handover", token);
+	httpd_reply(r, 200, headers, "", 0);
+	g_ptr_array_unref(headers);
+}
+
 static void on_request(void *user, struct httpd_request *r)
 {
 	(void)user;
-	if (!strcmp(r->path, "/control"))
+	if (!strcmp(r->path, "/-/grant"))
+		on_grant(r);
+	else if (!strcmp(r->path, "/-/release"))
+		on_release(r);
+	else if (!strcmp(r->path, "/control"))
 		on_control(r);
 	else if (!strcmp(r->path, "/ledger"))
 		on_ledger(r);
@@ -415,6 +560,7 @@
 		{ "node", required_argument, NULL, 'n' },
 		{ "service", required_argument, NULL, 's' },
 		{ "data-centre", required_argument, NULL, 'd' },
+		{ "grants", required_argument, NULL, 'g' },
 		{ 0 }
 	};
 	int c;
@@ -428,6 +574,8 @@
 			service = optarg;
 		else if (c == 'd')
 			data_centre = optarg;
+		else if (c == 'g')
+			by_call = !strcmp(optarg, "call");
 		else
 			return 2;
 	}
--- a/t/sim-backend.c
+++ b/t/sim-backend.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "gate/grant-beat.h"
+#include "gate/grant-call.h"
 #include "t/sim.h"
 
 /*
@@ -16,6 +17,17 @@
 #define SLOWEST 1.02
 #define LATE_SHARE 0.1
 #define LATE_MS 900
+/* A call leaves within this of being worked out, as in gate/grant-call.c. */
+#define SEND_MS 150
+#define CALL_TIMEOUT_MS 250
+/* Calls in a thousand, while messages are lost, that end otherwise. */
+#define UNANSWERED 100
+#define ANSWER_LOST 50
+#define CALL_LOST 50
+#define APPLIED_LATE_MS 4000
+#define HELD_BACK 100
+#define HELD_BACK_MS 2000
+#define MAX_CALLS 12
 
 static int64_t shard_from(const struct sim *s, uint32_t i)
 {
@@ -62,6 +74,12 @@
 	if (service && service->key_numbers)
 		grants_resize(&nd->grants, service->n_shards,
 			      service->key_numbers);
+	if (s->way == &grant_by_call) {
+		++b->number;
+		grant_call_heard(&nd->grants);
+		g_array_unref(holds);
+		return NULL;
+	}
 	grant_beat_heard(&nd->grants, ++b->number, holds, NULL, HOLD_MAX_MS,
 			 now);
 	g_array_unref(holds);
@@ -158,11 +176,139 @@
 	}
 }
 
+/* A call is sent: how it will arrive, be carried out and answered. */
+static void send_call(struct sim_node *nd, const struct grant_call *c)
+{
+	struct sim *s = nd->sim;
+	struct sim_backend *b = &nd->backend;
+	struct sim_call k = { .call = *c,
+			      .process = s->process[nd->slot],
+			      .life = b->life,
+			      .outcome = GRANT_DONE };
+	uint32_t draw = s->loss > 0 ? g_rand_int_range(s->rand, 0, 1000) : 999;
+
+	if (nd->life_known != b->life || !b->up) {
+		/* No connection to the life that is meant is left. */
+		k.outcome = GRANT_NOT_APPLIED;
+		k.answered = s->now + SIM_STEP_MS;
+		g_array_append_val(b->calls, k);
+		return;
+	}
+	k.arrives = s->now + g_rand_int_range(s->rand, 0, SEND_MS);
+	/* A process frozen, or slow to connect, between planning and sending. */
+	if (s->loss > 0 && g_rand_int_range(s->rand, 0, 1000) < HELD_BACK)
+		k.arrives += g_rand_int_range(s->rand, 0, HELD_BACK_MS);
+	if (k.arrives - s->now > SEND_MS &&
+	    !(s->grant_rules & GRANT_RULE_SENT_IN_TIME)) {
+		k.outcome = GRANT_NOT_APPLIED;
+		k.answered = k.arrives;
+		g_array_append_val(b->calls, k);
+		return;
+	}
+	k.applied = MAX(k.arrives, s->now + 1);
+	k.answered = k.applied + 1;
+	if (draw < UNANSWERED + ANSWER_LOST + CALL_LOST) {
+		k.outcome = GRANT_IN_DOUBT;
+		k.answered = s->now + CALL_TIMEOUT_MS;
+	}
+	if (draw < UNANSWERED)
+		k.applied += g_rand_int_range(s->rand, 0, APPLIED_LATE_MS);
+	else if (draw < UNANSWERED + CALL_LOST)
+		k.applied = 0;
+	g_array_append_val(b->calls, k);
+}
+
+/* The process beside a server calls what is due. */
+void sim_backend_call(struct sim_node *nd)
+{
+	struct grant_call c;
+	struct grant_owner o;
+	uint32_t kinds = 1 << GRANT_CALL_GIVE | 1 << GRANT_CALL_TAKE_BACK;
+
+	grant_owner_from(&o, &nd->member);
+	while (nd->backend.calls->len < MAX_CALLS &&
+	       grant_call_next(&nd->grants, &o, kinds, HOLD_MAX_MS,
+			       sim_local(nd), &c))
+		send_call(nd, &c);
+}
+
+static void apply_give(struct sim_node *nd, struct sim_call *k)
+{
+	struct sim *s = nd->sim;
+	struct sim_backend *b = &nd->backend;
+	int64_t until = k->arrives + (int64_t)(k->call.hold_ms * b->slow);
+	uint32_t i;
+
+	for (i = k->call.first; i <= k->call.last; i++)
+		if (b->fence[i] > k->call.row.fence && k->outcome == GRANT_DONE)
+			k->outcome = GRANT_FENCED;
+	if (k->outcome == GRANT_FENCED || until <= s->now)
+		return;
+	for (i = k->call.first; i <= k->call.last; i++) {
+		if (b->fence[i] > k->call.row.fence)
+			continue;
+		if (b->until[i] <= s->now || k->call.row.fence != b->fence[i])
+			check_fence(nd, i, k->call.row.fence);
+		if (s->verbose && b->until[i] <= s->now)
+			g_print("%7" G_GINT64_FORMAT
+				" server %u is given shard %u under "
+				"%" G_GINT64_FORMAT " until %" G_GINT64_FORMAT
+				", sent to arrive %" G_GINT64_FORMAT "\n",
+				(gint64)s->now, nd->slot, i,
+				(gint64)k->call.row.fence, (gint64)until,
+				(gint64)k->arrives);
+		b->fence[i] = k->call.row.fence;
+		b->until[i] = until;
+	}
+}
+
+static void apply_take_back(struct sim_node *nd, const struct sim_call *k)
+{
+	uint32_t i;
+
+	for (i = k->call.first; i <= k->call.last; i++)
+		nd->backend.until[i] = 0;
+}
+
+static void carry_calls(struct sim_node *nd)
+{
+	struct sim *s = nd->sim;
+	struct sim_backend *b = &nd->backend;
+	uint32_t i;
+
+	for (i = b->calls->len; i-- > 0;) {
+		struct sim_call *k =
+			&g_array_index(b->calls, struct sim_call, i);
+
+		if (k->applied && k->applied <= s->now) {
+			k->applied = 0;
+			if (k->life != b->life || !b->up)
+				k->outcome = GRANT_IN_DOUBT;
+			else if (k->call.kind == GRANT_CALL_GIVE)
+				apply_give(nd, k);
+			else
+				apply_take_back(nd, k);
+		}
+		if (k->answered >= 0 && k->answered <= s->now &&
+		    nd->paused_until <= s->now) {
+			k->answered = -1;
+			if (nd->up && k->process == s->process[nd->slot])
+				grant_call_done(&nd->grants, &k->call,
+						k->outcome, NULL,
+						sim_local(nd));
+		}
+		if (k->answered < 0 && !k->applied)
+			g_array_remove_index_fast(b->calls, i);
+	}
+}
+
 /* One step of the server beside a node. */
 void sim_backend_step(struct sim_node *nd)
 {
 	struct sim_backend *b = &nd->backend;
 
+	if (nd->sim->way == &grant_by_call)
+		carry_calls(nd);
 	if (!b->up)
 		return;
 	if (b->answer_at && b->answer_at <= nd->sim->now)
@@ -185,6 +331,8 @@
 	memset(b->fence, 0, s->n_shards * sizeof(b->fence[0]));
 	g_clear_pointer(&b->answer, g_array_unref);
 	b->answer_at = 0;
+	if (!b->calls)
+		b->calls = g_array_new(FALSE, TRUE, sizeof(struct sim_call));
 	b->up = true;
 	b->life = ++s->lives;
 	b->number = 0;
@@ -195,6 +343,8 @@
 void sim_backend_finish(struct sim_node *nd)
 {
 	g_clear_pointer(&nd->backend.answer, g_array_unref);
+	if (nd->backend.calls)
+		g_array_unref(nd->backend.calls);
 	g_free(nd->backend.until);
 	g_free(nd->backend.fence);
 }
--- a/t/sim.c
+++ b/t/sim.c
@@ -123,7 +123,7 @@
 	struct sim_node *nd = user;
 
 	if (sim_has_backend(nd))
-		return (!nd->grants.heard &&
+		return ((!nd->grants.heard || !nd->grants.n_shards) &&
 			!(nd->sim->disabled_rules & RULE_SERVER_TELLS_FIRST)) ||
 		       grants_may_hold(&nd->grants, shard, sim_local(nd));
 	return nd->busy_until[shard] > nd->sim->now;
@@ -188,7 +188,9 @@
 	nd->version = -1;
 	nd->paused_until = 0;
 	s->process[slot]++;
-	grants_init(&nd->grants, &grant_by_heartbeat);
+	grants_init(&nd->grants, s->way,
+		    sim_local(nd) + timing.lease_ms + GRANT_MARGIN_MS);
+	nd->grants.disabled_rules = s->grant_rules;
 	nd->life_known = 0;
 	if (s->granted && !sim_has_backend(nd))
 		member_set_life(&nd->member, "life");
@@ -260,12 +262,14 @@
 }
 
 static void init(struct sim *s, uint32_t seed, uint32_t disabled_rules,
-		 bool granted)
+		 const struct grant_ops *way, uint32_t grant_rules)
 {
 	uint32_t i;
 
 	memset(s, 0, sizeof(*s));
-	s->granted = granted;
+	s->granted = way;
+	s->way = way;
+	s->grant_rules = grant_rules;
 	s->rand = g_rand_new_with_seed(seed);
 	s->now = 1000;
 	s->log = g_ptr_array_new();
@@ -294,12 +298,17 @@
 
 void sim_init(struct sim *s, uint32_t seed, uint32_t disabled_rules)
 {
-	init(s, seed, disabled_rules, false);
+	init(s, seed, disabled_rules, NULL, 0);
 }
 
 void sim_init_granted(struct sim *s, uint32_t seed, uint32_t disabled_rules)
 {
-	init(s, seed, disabled_rules, true);
+	init(s, seed, disabled_rules, &grant_by_heartbeat, 0);
+}
+
+void sim_init_called(struct sim *s, uint32_t seed, uint32_t grant_rules)
+{
+	init(s, seed, 0, &grant_by_call, grant_rules);
 }
 
 static void packet_free(gpointer p)
@@ -608,6 +617,8 @@
 		read_log(nd);
 		member_tick(&nd->member, sim_local(nd));
 		start_requests(nd);
+		if (s->way == &grant_by_call && sim_has_backend(nd))
+			sim_backend_call(nd);
 	}
 	for (i = 0; s->granted && i < N_KEYED; i++)
 		sim_backend_step(&s->nodes[i]);
--- a/t/sim.h
+++ b/t/sim.h
@@ -3,7 +3,7 @@
 
 #include <glib.h>
 
-#include "gate/grants.h"
+#include "gate/grant-call.h"
 #include "member/member.h"
 
 /*
@@ -24,6 +24,17 @@
 
 struct sim;
 
+/* A call on its way to a backend server, or its answer on the way back. */
+struct sim_call {
+	struct grant_call call;
+	uint32_t process; /* who sent it */
+	uint32_t life; /* and to which life of the server */
+	int64_t arrives;
+	int64_t applied; /* carried out then, 0 never or done */
+	int64_t answered; /* the process hears then, -1 it has */
+	enum grant_outcome outcome;
+};
+
 /* A backend server that holds shards by grants; times are real. */
 struct sim_backend {
 	bool up;
@@ -37,6 +48,7 @@
 	int64_t answer_at; /* 0: none on its way */
 	GArray *answer; /* struct grant_row; NULL: it names none */
 	int64_t answer_hold;
+	GArray *calls; /* struct sim_call, where it is told by calls */
 };
 
 struct sim_node {
@@ -87,6 +99,8 @@
 	double loss;
 	uint32_t n_shards;
 	bool granted; /* backend servers hold shards by grants */
+	const struct grant_ops *way; /* how they are told */
+	uint32_t grant_rules; /* enum grant_rule, turned off */
 	uint32_t lives;
 	uint32_t *top_life; /* per shard, the life it was highest under */
 	uint32_t disabled_rules;
@@ -101,6 +115,8 @@
 void sim_init(struct sim *s, uint32_t seed, uint32_t disabled_rules);
 /* The same, with backend servers that hold shards by grants. */
 void sim_init_granted(struct sim *s, uint32_t seed, uint32_t disabled_rules);
+/* And those are told what they hold by calls, some rules turned off. */
+void sim_init_called(struct sim *s, uint32_t seed, uint32_t grant_rules);
 void sim_finish(struct sim *s);
 void sim_step(struct sim *s);
 void sim_run(struct sim *s, int64_t ms);
@@ -133,6 +149,7 @@
 
 /* t/sim-backend.c */
 void sim_backend_step(struct sim_node *nd);
+void sim_backend_call(struct sim_node *nd);
 void sim_backend_restart(struct sim_node *nd);
 void sim_backend_finish(struct sim_node *nd);
 bool sim_backend_holds(const struct sim_node *nd, uint32_t shard);
--- /dev/null
+++ b/t/test-grants.c
@@ -0,0 +1,473 @@
+#include <string.h>
+
+#include "gate/grant-call.h"
+
+/*
+ * Grants by call, one case at a time: what is called next, and what is known of
+ * a shard while a call is on its way, unanswered or refused.
+ */
+
+#define N_SHARDS 8
+#define N_KEYS 256
+#define HOLD_MAX_MS 10000
+#define LEASE_MS 3000
+#define BOTH (1 << GRANT_CALL_GIVE | 1 << GRANT_CALL_TAKE_BACK)
+
+/* What a node would say of its shards: fence 0 where it does not serve. */
+struct owned {
+	int64_t fence[N_SHARDS];
+	bool expected[N_SHARDS];
+};
+
+static bool serves(const void *user, uint32_t shard, int64_t now_ms,
+		   int64_t *fence)
+{
+	const struct owned *w = user;
+
+	(void)now_ms;
+	*fence = w->fence[shard];
+	return *fence;
+}
+
+static bool expects(const void *user, uint32_t shard)
+{
+	const struct owned *w = user;
+
+	return w->expected[shard];
+}
+
+static const struct grant_owner_ops owned_ops = { serves, expects };
+
+struct fixture {
+	struct grants g;
+	struct owned w;
+	struct grant_owner o;
+	int64_t now;
+};
+
+static void renew_lease(struct fixture *f)
+{
+	f->o.lease_end_ms = f->now + LEASE_MS;
+}
+
+/* A server that is heard, with nothing left of a process before this one. */
+static void set_up(struct fixture *f)
+{
+	memset(f, 0, sizeof(*f));
+	f->now = 100000;
+	grants_init(&f->g, &grant_by_call, 0);
+	grants_resize(&f->g, N_SHARDS, N_KEYS);
+	grant_call_heard(&f->g);
+	f->o.ops = &owned_ops;
+	f->o.user = &f->w;
+	f->o.newest_fence = 999;
+	f->o.current = true;
+	renew_lease(f);
+}
+
+static void own(struct fixture *f, uint32_t from, uint32_t to, int64_t fence)
+{
+	uint32_t i;
+
+	for (i = from; i <= to; i++) {
+		f->w.fence[i] = fence;
+		f->w.expected[i] = fence;
+	}
+}
+
+static bool next(struct fixture *f, struct grant_call *c)
+{
+	return grant_call_next(&f->g, &f->o, BOTH, HOLD_MAX_MS, f->now, c);
+}
+
+static void done(struct fixture *f, const struct grant_call *c,
+		 enum grant_outcome outcome, const char *handover)
+{
+	grant_call_done(&f->g, c, outcome, handover, f->now);
+}
+
+/* Give shards 0 to 3 under fence 10, answered. */
+static void give_four(struct fixture *f)
+{
+	struct grant_call c;
+
+	set_up(f);
+	own(f, 0, 3, 10);
+	g_assert_true(next(f, &c));
+	g_assert_cmpint(c.kind, ==, GRANT_CALL_GIVE);
+	g_assert_cmpuint(c.first, ==, 0);
+	g_assert_cmpuint(c.last, ==, 3);
+	g_assert_cmpint(c.row.from, ==, 0);
+	g_assert_cmpint(c.row.to, ==, 127);
+	done(f, &c, GRANT_DONE, NULL);
+}
+
+/*
+ * Until the server has said that it holds a key, a request for it would be
+ * turned away.
+ */
+static void test_granted_when_answered(void)
+{
+	struct fixture f;
+	struct grant_call c, other;
+
+	set_up(&f);
+	own(&f, 0, 3, 10);
+	g_assert_true(next(&f, &c));
+	g_assert_false(grants_granted(&f.g, 0, 10, f.now));
+	g_assert_true(grants_may_hold(&f.g, 0, f.now));
+	g_assert_false(next(&f, &other));
+	done(&f, &c, GRANT_DONE, NULL);
+	g_assert_true(grants_granted(&f.g, 3, 10, f.now));
+	g_assert_false(grants_granted(&f.g, 4, 10, f.now));
+	g_assert_cmpuint(grant_call_runs(&f.g), ==, 1);
+	grants_finish(&f.g);
+}
+
+/*
+ * A hold counts from the call's arrival, by a clock that may be 2% slow. Sent
+ * at the last moment it must be over when our lease is, or another owner could
+ * have its server hold the keys beside ours.
+ */
+static void test_hold_ends_with_lease(void)
+{
+	struct fixture f;
+	struct grant_call c;
+
+	set_up(&f);
+	own(&f, 0, 0, 10);
+	g_assert_true(next(&f, &c));
+	g_assert_cmpfloat(c.send_by_ms + c.hold_ms * GRANT_SLOW_CLOCK, <=,
+			  f.o.lease_end_ms);
+	g_assert_cmpint(c.until_ms, <=, f.o.lease_end_ms);
+	g_assert_cmpint(c.sure_until_ms, <=, f.now + c.hold_ms);
+	grants_finish(&f.g);
+}
+
+/* A lease about to end is no ground for a hold that nobody can renew. */
+static void test_no_hold_without_lease(void)
+{
+	struct fixture f;
+	struct grant_call c;
+
+	set_up(&f);
+	own(&f, 0, 0, 10);
+	f.o.lease_end_ms = f.now + 200;
+	g_assert_false(next(&f, &c));
+	grants_finish(&f.g);
+}
+
+/*
+ * All runs renewed at once, each heartbeat, would be a burst of calls; renewed
+ * too late, one that is lost ends the hold.
+ */
+static void test_renewed_in_time(void)
+{
+	struct fixture f;
+	struct grant_call c;
+	int64_t end;
+
+	give_four(&f);
+	end = f.g.shards[0].sure_until_ms;
+	for (;; f.now += 50) {
+		renew_lease(&f);
+		if (next(&f, &c))
+			break;
+	}
+	g_assert_cmpint(end - f.now, >, 1000);
+	g_assert_cmpint(end - f.now, <, 2000);
+	g_assert_cmpuint(c.first, ==, 0);
+	g_assert_cmpuint(c.last, ==, 3);
+	done(&f, &c, GRANT_DONE, NULL);
+	g_assert_cmpint(f.g.shards[2].sure_until_ms, >, end);
+	grants_finish(&f.g);
+}
+
+/*
+ * A renewal gets no answer: the server may carry it out seconds later, after it
+ * has let the keys go. Given to another server at once they would then be held
+ * by both.
+ */
+static void test_doubt_outlives_release(void)
+{
+	struct fixture f;
+	struct grant_call late, c;
+
+	give_four(&f);
+	f.now += 1800;
+	renew_lease(&f);
+	g_assert_true(next(&f, &late));
+	done(&f, &late, GRANT_IN_DOUBT, NULL);
+	own(&f, 0, 3, 0);
+	g_assert_true(next(&f, &c));
+	g_assert_cmpint(c.kind, ==, GRANT_CALL_TAKE_BACK);
+	g_assert_cmpint(c.row.fence, ==, 10);
+	done(&f, &c, GRANT_DONE, "5c0e");
+	g_assert_false(grants_granted(&f.g, 0, 10, f.now));
+	g_assert_true(grants_may_hold(&f.g, 0, f.now));
+	g_assert_true(grants_may_hold(&f.g, 0, late.until_ms - 1));
+	g_assert_false(grants_may_hold(&f.g, 0, late.until_ms));
+	grants_finish(&f.g);
+}
+
+/* The same while the call is still on its way, which may be its first. */
+static void test_asked_counts_as_held(void)
+{
+	struct fixture f;
+	struct grant_call c, other;
+
+	set_up(&f);
+	own(&f, 0, 0, 10);
+	g_assert_true(next(&f, &c));
+	own(&f, 0, 0, 0);
+	g_assert_false(next(&f, &other));
+	g_assert_true(grants_may_hold(&f.g, 0, f.now + 60000));
+	done(&f, &c, GRANT_NOT_APPLIED, NULL);
+	g_assert_false(grants_may_hold(&f.g, 0, f.now));
+	grants_finish(&f.g);
+}
+
+/* A release without an answer is asked for again; until then all is held. */
+static void test_release_repeated(void)
+{
+	struct fixture f;
+	struct grant_call c;
+
+	give_four(&f);
+	own(&f, 2, 3, 0);
+	g_assert_true(next(&f, &c));
+	g_assert_cmpint(c.kind, ==, GRANT_CALL_TAKE_BACK);
+	g_assert_cmpuint(c.first, ==, 2);
+	g_assert_cmpuint(c.last, ==, 3);
+	done(&f, &c, GRANT_IN_DOUBT, NULL);
+	g_assert_true(grants_may_hold(&f.g, 2, f.now));
+	f.now += 100;
+	g_assert_true(next(&f, &c));
+	g_assert_cmpint(c.kind, ==, GRANT_CALL_TAKE_BACK);
+	done(&f, &c, GRANT_DONE, "ab12");
+	g_assert_false(grants_may_hold(&f.g, 2, f.now));
+	g_assert_true(grants_granted(&f.g, 1, 10, f.now));
+	grants_finish(&f.g);
+}
+
+/*
+ * The handover that a release was answered with keeps the keys warm at their
+ * next holder. It goes with the first grant there, and with that alone.
+ */
+static void test_handover(void)
+{
+	struct fixture f, to;
+	struct grant_call c;
+	GArray *told = g_array_new(FALSE, FALSE, sizeof(int64_t));
+
+	give_four(&f);
+	own(&f, 3, 3, 0);
+	g_assert_true(next(&f, &c));
+	done(&f, &c, GRANT_DONE, "00ab12");
+	grants_export(&f.g, 3, told);
+	g_assert_cmpuint(told->len, ==, GRANTS_NUMBERS);
+	set_up(&to);
+	g_assert_true(grants_import(&to.g, (int64_t *)told->data));
+	own(&to, 2, 4, 20);
+	g_assert_true(next(&to, &c));
+	g_assert_cmpuint(c.first, ==, 2);
+	g_assert_cmpuint(c.last, ==, 2);
+	done(&to, &c, GRANT_DONE, NULL);
+	g_assert_true(next(&to, &c));
+	g_assert_cmpuint(c.first, ==, 3);
+	g_assert_cmpuint(c.last, ==, 3);
+	g_assert_cmpstr(c.row.handover, ==, "00ab12");
+	done(&to, &c, GRANT_DONE, NULL);
+	to.now += 2000;
+	renew_lease(&to);
+	g_assert_true(next(&to, &c));
+	g_assert_cmpuint(c.last, ==, 4);
+	g_array_unref(told);
+	grants_finish(&f.g);
+	grants_finish(&to.g);
+}
+
+/*
+ * The server has seen a higher fence on one key of a run. All of the run was
+ * refused; the others must not wait for that one, and that one must not be
+ * asked for again under a fence that is known to be too low.
+ */
+static void test_fenced_alone(void)
+{
+	struct fixture f;
+	struct grant_call c;
+	uint32_t i;
+
+	set_up(&f);
+	own(&f, 0, 2, 10);
+	g_assert_true(next(&f, &c));
+	g_assert_cmpuint(c.last, ==, 2);
+	done(&f, &c, GRANT_FENCED, NULL);
+	g_assert_false(next(&f, &c));
+	f.now += 1000;
+	renew_lease(&f);
+	for (i = 0; i < 3; i++) {
+		g_assert_true(next(&f, &c));
+		g_assert_cmpuint(c.first, ==, i);
+		g_assert_cmpuint(c.last, ==, i);
+		done(&f, &c, i == 1 ? GRANT_FENCED : GRANT_DONE, NULL);
+	}
+	f.now += 10000;
+	renew_lease(&f);
+	while (next(&f, &c)) {
+		g_assert_cmpuint(c.first, !=, 1);
+		done(&f, &c, GRANT_DONE, NULL);
+	}
+	f.w.fence[1] = 30;
+	g_assert_true(next(&f, &c));
+	g_assert_cmpuint(c.first, ==, 1);
+	g_assert_cmpint(c.row.fence, ==, 30);
+	grants_finish(&f.g);
+}
+
+/*
+ * A process starts beside a server that lives on. What the one before granted
+ * runs on for up to a lease: taken for free, it would go to another server.
+ * What is ours by the log is renewed at once; the rest is asked back.
+ */
+static void test_past_is_accounted_for(void)
+{
+	struct fixture f;
+	struct grant_call c;
+	int64_t end;
+
+	set_up(&f);
+	grants_finish(&f.g);
+	end = f.now + LEASE_MS;
+	grants_init(&f.g, &grant_by_call, end);
+	grants_resize(&f.g, N_SHARDS, N_KEYS);
+	g_assert_true(grants_may_hold(&f.g, 7, f.now));
+	g_assert_false(next(&f, &c));
+	grant_call_heard(&f.g);
+	own(&f, 0, 3, 10);
+	g_assert_true(next(&f, &c));
+	g_assert_cmpint(c.kind, ==, GRANT_CALL_GIVE);
+	g_assert_cmpuint(c.last, ==, 3);
+	done(&f, &c, GRANT_DONE, NULL);
+	g_assert_true(next(&f, &c));
+	g_assert_cmpint(c.kind, ==, GRANT_CALL_TAKE_BACK);
+	g_assert_cmpuint(c.first, ==, 4);
+	g_assert_cmpuint(c.last, ==, 7);
+	g_assert_cmpint(c.row.fence, ==, 999);
+	g_assert_true(grants_may_hold(&f.g, 5, f.now));
+	done(&f, &c, GRANT_DONE, NULL);
+	g_assert_false(grants_may_hold(&f.g, 5, f.now));
+	grants_finish(&f.g);
+}
+
+/*
+ * The same before the new process has joined: what the log still has under the
+ * name of the one before is about to be ours, and let go it would come back
+ * cold. Without any word of the server's the wait is for the longest grant.
+ */
+static void test_past_kept_until_joined(void)
+{
+	struct fixture f;
+	struct grant_call c;
+	uint32_t i;
+
+	set_up(&f);
+	grants_finish(&f.g);
+	grants_init(&f.g, &grant_by_call, f.now + LEASE_MS);
+	grants_resize(&f.g, N_SHARDS, N_KEYS);
+	grant_call_heard(&f.g);
+	for (i = 0; i < N_SHARDS; i++)
+		f.w.expected[i] = true;
+	g_assert_false(next(&f, &c));
+	g_assert_true(grants_may_hold(&f.g, 0, f.now + LEASE_MS - 1));
+	g_assert_false(grants_may_hold(&f.g, 0, f.now + LEASE_MS));
+	grants_finish(&f.g);
+}
+
+/*
+ * The server ended and started again, and we hear so late: what was meant for
+ * the life before may have reached the new one. It is asked back, and the
+ * answer to a call of before does not count as the new life's word.
+ */
+static void test_new_life_gives_all_back(void)
+{
+	struct fixture f;
+	struct grant_call late, c;
+
+	give_four(&f);
+	own(&f, 5, 5, 12);
+	g_assert_true(next(&f, &late));
+	grants_forget_server(&f.g);
+	own(&f, 0, 5, 0);
+	g_assert_false(grants_granted(&f.g, 0, 10, f.now));
+	g_assert_true(grants_may_hold(&f.g, 0, f.now));
+	done(&f, &late, GRANT_DONE, NULL);
+	g_assert_false(grants_granted(&f.g, 5, 12, f.now));
+	g_assert_true(grants_may_hold(&f.g, 5, f.now));
+	g_assert_true(next(&f, &c));
+	g_assert_cmpint(c.kind, ==, GRANT_CALL_TAKE_BACK);
+	done(&f, &c, GRANT_DONE, NULL);
+	g_assert_false(grants_may_hold(&f.g, 0, f.now));
+	g_assert_true(grants_may_hold(&f.g, 5, late.until_ms - 1));
+	grants_finish(&f.g);
+}
+
+/*
+ * The server turns a request away for a key that we think it holds. Waiting for
+ * the next renewal would have it turn away all others until then.
+ */
+static void test_misdirected_is_given_anew(void)
+{
+	struct fixture f;
+	struct grant_call c;
+
+	give_four(&f);
+	grants_misdirected(&f.g, 2, f.now);
+	g_assert_false(grants_granted(&f.g, 2, 10, f.now));
+	g_assert_true(grants_may_hold(&f.g, 2, f.now));
+	g_assert_true(next(&f, &c));
+	done(&f, &c, GRANT_DONE, NULL);
+	g_assert_true(grants_granted(&f.g, 2, 10, f.now));
+	grants_finish(&f.g);
+}
+
+/*
+ * A lease that lapses for a moment, with the keys still ours by the log: asked
+ * back, they would come back cold a moment later.
+ */
+static void test_lapse_lets_nothing_go(void)
+{
+	struct fixture f;
+	struct grant_call c;
+
+	give_four(&f);
+	memset(f.w.fence, 0, sizeof(f.w.fence));
+	f.o.lease_end_ms = 0;
+	g_assert_false(next(&f, &c));
+	own(&f, 0, 3, 10);
+	f.now += 1900;
+	renew_lease(&f);
+	g_assert_true(next(&f, &c));
+	g_assert_cmpint(c.kind, ==, GRANT_CALL_GIVE);
+	grants_finish(&f.g);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/grants/answered", test_granted_when_answered);
+	g_test_add_func("/grants/lease", test_hold_ends_with_lease);
+	g_test_add_func("/grants/no-lease", test_no_hold_without_lease);
+	g_test_add_func("/grants/renewed", test_renewed_in_time);
+	g_test_add_func("/grants/doubt", test_doubt_outlives_release);
+	g_test_add_func("/grants/asked", test_asked_counts_as_held);
+	g_test_add_func("/grants/release-again", test_release_repeated);
+	g_test_add_func("/grants/handover", test_handover);
+	g_test_add_func("/grants/fenced", test_fenced_alone);
+	g_test_add_func("/grants/past", test_past_is_accounted_for);
+	g_test_add_func("/grants/past-kept", test_past_kept_until_joined);
+	g_test_add_func("/grants/new-life", test_new_life_gives_all_back);
+	g_test_add_func("/grants/misdirected", test_misdirected_is_given_anew);
+	g_test_add_func("/grants/lapse", test_lapse_lets_nothing_go);
+	return g_test_run();
+}
--- a/t/test-member.c
+++ b/t/test-member.c
@@ -8,12 +8,21 @@
 static uint32_t first_seed = 1;
 static uint32_t n_seeds = 40;
 
+/* How the keys of a simulated fleet are held. */
+enum sim_kind {
+	SIM_HASHED, /* by nodes alone */
+	SIM_GRANTED, /* by servers, told by the answers to their heartbeats */
+	SIM_CALLED, /* by servers, told by calls */
+};
+
 static uint64_t faulty_run(struct sim *s, uint32_t seed, uint32_t rules,
-			   bool granted)
+			   enum sim_kind kind)
 {
 	int64_t end;
 
-	if (granted)
+	if (kind == SIM_CALLED)
+		sim_init_called(s, seed, rules);
+	else if (kind == SIM_GRANTED)
 		sim_init_granted(s, seed, rules);
 	else
 		sim_init(s, seed, rules);
@@ -39,14 +48,14 @@
  * together. A user would notice two servers answering for one key, or a key
  * that nobody serves once the trouble is over.
  */
-static void test_random_faults(gconstpointer granted)
+static void test_random_faults(gconstpointer kind)
 {
 	uint32_t i;
 
 	for (i = 0; i < n_seeds; i++) {
 		struct sim s;
 
-		if (faulty_run(&s, first_seed + i, 0, granted))
+		if (faulty_run(&s, first_seed + i, 0, GPOINTER_TO_UINT(kind)))
 			g_error("seed %u: two owners", first_seed + i);
 		sim_heal(&s);
 		if (!sim_converge(&s, 60000)) {
@@ -69,13 +78,13 @@
  * With one safety rule turned off, the same runs must end in two owners for
  * some key; a rule whose absence goes unnoticed is not tested.
  */
-static void check_rule_is_needed(uint32_t rule, bool granted)
+static void check_rule_is_needed(uint32_t rule, enum sim_kind kind)
 {
 	uint32_t seed;
 
 	for (seed = 1; seed <= 400; seed++) {
 		struct sim s;
-		uint64_t breaches = faulty_run(&s, seed, rule, granted);
+		uint64_t breaches = faulty_run(&s, seed, rule, kind);
 
 		sim_finish(&s);
 		if (breaches) {
@@ -88,13 +97,19 @@
 
 static void test_rule_is_needed(gconstpointer rule)
 {
-	check_rule_is_needed(GPOINTER_TO_UINT(rule), false);
+	check_rule_is_needed(GPOINTER_TO_UINT(rule), SIM_HASHED);
 }
 
 /* The same, where backend servers hold keys by grants. */
 static void test_rule_is_needed_granted(gconstpointer rule)
 {
-	check_rule_is_needed(GPOINTER_TO_UINT(rule), true);
+	check_rule_is_needed(GPOINTER_TO_UINT(rule), SIM_GRANTED);
+}
+
+/* And where those are told by calls, with one of the calls' own rules off. */
+static void test_rule_is_needed_called(gconstpointer rule)
+{
+	check_rule_is_needed(GPOINTER_TO_UINT(rule), SIM_CALLED);
 }
 
 /* Those that the hashed runs catch; the others have tests of their own. */
@@ -121,6 +136,16 @@
 	{ RULE_REQUESTS_END_FIRST, "requests-end-first" },
 };
 
+static const struct {
+	uint32_t rule;
+	const char *name;
+} called_rules[] = {
+	{ GRANT_RULE_DOUBT_LASTS, "doubt-lasts" },
+	{ GRANT_RULE_SENT_IN_TIME, "sent-in-time" },
+	{ GRANT_RULE_PAST_COUNTS, "past-counts" },
+	{ GRANT_RULE_ASKED_COUNTS, "asked-counts" },
+};
+
 int main(int argc, char **argv)
 {
 	uint32_t i;
@@ -131,8 +156,10 @@
 	if (g_getenv("FIRST_SEED"))
 		first_seed = atoi(g_getenv("FIRST_SEED"));
 	g_test_add_data_func("/member/random-faults", NULL, test_random_faults);
-	g_test_add_data_func("/member/random-grants", GINT_TO_POINTER(1),
-			     test_random_faults);
+	g_test_add_data_func("/member/random-grants",
+			     GUINT_TO_POINTER(SIM_GRANTED), test_random_faults);
+	g_test_add_data_func("/member/random-calls",
+			     GUINT_TO_POINTER(SIM_CALLED), test_random_faults);
 	for (i = 0; i < G_N_ELEMENTS(rule_names); i++) {
 		/* These have tests of their own, above. */
 		if (1u << i == RULE_SUCCESSOR_CATCHES_UP ||
@@ -155,5 +182,14 @@
 				     GUINT_TO_POINTER(granted_rules[i].rule),
 				     test_rule_is_needed_granted);
 	}
+	for (i = 0; i < G_N_ELEMENTS(called_rules); i++) {
+		g_autofree char *path =
+			g_strdup_printf("/member/rule-is-needed-called/%s",
+					called_rules[i].name);
+
+		g_test_add_data_func(path,
+				     GUINT_TO_POINTER(called_rules[i].rule),
+				     test_rule_is_needed_called);
+	}
 	return g_test_run();
 }
--- a/util/counters.h
+++ b/util/counters.h
@@ -36,6 +36,13 @@
 	X(gate_backend_failed)     \
 	X(gate_cold_starts)        \
 	X(gate_probes)             \
+	X(grants_given)            \
+	X(grants_renewed)          \
+	X(grants_taken_back)       \
+	X(grants_fenced)           \
+	X(grants_not_applied)      \
+	X(grants_in_doubt)         \
+	X(grants_misdirected)      \
 	X(vouches_sent)            \
 	X(vouches_given)           \
 	X(vouches_denied)          \
--- a/util/event.h
+++ b/util/event.h
@@ -40,7 +40,10 @@
 	X(gate_started, 20, 40)              \
 	X(gate_answered, 20, 40)             \
 	X(gate_refused, 20, 60)              \
-	X(gate_failed, 20, 60)
+	X(gate_failed, 20, 60)               \
+	X(grant_in_doubt, 5, 20)             \
+	X(grant_fenced, 5, 20)               \
+	X(grant_misdirected, 5, 20)
 
 enum event {
 #define EVENT_ENUM(name, rate, burst) EVENT_##name,
