--- a/t/test-schedules.c
+++ b/t/test-schedules.c
@@ -518,6 +518,37 @@
 	sim_finish(&s);
 }
 
+/*
+ * A member's witnesses are changed to the log, and it has not read of that: it
+ * serves on by the three that it had, and says nothing to the log. Others who
+ * have read the record find it silent. Expelled for that, it would go on
+ * serving its keys beside those who took them over.
+ */
+static void test_unread_change_to_the_log(void)
+{
+	uint32_t seed;
+
+	for (seed = 1; seed <= 5; seed++) {
+		struct witness_set log = { .n = 1, .id = { LOG_WITNESS } };
+		const struct member *m;
+		struct sim s;
+		int64_t id;
+		int slot;
+
+		start_quietly(&s, seed, 0);
+		slot = sim_server(&s, 0);
+		id = s.nodes[slot].member.self;
+		m = fleet_member(sim_newest(&s), id);
+		s.nodes[slot].behind_until = s.now + 20000;
+		sim_append(&s, record_witnesses(id, m->witness_offset, &log));
+		sim_run(&s, 15000);
+		g_assert_cmpuint(s.breaches, ==, 0);
+		g_assert_nonnull(fleet_member(sim_newest(&s), id));
+		g_assert_cmpint(sim_server(&s, 0), ==, slot);
+		sim_finish(&s);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -532,6 +563,8 @@
 			test_new_witnesses_keep_lease);
 	g_test_add_func("/schedule/unread-settle", test_unread_settle);
 	g_test_add_func("/schedule/unheard-heir", test_unheard_heir);
+	g_test_add_func("/schedule/unread-change-to-the-log",
+			test_unread_change_to_the_log);
 	g_test_add_func("/schedule/returning-witness", test_returning_witness);
 	return g_test_run();
 }
