gate, route: what a gate and an entry decide about load moves out of node/

No change of behaviour. gate/admission.c has what stood between sockets in node/gate.c and node/gate-answer.c: whether a request is taken, waits or is refused, which is begun next, and when a refused one should come back. route/cost.c has what an entry learns of a class and what follows for hedges, owners that say nothing and gates far away. Both take the time as an argument and can be driven without a network.

--- a/node/backend.c
+++ b/node/backend.c
@@ -72,7 +72,7 @@
 	}
 	if (a->draining)
 		leaves(n, "is leaving");
-	cold_set(&n->gate.cold, a->cold_left_ms, clock_now_ms());
+	cold_set(&n->gate.load.cold, a->cold_left_ms, clock_now_ms());
 }
 
 static char *answer(struct node *n, int64_t number)
--- a/node/entry-answer.c
+++ b/node/entry-answer.c
@@ -14,7 +14,6 @@
 
 #define RETRY_AFTER_SPREAD_S 2
 #define MS_PER_S 1000
-#define SIZE_WEIGHT 0.1
 
 /* Keep how an attempt ended, for the line about its request. */
 void entry_note_attempt(struct entry_request *r, const struct attempt *a,
@@ -189,10 +188,7 @@
 
 static void learn_size(struct entry_request *r)
 {
-	struct class_cost *c = entry_cost(r);
-
-	c->bytes += c->bytes > 0 ? SIZE_WEIGHT * (r->received_bytes - c->bytes)
-				 : r->received_bytes;
+	cost_learn_bytes(entry_cost(r), r->received_bytes);
 }
 
 /* The answer of an attempt is at its end; one not whole cuts the caller off. */
--- a/node/entry-pick.c
+++ b/node/entry-pick.c
@@ -8,16 +8,13 @@
 
 #define MAX_CANDIDATES 8
 #define MAX_MEMBERS 2048
-#define BYTES_PER_KB 1024.0
 
 /* What a gate in another data centre costs a request, on the nominal scale. */
 static double far_ms(struct entry_request *r)
 {
 	const struct settings *s = &r->entry->node->settings;
-	const struct class_cost *c = entry_cost(r);
-	double ms = s->far_ms + c->bytes / BYTES_PER_KB * s->far_ms_per_kb;
 
-	return c->ms > 0 ? ms / c->ms * NOMINAL_MS : ms;
+	return cost_far_ms(entry_cost(r), s->far_ms, s->far_ms_per_kb);
 }
 
 /* Members that may serve a request on no particular shard. */
--- a/node/entry.c
+++ b/node/entry.c
@@ -11,24 +11,17 @@
 
 #define TICK_S 0.005
 #define MAX_REQUESTS 8192
-/* Hedges share the budget of repeats. */
-#define HEDGE_FACTOR 1.6
-/* Earlier there is time enough for the first answer to be in time. */
-#define HEDGE_TARGET_SHARE 0.5
 #define AVOID_MS 50
-#define TRY_MIN_MS 60
-#define TRY_FACTOR 10
 #define SILENT_LINK_MS 3000
 /* An entry that sends little hears little: a second without a word is silence. */
 #define SILENT_GATE_MS 1000
 #define CREDIT_BYTES (32 * 1024)
 /* Between questions to the heir of an owner that says nothing. */
 #define ROUND_MS 200
-#define COST_WEIGHT 0.05
 
 static double usual_ms(struct entry_request *r, const struct gate_view *v)
 {
-	return v->latency_ms / NOMINAL_MS * entry_cost(r)->ms;
+	return cost_usual_ms(entry_cost(r), v->latency_ms);
 }
 
 /* What repeats and hedges of requests to a service may add to its load. */
@@ -124,10 +117,10 @@
 	if (m->type != REQ_HEAD)
 		ms = 0;
 	else
-		c->ms += c->ms > 0 ? COST_WEIGHT * (ms - c->ms) : ms;
+		cost_learn_ms(c, ms);
 	chooser_answered(&e->chooser, a->member,
-			 ms > 0 ? ms / MAX(c->ms, 1) * NOMINAL_MS : 0, m->load,
-			 m->limit, clock_now_ms());
+			 ms > 0 ? cost_nominal_ms(c, ms) : 0, m->load, m->limit,
+			 clock_now_ms());
 }
 
 void entry_on_message(struct entry *e, const struct request_msg *m)
@@ -186,8 +179,7 @@
 	if (!r->plan.repeatable || r->plan.keyed || r->hedged ||
 	    !e->node->settings.hedge || !plan_may_reach(&r->plan))
 		return;
-	if (age_ms < MAX(HEDGE_TARGET_SHARE * r->target_ms,
-			 HEDGE_FACTOR * usual_ms(r, v)))
+	if (!cost_hedge_due(age_ms, usual_ms(r, v), r->target_ms))
 		return;
 	member = entry_pick_gate(r, a->member);
 	if (!member || member == a->member ||
@@ -204,8 +196,7 @@
 	struct gate_view *v = chooser_view(&r->entry->chooser, a->member);
 	double left = r->plan.deadline_ms - r->plan.received_ms;
 
-	return MIN(MAX(TRY_MIN_MS + r->target_ms, TRY_FACTOR * usual_ms(r, v)),
-		   left / 2);
+	return cost_owner_patience_ms(usual_ms(r, v), r->target_ms, left);
 }
 
 /*
--- a/node/entry.h
+++ b/node/entry.h
@@ -8,6 +8,7 @@
 #include "net/request-msg.h"
 #include "route/budget.h"
 #include "route/choose.h"
+#include "route/cost.h"
 
 /*
  * The callers' side of a node: finds a request's class and key, asks the gate
@@ -17,19 +18,6 @@
 struct node;
 struct entry_request;
 
-/* What answers of a class are like, smoothed over all gates. */
-struct class_cost {
-	double bytes;
-	double ms; /* from sending to the answer's head, 0 unknown */
-};
-
-/*
- * Gates are compared by how slow they are for the class at hand, as if each
- * class took this long: a gate that happened to get the short requests of late
- * would look fast otherwise.
- */
-#define NOMINAL_MS 100.0
-
 struct entry {
 	struct node *node;
 	GHashTable *costs; /* class -> struct class_cost */
--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -142,9 +142,8 @@
 	int64_t now = clock_now_ms();
 	double ms = (clock_now_us() - r->started_us) / 1000.0;
 
-	g->n_running--;
-	limit_done(&g->limit, result_outcome(r, result), ms,
-		   r->started_us / 1000, now);
+	admission_done(&g->load, r->class_index, result_outcome(r, result), ms,
+		       r->started_us / 1000, now);
 	gate_note_seen(r, result);
 	if (result == RESULT_UNREACHABLE)
 		g->connect_failures++;
@@ -165,8 +164,6 @@
 			      ",\"arrived_ms\":%" PRId64,
 			      g->node->member.self, f->status, ms, r->total,
 			      r->sent_ms, r->arrived_ms);
-		queue_learn(&g->queue, r->class_index, ms);
-		queue_count(&g->queue, r->class_index, false);
 		send_part(r, true);
 		gate_request_free(r);
 	} else if (!f->sent) {
--- a/node/gate-health.c
+++ b/node/gate-health.c
@@ -58,12 +58,12 @@
 	struct gate *g = w->data;
 
 	(void)events;
-	limit_watch(&g->limit, oldest_in_flight_ms(g, clock_now_us()),
+	limit_watch(&g->load.limit, oldest_in_flight_ms(g, clock_now_us()),
 		    clock_now_ms());
-	if (g->limit.stalled)
+	if (g->load.limit.stalled)
 		note_stall(g, clock_now_ms());
-	if (!g->n_running) {
-		limit_watch(&g->limit, 0, clock_now_ms());
+	if (!g->load.n_running) {
+		limit_watch(&g->load.limit, 0, clock_now_ms());
 		ev_timer_stop(loop, w);
 	}
 	gate_pump(g);
--- a/node/gate.c
+++ b/node/gate.c
@@ -11,10 +11,8 @@
 #include "util/invariant.h"
 #include "util/result.h"
 
-#define QUEUE_PER_SLOT 4
 #define MAX_IDS 65536
 #define MAX_CONNECT_FAILURES 3
-#define MIN_WAIT_MS 100
 #define NO_SHARD (-1)
 #define WATCH_S 0.003
 #define MAX_ENTRIES 2048
@@ -88,9 +86,8 @@
 	ev_init(&g->watch, gate_on_watch);
 	g->watch.repeat = WATCH_S;
 	g->watch.data = g;
-	queue_init(&g->queue, QUEUE_PER_SLOT);
+	admission_init(&g->load, node->settings.limit, clock_now_ms());
 	ids_init(&g->ids, MAX_IDS);
-	cold_init(&g->cold, clock_now_ms());
 	grants_init(&g->grants, node->settings.grants,
 		    clock_now_ms() + node->settings.lease_ms + GRANT_MARGIN_MS);
 	balance_init(&g->balance);
@@ -98,7 +95,6 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g->origins = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					   g_free);
-	limit_init(&g->limit, node->settings.limit, 1, clock_now_ms());
 }
 
 /* Release; requests still here are dropped without an answer. */
@@ -118,7 +114,7 @@
 		fetcher_finish(&g->fetcher);
 	g_hash_table_unref(g->requests);
 	g_ptr_array_unref(g->parked);
-	queue_finish(&g->queue);
+	admission_finish(&g->load);
 	ids_finish(&g->ids);
 	ev_timer_stop(g->node->loop, &g->watch);
 	grants_finish(&g->grants);
@@ -143,10 +139,9 @@
 		fetcher_init(&g->fetcher, g->node->loop, b->connections);
 	g->fetcher.max_idle_s = g->node->settings.kept_idle_s;
 	g->fetcher_ready = true;
-	g->queue.max = b->slots * QUEUE_PER_SLOT;
 	/* A server that announces itself again has started again: cold. */
-	limit_init(&g->limit, g->node->settings.limit, b->slots,
-		   clock_now_ms());
+	admission_announce(&g->load, g->node->settings.limit, b->slots,
+			   clock_now_ms());
 	COUNT(gate_cold_starts);
 	EVENT(server_announced, NULL,
 	      "\"life\":\"%s\",\"slots\":%u,\"again\":%s", event_text(b->life),
@@ -163,7 +158,7 @@
 	g->draining = true;
 	g_info("backend server leaves");
 	/* What it has not begun, others can: kept here it would only wait. */
-	while (queue_pop(&g->queue, &q))
+	while (queue_pop(&g->load.queue, &q))
 		gate_refuse(q.request, RESULT_NOT_OWNER);
 }
 
@@ -184,8 +179,8 @@
 	gsize len;
 	const void *id;
 
-	m->load = g->n_running + g->queue.heap->len;
-	m->limit = (int64_t)g->limit.now;
+	m->load = admission_load(&g->load);
+	m->limit = (int64_t)g->load.limit.now;
 	if (!identity) {
 		entry_on_message(&g->node->entry, m);
 		return;
@@ -205,18 +200,6 @@
 	gate_emit(r->gate, r->identity, m);
 }
 
-/*
- * How long until a refused caller should come back: the time that the queue
- * takes to drain, spread, so that they do not all return at once.
- */
-static int64_t wait_ms(struct gate *g)
-{
-	double drain = g->queue.heap->len * g->queue.service_ms /
-		       MAX(g->limit.now, 1.0);
-
-	return (MIN_WAIT_MS + drain) * g_rand_double_range(g->rand, 1.0, 2.0);
-}
-
 static void note_refused(const struct gate_request *r, int result,
 			 int64_t wait_ms)
 {
@@ -240,8 +223,9 @@
 		      ? "true"
 		      : "false",
 	      r->keyed && member_awaits(n, r->shard) ? "true" : "false",
-	      member_lease_end_ms(n) - now, g->n_running, g->queue.heap->len,
-	      g->limit.now, cold_now(&g->cold, now) ? "true" : "false",
+	      member_lease_end_ms(n) - now, g->load.n_running,
+	      g->load.queue.heap->len, g->load.limit.now,
+	      cold_now(&g->load.cold, now) ? "true" : "false",
 	      g->draining ? "true" : "false", r->shed ? "true" : "false",
 	      r->deadline_ms - now, wait_ms, r->sent_ms, r->arrived_ms);
 }
@@ -251,7 +235,9 @@
 	struct request_msg m = { .type = REQ_REFUSED,
 				 .number = result,
 				 .flags = r->shed ? REQ_FLAG_REACHED : 0,
-				 .wait_ms = wait_ms(r->gate) };
+				 .wait_ms = admission_wait_ms(
+					 &r->gate->load,
+					 g_rand_double(r->gate->rand)) };
 
 	if (result == RESULT_NOT_OWNER)
 		COUNT(gate_refused_not_owner);
@@ -259,7 +245,7 @@
 		COUNT(gate_refused_deadline);
 	else
 		COUNT(gate_refused_overload);
-	queue_count(&r->gate->queue, r->class_index, true);
+	queue_count(&r->gate->load.queue, r->class_index, true);
 	note_refused(r, result, m.wait_ms);
 	gate_emit_for(r, &m);
 	gate_request_free(r);
@@ -364,14 +350,13 @@
 		r->kept = g_string_new(NULL);
 	}
 	set_headers(r, fence, left_ms, lease_end_ms - now);
-	cold_sent(&g->cold, now);
 	url = g_strdup_printf("http://%s%s", g->node->settings.backend_server,
 			      r->url);
 	r->state = GATE_RUNNING;
 	r->started_us = clock_now_us();
 	r->pending = g_byte_array_new();
 	XXH64_reset(&r->digest, 0);
-	g->n_running++;
+	admission_started(&g->load, now);
 	if (!ev_is_active(&g->watch))
 		ev_timer_again(g->node->loop, &g->watch);
 	COUNT(gate_admitted);
@@ -385,7 +370,7 @@
 		      ",\"sent_ms\":%" PRId64 ",\"arrived_ms\":%" PRId64,
 		      g->node->member.self, event_text(g->backend_server.id),
 		      r->keyed ? r->shard : -1, fence, now - r->arrived_ms,
-		      g->n_running, left_ms, r->sent_ms, r->arrived_ms);
+		      g->load.n_running, left_ms, r->sent_ms, r->arrived_ms);
 	fetch_start(&r->fetch, &g->fetcher, r->method, url, r->headers,
 		    r->body->data, r->body->len, left_ms + ANSWER_GRACE_MS,
 		    false, &gate_fetch_ops, r);
@@ -407,10 +392,8 @@
 {
 	struct queued q;
 
-	while (g->queue.heap->len && g->backend_server.announced &&
-	       limit_allows(&g->limit, g->n_running) &&
-	       cold_allows(&g->cold, clock_now_ms()) &&
-	       queue_pop(&g->queue, &q))
+	while (g->backend_server.announced &&
+	       admission_next(&g->load, clock_now_ms(), &q))
 		start(q.request);
 }
 
@@ -439,19 +422,19 @@
 		return;
 	follow_service(g, g->version >= 0);
 	g->version = f->configuration_version;
-	queue_set_classes(&g->queue, f->configuration.n_classes);
+	queue_set_classes(&g->load.queue, f->configuration.n_classes);
 	g_hash_table_remove_all(g->class_indexes);
 	for (i = 0; i < f->configuration.n_classes; i++) {
 		const struct class_settings *k = &f->configuration.classes[i];
 
-		queue_set_share(&g->queue, i, k->refused_share);
+		queue_set_share(&g->load.queue, i, k->refused_share);
 		g_hash_table_insert(g->class_indexes, g_strdup(k->name),
 				    GUINT_TO_POINTER(i + 1));
 	}
 	ss = configuration_service(&f->configuration,
 				   g->node->settings.service);
 	if (ss)
-		cold_set_rate(&g->cold, ss->cold_per_s);
+		cold_set_rate(&g->load.cold, ss->cold_per_s);
 	s = fleet_service(f, g->node->settings.service);
 	if (s && s->n_shards != g->n_shards) {
 		g_free(g->shard_load);
@@ -550,24 +533,10 @@
 			    .request = r };
 	struct queued *victim;
 
-	/*
-	 * Others of the service can take this one; here it would share the
-	 * stall of those in flight, or wait until a cold server bears more.
-	 */
-	if ((g->limit.stalled || !cold_allows(&g->cold, r->arrived_ms)) &&
-	    !r->keyed) {
-		gate_refuse(r, RESULT_OVERLOAD);
-		return;
-	}
-	/* Late already: refused now, its caller can still go elsewhere. */
-	if (!queue_can_meet(&g->queue, r->arrived_ms, &q, g->n_running,
-			    g->limit.now)) {
+	if (admission_offer(&g->load, &q, !r->keyed, r->arrived_ms, &victim)) {
 		gate_refuse(r, RESULT_OVERLOAD);
 		return;
 	}
-	if (!limit_allows(&g->limit, g->n_running))
-		COUNT(gate_queued);
-	victim = queue_push(&g->queue, &q);
 	if (victim) {
 		struct gate_request *v = victim->request;
 
@@ -617,10 +586,10 @@
 	if (r->state == GATE_PARKED) {
 		gate_unpark(r);
 	} else if (r->state == GATE_WAITING) {
-		queue_remove(&g->queue, r);
+		queue_remove(&g->load.queue, r);
 	} else {
 		fetch_cancel(&r->fetch);
-		g->n_running--;
+		admission_cancelled(&g->load);
 		if (r->seen_hash)
 			ids_end(&g->ids, r->seen_hash, SEEN_UNKNOWN, 0, NULL,
 				NULL, 0);
@@ -663,7 +632,7 @@
 	if (!g->fetcher_ready)
 		return;
 	gate_follow_configuration(g);
-	while (queue_pop_expired(&g->queue, now, &q))
+	while (queue_pop_expired(&g->load.queue, now, &q))
 		gate_refuse(q.request, RESULT_TIMEOUT);
 	if (!g->backend_server.announced)
 		return;
--- a/node/gate.h
+++ b/node/gate.h
@@ -5,11 +5,9 @@
 #include <stdint.h>
 #include <glib.h>
 
-#include "gate/cold.h"
+#include "gate/admission.h"
 #include "gate/grants.h"
 #include "gate/ids.h"
-#include "gate/limit.h"
-#include "gate/queue.h"
 #include "net/fetch.h"
 #include "net/request-msg.h"
 #include "route/balance.h"
@@ -38,15 +36,12 @@
 	struct fetcher fetcher;
 	bool fetcher_ready;
 	struct backend_server backend_server;
-	struct limit limit;
-	struct queue queue;
-	struct cold cold;
+	struct admission load;
 	struct grants grants;
 	struct balance balance;
 	struct ids ids;
 	GHashTable *requests; /* struct gate_request, by origin and id */
 	GPtrArray *parked; /* struct gate_request */
-	uint32_t n_running;
 	uint32_t *shard_load; /* in flight or waiting, per shard */
 	uint32_t n_shards;
 	bool draining;
--- a/node/node.c
+++ b/node/node.c
@@ -294,7 +294,7 @@
 	if (!idle && asked_ms < n->settings.stop_limit_ms)
 		return;
 	EVENT(stopped, NULL, "\"requests\":%u,\"running\":%u,\"ms\":%" PRId64,
-	      n->entry.requests->len, n->gate.n_running, asked_ms);
+	      n->entry.requests->len, n->gate.load.n_running, asked_ms);
 	g_info("stopped, %s in progress", idle ? "nothing" : "something");
 	ev_break(n->loop, EVBREAK_ALL);
 }
@@ -367,7 +367,7 @@
 		return;
 	g_info("asked to stop: finishing what is in progress");
 	EVENT(stopping, NULL, "\"requests\":%u,\"running\":%u",
-	      n->entry.requests->len, n->gate.n_running);
+	      n->entry.requests->len, n->gate.load.n_running);
 	n->stopping = true;
 	n->stopping_ms = clock_now_ms();
 	if (keeps_backend(n))
--- a/node/operator.c
+++ b/node/operator.c
@@ -117,9 +117,9 @@
 			     "lease", lease > 0, "log_up",
 			     log_client_up(&n->log), "shards_held", held(n),
 			     "links", peers_n_links(&n->peers), "in_flight",
-			     n->gate.n_running, "limit", n->gate.limit.now,
-			     "members", members_json(n), "data_centres",
-			     data_centres_json(n), "counters",
+			     n->gate.load.n_running, "limit",
+			     n->gate.load.limit.now, "members", members_json(n),
+			     "data_centres", data_centres_json(n), "counters",
 			     counters_json()));
 }
 
@@ -129,19 +129,18 @@
 
 	counters_text(text);
 	histograms_text(text);
-	g_string_append_printf(text,
-			       "applied_offset %" PRId64 "\n"
-			       "configuration_version %" PRId64 "\n"
-			       "members %u\nshards_held %u\nlease %d\n"
-			       "in_flight %u\nwaiting %u\nlimit %.1f\n"
-			       "backend_latency_us %.0f\n",
-			       n->member.fleet.applied,
-			       n->member.fleet.configuration_version,
-			       fleet_n_members(&n->member.fleet), held(n),
-			       member_lease_end_ms(&n->member) > clock_now_ms(),
-			       n->gate.n_running, n->gate.queue.heap->len,
-			       n->gate.limit.now,
-			       n->gate.limit.recent_ms * 1000);
+	g_string_append_printf(
+		text,
+		"applied_offset %" PRId64 "\n"
+		"configuration_version %" PRId64 "\n"
+		"members %u\nshards_held %u\nlease %d\n"
+		"in_flight %u\nwaiting %u\nlimit %.1f\n"
+		"backend_latency_us %.0f\n",
+		n->member.fleet.applied, n->member.fleet.configuration_version,
+		fleet_n_members(&n->member.fleet), held(n),
+		member_lease_end_ms(&n->member) > clock_now_ms(),
+		n->gate.load.n_running, n->gate.load.queue.heap->len,
+		n->gate.load.limit.now, n->gate.load.limit.recent_ms * 1000);
 	httpd_reply(r, 200, NULL, text->str, text->len);
 	g_string_free(text, TRUE);
 }
