gate, node, net: fewer wake-ups for nothing

Cause: with the fixed limit a timer of 3 ms looked at the oldest request in flight while any was, and nobody used what it found; the entry's timer looked at all requests each 5 ms; and each message from a peer was announced by a question whether there is one.

The gate's timer runs for a limit that watches or for a cold server's queue, the entry's each 20 ms, and a peer's socket is read until it is empty.

--- a/gate/admission.c
+++ b/gate/admission.c
@@ -76,6 +76,13 @@
 	a->n_running--;
 }
 
+bool admission_needs_watch(const struct admission *a, int64_t now_ms)
+{
+	if (a->limit.ops->watch && a->n_running)
+		return true;
+	return a->queue.heap->len && cold_now(&a->cold, now_ms);
+}
+
 uint32_t admission_load(const struct admission *a)
 {
 	return a->n_running + a->queue.heap->len;
--- a/gate/admission.h
+++ b/gate/admission.h
@@ -57,6 +57,12 @@
 /* One was given up while the server worked on it. */
 void admission_cancelled(struct admission *a);
 
+/*
+ * Whether it must be looked at again within milliseconds: for a stall, or
+ * because a cold server may be sent more by then.
+ */
+bool admission_needs_watch(const struct admission *a, int64_t now_ms);
+
 /* Requests that run or wait. */
 uint32_t admission_load(const struct admission *a);
 
--- a/gate/limit.c
+++ b/gate/limit.c
@@ -166,17 +166,10 @@
 	(void)now_ms;
 }
 
-static void ignore_watch(struct limit *l, int64_t oldest_ms, int64_t now_ms)
-{
-	(void)l;
-	(void)now_ms;
-	(void)oldest_ms;
-}
-
 const struct limit_ops limit_adaptive = { "adaptive", start_cold, adapt,
 					  adapt_bad, adapt_watch };
 const struct limit_ops limit_fixed = { "fixed", start_full, only_learn,
-				       ignore_bad, ignore_watch };
+				       ignore_bad, NULL };
 
 const struct limit_ops *limit_ops_by_name(const char *name)
 {
@@ -196,5 +189,6 @@
 
 void limit_watch(struct limit *l, int64_t oldest_ms, int64_t now_ms)
 {
-	l->ops->watch(l, oldest_ms, now_ms);
+	if (l->ops->watch)
+		l->ops->watch(l, oldest_ms, now_ms);
 }
--- a/gate/limit.h
+++ b/gate/limit.h
@@ -41,6 +41,7 @@
 	void (*answered)(struct limit *l, double latency_ms, int64_t started_ms,
 			 int64_t now_ms);
 	void (*bad)(struct limit *l, int64_t started_ms, int64_t now_ms);
+	/* NULL: how long the oldest waits is of no interest. */
 	void (*watch)(struct limit *l, int64_t oldest_ms, int64_t now_ms);
 };
 
--- a/net/peer.c
+++ b/net/peer.c
@@ -51,15 +51,6 @@
 	zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max, sizeof(max));
 }
 
-static bool readable(void *socket)
-{
-	int events = 0;
-	size_t len = sizeof(events);
-
-	zmq_getsockopt(socket, ZMQ_EVENTS, &events, &len);
-	return events & ZMQ_POLLIN;
-}
-
 static int descriptor(void *socket)
 {
 	int fd = -1;
@@ -136,9 +127,8 @@
 static void pump_router(struct peers *p)
 {
 	p->router_dirty = false;
-	while (readable(p->router))
-		if (!receive_inbound(p))
-			break;
+	while (receive_inbound(p))
+		;
 }
 
 static bool receive_answer(struct peer_link *l)
@@ -169,7 +159,7 @@
 
 	while ((l = g_hash_table_lookup(p->links, key))) {
 		l->dirty = false;
-		if (!readable(l->dealer) || !receive_answer(l))
+		if (!receive_answer(l))
 			return;
 	}
 }
--- a/node/entry.c
+++ b/node/entry.c
@@ -9,7 +9,7 @@
 #include "util/event.h"
 #include "util/result.h"
 
-#define TICK_S 0.005
+#define TICK_S 0.02
 #define MAX_REQUESTS 8192
 #define AVOID_MS 50
 #define SILENT_LINK_MS 3000
--- a/node/gate-health.c
+++ b/node/gate-health.c
@@ -52,18 +52,20 @@
 	}
 }
 
-/* Look at the oldest request in flight; runs while there are any. */
+/* Look at the oldest request in flight; runs while admission needs it. */
 void gate_on_watch(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct gate *g = w->data;
+	int64_t now = clock_now_ms();
 
 	(void)events;
-	limit_watch(&g->load.limit, oldest_in_flight_ms(g, clock_now_us()),
-		    clock_now_ms());
+	if (g->load.limit.ops->watch)
+		limit_watch(&g->load.limit,
+			    oldest_in_flight_ms(g, clock_now_us()), now);
 	if (g->load.limit.stalled)
-		note_stall(g, clock_now_ms());
-	if (!g->load.n_running) {
-		limit_watch(&g->load.limit, 0, clock_now_ms());
+		note_stall(g, now);
+	if (!admission_needs_watch(&g->load, now)) {
+		limit_watch(&g->load.limit, 0, now);
 		ev_timer_stop(loop, w);
 	}
 	gate_pump(g);
--- a/node/gate.c
+++ b/node/gate.c
@@ -357,8 +357,6 @@
 	r->pending = g_byte_array_new();
 	XXH64_reset(&r->digest, 0);
 	admission_started(&g->load, now);
-	if (!ev_is_active(&g->watch))
-		ev_timer_again(g->node->loop, &g->watch);
 	COUNT(gate_admitted);
 	MEASURE(queue_ms, now - r->arrived_ms);
 	if (r->traced)
@@ -395,6 +393,9 @@
 	while (g->backend_server.announced &&
 	       admission_next(&g->load, clock_now_ms(), &q))
 		start(q.request);
+	if (!ev_is_active(&g->watch) &&
+	    admission_needs_watch(&g->load, clock_now_ms()))
+		ev_timer_again(g->node->loop, &g->watch);
 }
 
 /* known: this process has seen a configuration before. */
