model, builtin: what a fleet serves under a load, in virtual time

briargrade model FILE runs the code that decides in a node (admission, queue, limit, choice, plan, budgets, costs) over modelled callers, links and backend servers, policy by policy, from an experiment in JSON that is checked like settings. It prints what became of each class, the worth earned, the share served and the work wasted, or JSON.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	$(shell pkg-config --cflags $(PKGS))
 LIBS = $(shell pkg-config --libs $(PKGS)) -lev -lhttp_parser -lm
 
-PURE = util state member gate route settings audit platform
+PURE = util state member gate route settings audit platform model
 LIB_SRC = $(foreach d,$(PURE) net node,$(wildcard $(d)/*.c))
 CMD_SRC = briargrade.c $(wildcard builtin/*.c)
 LIB_OBJ = $(LIB_SRC:%.c=$(OUT)/%.o)
--- a/briargrade.c
+++ b/briargrade.c
@@ -21,6 +21,7 @@
 	{ "status", cmd_status, "show a node's view of the fleet" },
 	{ "explain", cmd_explain, "tell who serves a key and why" },
 	{ "trace", cmd_trace, "print one request's way from logs" },
+	{ "model", cmd_model, "work out what a fleet serves under a load" },
 	{ "audit", cmd_audit, "print the trail of changes" },
 };
 
--- a/builtin/builtin.h
+++ b/builtin/builtin.h
@@ -16,6 +16,7 @@
 int cmd_status(int argc, char **argv);
 int cmd_explain(int argc, char **argv);
 int cmd_trace(int argc, char **argv);
+int cmd_model(int argc, char **argv);
 int cmd_audit(int argc, char **argv);
 
 #define EXIT_OK 0
--- /dev/null
+++ b/builtin/model.c
@@ -0,0 +1,157 @@
+#include <stdio.h>
+#include <time.h>
+
+#include "builtin/builtin.h"
+#include "builtin/options.h"
+#include "model/model.h"
+
+static const char usage[] = "briargrade model [--json] FILE";
+
+static double cpu_s(void)
+{
+	return clock() / (double)CLOCKS_PER_SEC;
+}
+
+static void add_tally(struct model_tally *to, const struct model_tally *from)
+{
+	to->asked += from->asked;
+	to->in_target += from->in_target;
+	to->late += from->late;
+	to->refused += from->refused;
+	to->failed += from->failed;
+	g_array_append_vals(to->ms, from->ms->data, from->ms->len);
+}
+
+/* All seeds of one policy, added up. */
+static void run_policy(const struct experiment *e, const struct model_policy *p,
+		       struct model_result *sum)
+{
+	uint32_t s, i;
+
+	model_run(e, p, e->seeds[0], sum);
+	for (s = 1; s < e->n_seeds; s++) {
+		struct model_result one;
+
+		model_run(e, p, e->seeds[s], &one);
+		for (i = 0; i < e->n_classes; i++)
+			add_tally(&sum->classes[i], &one.classes[i]);
+		sum->work_ms += one.work_ms;
+		sum->wasted_ms += one.wasted_ms;
+		sum->offers += one.offers;
+		sum->events += one.events;
+		model_result_finish(&one);
+	}
+}
+
+static double share(uint64_t part, uint64_t whole)
+{
+	return whole ? part / (double)whole : 0;
+}
+
+static void print_class(const char *policy, const char *name,
+			struct model_tally *t)
+{
+	printf("%-16s %-20s %9" G_GUINT64_FORMAT
+	       "  %.3f  %.3f  %.3f  %.3f %8.1f %8.1f\n",
+	       policy, name, (guint64)t->asked, share(t->in_target, t->asked),
+	       share(t->late, t->asked), share(t->refused, t->asked),
+	       share(t->failed, t->asked), model_quantile(t, 0.5),
+	       model_quantile(t, 0.99));
+}
+
+static json_t *class_json(const char *name, struct model_tally *t)
+{
+	return json_pack("{s:s,s:I,s:I,s:I,s:I,s:I,s:f,s:f}", "class", name,
+			 "asked", (json_int_t)t->asked, "in_target",
+			 (json_int_t)t->in_target, "late", (json_int_t)t->late,
+			 "refused", (json_int_t)t->refused, "failed",
+			 (json_int_t)t->failed, "p50_ms",
+			 model_quantile(t, 0.5), "p99_ms",
+			 model_quantile(t, 0.99));
+}
+
+static void print_text(const struct experiment *e, const struct model_policy *p,
+		       struct model_result *r, double cpu)
+{
+	uint64_t asked = 0;
+	uint32_t i;
+
+	for (i = 0; i < e->n_classes; i++) {
+		print_class(p->name, e->classes[i].name, &r->classes[i]);
+		asked += r->classes[i].asked;
+	}
+	printf("%-16s earned %.3f, served %.3f, wasted %.3f of the work, "
+	       "%.2f offers a request\n",
+	       p->name, model_earned(e, r), model_served(e, r),
+	       r->work_ms > 0 ? r->wasted_ms / r->work_ms : 0,
+	       share(r->offers, asked));
+	/* Apart from what a run repeats exactly. */
+	fprintf(stderr, "%s: %.0f requests a second of processor time\n",
+		p->name, asked / MAX(cpu, 1e-6));
+}
+
+static json_t *policy_json(const struct experiment *e,
+			   const struct model_policy *p, struct model_result *r)
+{
+	json_t *classes = json_array();
+	uint32_t i;
+
+	for (i = 0; i < e->n_classes; i++)
+		json_array_append_new(classes, class_json(e->classes[i].name,
+							  &r->classes[i]));
+	return json_pack("{s:s,s:o,s:f,s:f,s:f,s:f,s:I}", "policy", p->name,
+			 "classes", classes, "earned", model_earned(e, r),
+			 "served", model_served(e, r), "work_ms", r->work_ms,
+			 "wasted_ms", r->wasted_ms, "offers",
+			 (json_int_t)r->offers);
+}
+
+static void run_all(const struct experiment *e, bool json)
+{
+	json_t *all = json_array();
+	uint32_t i;
+
+	if (!json)
+		printf("%-16s %-20s %9s  %5s  %5s  %5s  %5s %8s %8s\n",
+		       "policy", "class", "asked", "in", "late", "ref", "fail",
+		       "p50_ms", "p99_ms");
+	for (i = 0; i < e->n_policies; i++) {
+		struct model_result r;
+		double before = cpu_s();
+
+		run_policy(e, &e->policies[i], &r);
+		if (json)
+			json_array_append_new(
+				all, policy_json(e, &e->policies[i], &r));
+		else
+			print_text(e, &e->policies[i], &r, cpu_s() - before);
+		model_result_finish(&r);
+	}
+	if (json)
+		json_dumpf(all, stdout, JSON_INDENT(1));
+	json_decref(all);
+}
+
+/* Work out what a fleet would serve under a load, policy by policy. */
+int cmd_model(int argc, char **argv)
+{
+	struct options o;
+	struct experiment *e;
+	GString *errors;
+	int err;
+	int status = options_read(&o, argc, argv, OPTION_JSON, usage);
+
+	if (status >= 0)
+		return status;
+	if (o.n_rest != 1)
+		return options_usage(usage);
+	errors = g_string_new(NULL);
+	e = g_new0(struct experiment, 1);
+	err = experiment_read(e, o.rest[0], errors);
+	fputs(errors->str, stderr);
+	if (!err)
+		run_all(e, o.json);
+	g_free(e);
+	g_string_free(errors, TRUE);
+	return err ? EXIT_USAGE : EXIT_OK;
+}
