gate: short requests first, and what waits is counted by its own length

Hypothesis: under overload the queue settles just past the target, since what waits is judged by the mean length and half of its own; and a call that a request elsewhere waits for is refused behind long requests due earlier, which wastes all of that request.

Change: the queue is ordered by the usual length of a class, then by when a request is due; what goes before a request is summed by class, and one that has to wait is taken when its whole usual time fits its target.

--- a/gate/queue.c
+++ b/gate/queue.c
@@ -4,6 +4,7 @@
 
 #define FADE 0.998
 #define SERVICE_WEIGHT 0.1
+/* Of a class's usual time: enough for many of its requests. */
 #define LEAST_SHARE 0.5
 
 /* Set up an empty queue of at most max requests. */
@@ -50,6 +51,18 @@
 	return g_ptr_array_index(q->heap, i);
 }
 
+/*
+ * Shortest first: when not all can be served, most are, and a call that a
+ * request at another server waits for, which is short, is not refused for the
+ * time of long ones. Those of one length by when they are due.
+ */
+static bool before(const struct queued *a, const struct queued *b)
+{
+	if (a->work_ms != b->work_ms)
+		return a->work_ms < b->work_ms;
+	return a->due_ms < b->due_ms;
+}
+
 static void swap(struct queue *q, uint32_t i, uint32_t j)
 {
 	gpointer t = q->heap->pdata[i];
@@ -60,7 +73,7 @@
 
 static void sift_up(struct queue *q, uint32_t i)
 {
-	while (i && at(q, i)->due_ms < at(q, (i - 1) / 2)->due_ms) {
+	while (i && before(at(q, i), at(q, (i - 1) / 2))) {
 		swap(q, i, (i - 1) / 2);
 		i = (i - 1) / 2;
 	}
@@ -72,10 +85,9 @@
 		uint32_t l = 2 * i + 1;
 		uint32_t best = i;
 
-		if (l < q->heap->len && at(q, l)->due_ms < at(q, best)->due_ms)
+		if (l < q->heap->len && before(at(q, l), at(q, best)))
 			best = l;
-		if (l + 1 < q->heap->len &&
-		    at(q, l + 1)->due_ms < at(q, best)->due_ms)
+		if (l + 1 < q->heap->len && before(at(q, l + 1), at(q, best)))
 			best = l + 1;
 		if (best == i)
 			return;
@@ -135,38 +147,46 @@
 	return q->service_ms;
 }
 
-bool queue_can_meet(const struct queue *q, int64_t now_ms,
-		    const struct queued *in, uint32_t running, double slots)
+/* How long until all that would go before a request has been begun. */
+static double wait_ms(const struct queue *q, const struct queued *in,
+		      uint32_t running, double slots)
 {
-	double wait_ms = 0;
-	int64_t by_ms;
-	uint32_t ahead = 0;
+	double work_ms = 0;
 	uint32_t i;
 
 	for (i = 0; i < q->heap->len; i++)
-		ahead += at(q, i)->due_ms <= in->due_ms;
-	if (ahead || running >= slots)
-		wait_ms = (ahead + 1) / MAX(slots, 1.0) * q->service_ms;
-	/*
-	 * Half of a class's usual time is enough for many of its requests.
-	 * The mean over all classes would say of a short one among long ones
-	 * that it has no chance.
-	 */
+		if (!before(in, at(q, i)))
+			work_ms += at(q, i)->work_ms;
+	if (!work_ms && running < slots)
+		return 0;
+	return (work_ms + q->service_ms) / MAX(slots, 1.0);
+}
+
+bool queue_can_meet(const struct queue *q, int64_t now_ms,
+		    const struct queued *in, uint32_t running, double slots)
+{
+	struct queued sized = *in;
+	double wait;
+
+	sized.work_ms = class_ms(q, in->class_index);
+	wait = wait_ms(q, &sized, running, slots);
+	if (now_ms + wait + sized.work_ms * LEAST_SHARE > in->deadline_ms)
+		return false;
 	/*
 	 * A queue that lasts beyond the target serves as many as a short one,
 	 * all of them late. So what would have to wait into lateness is
 	 * refused while it can still go elsewhere or come back; what finds a
 	 * slot free is served late rather than not at all.
 	 */
-	by_ms = wait_ms > 0 ? MIN(in->due_ms, in->deadline_ms)
-			    : in->deadline_ms;
-	return now_ms + wait_ms + class_ms(q, in->class_index) * LEAST_SHARE <=
-	       by_ms;
+	return wait <= 0 || now_ms + wait + sized.work_ms <= in->due_ms;
 }
 
 struct queued *queue_push(struct queue *q, const struct queued *in)
 {
-	g_ptr_array_add(q->heap, g_memdup2(in, sizeof(*in)));
+	struct queued *e = g_memdup2(in, sizeof(*in));
+
+	e->work_ms = class_ms(q, in->class_index);
+	g_ptr_array_add(q->heap, e);
 	sift_up(q, q->heap->len - 1);
 	if (q->heap->len <= q->max)
 		return NULL;
--- a/gate/queue.h
+++ b/gate/queue.h
@@ -6,9 +6,10 @@
 #include <glib.h>
 
 /*
- * Requests admitted by a gate that wait for room at its backend server. The
- * one closest to missing its target goes first. When the queue is full, the
- * class with the most room left under its target for refusals gives way.
+ * Requests admitted by a gate that wait for room at its backend server. Short
+ * ones go first, and those of one length by when they are due. When the queue
+ * is full, the class with the most room left under its target for refusals
+ * gives way.
  */
 
 struct class_load {
@@ -22,11 +23,12 @@
 	int64_t due_ms; /* arrival plus the class's target */
 	int64_t deadline_ms;
 	uint32_t class_index;
+	double work_ms; /* usual for its class; the queue fills this in */
 	void *request;
 };
 
 struct queue {
-	GPtrArray *heap; /* struct queued, smallest due first */
+	GPtrArray *heap; /* struct queued, the next to be begun first */
 	uint32_t max;
 	struct class_load *classes;
 	uint32_t n_classes;
@@ -44,8 +46,9 @@
 void queue_count(struct queue *q, uint32_t class_index, bool refused);
 
 /*
- * Whether a request still has a chance to be done by its deadline, when running
- * are being served now and slots can be at a time.
+ * Whether a request that would have to wait can be expected to be done within
+ * its target, and one that need not, by its deadline, when running are being
+ * served now and slots can be at a time.
  */
 bool queue_can_meet(const struct queue *q, int64_t now_ms,
 		    const struct queued *in, uint32_t running, double slots);
@@ -56,7 +59,7 @@
  */
 struct queued *queue_push(struct queue *q, const struct queued *in);
 
-/* Take the most urgent; false when empty. */
+/* Take the next to be begun; false when empty. */
 bool queue_pop(struct queue *q, struct queued *out);
 
 /* Remove one request; false when it is not waiting. */
