gate, net, node: a server that nobody listens for holds nothing; owners asked first

Where nobody listens at the address the server has ended, and its holds with it; one that is full or cannot be reached may still be at work.

A node that left for refused connections did not take its server back at the next heartbeat; it does now.

An entry remembers now that it has moved on.

--- a/gate/grant-beat.c
+++ b/gate/grant-beat.c
@@ -80,6 +80,18 @@
 		grants_clear(&g->shards[i]);
 }
 
+static void on_ended(struct grants *g)
+{
+	uint32_t i;
+
+	for (i = 0; i < g->n_shards; i++) {
+		g->shards[i].until_ms = 0;
+		g->shards[i].fence = 0;
+		g->shards[i].confirmed = false;
+		g->shards[i].held = false;
+	}
+}
+
 static bool may_hold(const struct grants *g, uint32_t shard, int64_t now_ms)
 {
 	return now_ms < g->shards[shard].until_ms;
@@ -97,6 +109,7 @@
 const struct grant_ops grant_by_heartbeat = {
 	.name = "heartbeat",
 	.on_life = on_life,
+	.on_ended = on_ended,
 	.may_hold = may_hold,
 	.granted = granted,
 };
--- a/gate/grant-call.c
+++ b/gate/grant-call.c
@@ -60,6 +60,22 @@
 	}
 }
 
+/* What was sent before has ended with it; what is on its way has not arrived. */
+static void on_ended(struct grants *g)
+{
+	uint32_t i;
+
+	for (i = 0; i < g->n_shards; i++) {
+		struct grant *s = &g->shards[i];
+
+		s->state = GRANT_FREE;
+		s->fence = 0;
+		s->until_ms = 0;
+		s->sure_until_ms = 0;
+		s->doubt_until_ms = 0;
+	}
+}
+
 static bool may_hold(const struct grants *g, uint32_t shard, int64_t now_ms)
 {
 	const struct grant *s = &g->shards[shard];
@@ -101,6 +117,7 @@
 	.name = "call",
 	.on_resize = on_resize,
 	.on_life = on_life,
+	.on_ended = on_ended,
 	.on_misdirected = on_misdirected,
 	.may_hold = may_hold,
 	.granted = granted,
--- a/gate/grants.c
+++ b/gate/grants.c
@@ -78,6 +78,12 @@
 		g->ops->on_life(g);
 }
 
+void grants_server_ended(struct grants *g)
+{
+	if (g->ops)
+		g->ops->on_ended(g);
+}
+
 void grants_misdirected(struct grants *g, uint32_t shard, int64_t now_ms)
 {
 	if (g->ops && g->ops->on_misdirected && shard < g->n_shards)
--- a/gate/grants.h
+++ b/gate/grants.h
@@ -62,6 +62,8 @@
 	void (*on_resize)(struct grants *g);
 	/* A life of the server that this process has not heard of before. */
 	void (*on_life)(struct grants *g);
+	/* The server has ended: it holds nothing. */
+	void (*on_ended)(struct grants *g);
 	/* The server turned a request away: it does not hold the shard. */
 	void (*on_misdirected)(struct grants *g, uint32_t shard,
 			       int64_t now_ms);
@@ -107,6 +109,9 @@
 /* The backend server says that it does not hold a shard of ours. */
 void grants_misdirected(struct grants *g, uint32_t shard, int64_t now_ms);
 
+/* The backend server has ended, and its holds with it. */
+void grants_server_ended(struct grants *g);
+
 /* Another life of the backend server. */
 void grants_forget_server(struct grants *g);
 
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -102,6 +103,16 @@
 	}
 }
 
+static bool was_refused(const CURLMsg *msg)
+{
+	long err = 0;
+
+	if (msg->data.result != CURLE_COULDNT_CONNECT)
+		return false;
+	curl_easy_getinfo(msg->easy_handle, CURLINFO_OS_ERRNO, &err);
+	return err == ECONNREFUSED;
+}
+
 static void reap(struct fetcher *x)
 {
 	CURLMsg *msg;
@@ -119,6 +130,7 @@
 		if (!f)
 			continue;
 		result = result_of(f, msg->data.result);
+		f->refused = was_refused(msg);
 		headers = f->answer_headers;
 		finish_one(f);
 		f->ops->on_done(f, result);
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -55,6 +55,7 @@
 	int64_t send_by_ms; /* not to be sent later, 0 at any time */
 	int64_t open_by_ms; /* no connection to be opened later, 0 any time */
 	bool unopened; /* failed for the latter */
+	bool refused; /* nobody listens at the address */
 	bool mixed; /* check_head refused the answer */
 	GPtrArray *answer_headers; /* name and value in turn */
 	char error[CURL_ERROR_SIZE];
--- a/node/entry-pick.c
+++ b/node/entry-pick.c
@@ -8,6 +8,7 @@
 
 #define MAX_CANDIDATES 8
 #define MAX_MEMBERS 2048
+#define MAX_MOVED_ON 65536
 
 /* What a gate in another data centre costs a request, on the nominal scale. */
 static double far_ms(struct entry_request *r)
@@ -61,6 +62,61 @@
 	return count ? members[r->plan.refusals % count] : 0;
 }
 
+/*
+ * A shard that moves is served by its owner before for a while, and so that one
+ * is asked first. Once it has said that it does not serve it, asking it again
+ * costs each request a way there and back, until the move is settled by a
+ * record, for which the store may have to be waited for.
+ */
+static int64_t moved_key(const struct entry_request *r)
+{
+	struct fleet *f = &r->entry->node->member.fleet;
+	const struct fleet_service *s = fleet_service(f, r->service);
+
+	return ((int64_t)(s - f->services) << 32) | r->shard;
+}
+
+void entry_note_moved_on(struct entry_request *r)
+{
+	GHashTable *t = r->entry->moved_on;
+	struct fleet_service *s =
+		fleet_service(&r->entry->node->member.fleet, r->service);
+	int64_t key;
+
+	if (!r->plan.keyed || !s || r->shard >= s->n_shards ||
+	    s->shards[r->shard].from != r->last_member)
+		return;
+	key = moved_key(r);
+	if (g_hash_table_size(t) >= MAX_MOVED_ON)
+		g_hash_table_remove_all(t);
+	g_hash_table_replace(t, g_memdup2(&key, sizeof(key)),
+			     g_memdup2(&s->shards[r->shard].fence,
+				       sizeof(int64_t)));
+}
+
+static bool has_moved_on(const struct entry_request *r, const struct shard *sh)
+{
+	int64_t key = moved_key(r);
+	const int64_t *fence = g_hash_table_lookup(r->entry->moved_on, &key);
+
+	return sh->from && fence && *fence == sh->fence;
+}
+
+/*
+ * The owner before goes last instead of first. Decided once for a request, or
+ * its attempts would not go round all candidates.
+ */
+static void put_owner_first(struct entry_request *r, const struct shard *sh,
+			    int64_t *members, uint32_t count)
+{
+	if (!r->plan.tries)
+		r->owner_first = has_moved_on(r, sh);
+	if (!r->owner_first || count < 2 || members[0] != sh->from)
+		return;
+	memmove(members, members + 1, (count - 1) * sizeof(members[0]));
+	members[count - 1] = sh->from;
+}
+
 /* The gate to ask next, other than except where there is a choice; 0 none. */
 int64_t entry_pick_gate(struct entry_request *r, int64_t except)
 {
@@ -75,6 +131,7 @@
 
 		count = member_candidates(n, s, r->shard, members,
 					  MAX_CANDIDATES);
+		put_owner_first(r, &s->shards[r->shard], members, count);
 		return pick_candidate(r, members, count);
 	}
 	count = gates_of_service(r, options);
--- a/node/entry-request.h
+++ b/node/entry-request.h
@@ -45,6 +45,7 @@
 	int64_t version; /* configuration that it was matched by */
 	bool streaming;
 	bool hedged;
+	bool owner_first; /* of a shard that moved; see entry-pick.c */
 	bool done;
 	bool first_sending; /* its id was never sent before */
 	char *key;
@@ -96,6 +97,8 @@
 void entry_cancel_others(struct entry_request *r, struct attempt *keep);
 
 /* node/entry-pick.c */
+/* The gate asked last does not serve the request's key. */
+void entry_note_moved_on(struct entry_request *r);
 int64_t entry_pick_gate(struct entry_request *r, int64_t except);
 
 /* node/entry.c */
--- a/node/entry.c
+++ b/node/entry.c
@@ -88,7 +88,9 @@
 	struct entry *e = r->entry;
 	int64_t now = clock_now_ms();
 
-	if (m->number != RESULT_NOT_OWNER)
+	if (m->number == RESULT_NOT_OWNER)
+		entry_note_moved_on(r);
+	else
 		chooser_refused(&e->chooser, r->last_member, AVOID_MS, now);
 	entry_step(r, plan_refused(&r->plan, m->number == RESULT_NOT_OWNER,
 				   m->flags & REQ_FLAG_REACHED, m->wait_ms,
@@ -439,6 +441,8 @@
 	e->costs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	e->requests = g_ptr_array_new();
+	e->moved_on = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					    g_free);
 	chooser_init(&e->chooser, node->settings.choice, g_random_int());
 	ev_init(&e->tick, on_tick);
 	e->tick.repeat = TICK_S;
@@ -457,6 +461,7 @@
 	g_hash_table_unref(e->attempts);
 	g_hash_table_unref(e->budgets);
 	g_hash_table_unref(e->costs);
+	g_hash_table_unref(e->moved_on);
 	g_ptr_array_unref(e->requests);
 	g_rand_free(e->rand);
 }
--- a/node/entry.h
+++ b/node/entry.h
@@ -23,6 +23,8 @@
 	GHashTable *costs; /* class -> struct class_cost */
 	struct httpd httpd;
 	struct chooser chooser;
+	GHashTable *
+		moved_on; /* int64_t shard -> int64_t fence, see entry-pick.c */
 	GHashTable *budgets; /* service -> struct budget */
 	GHashTable *attempts; /* uint64_t id -> struct attempt */
 	GPtrArray *requests; /* struct entry_request */
--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -92,7 +92,7 @@
 	struct gate_request *r = f->user;
 
 	r->gate->heard_ms = clock_now_ms();
-	r->gate->connect_failures = 0;
+	gate_connected(r->gate);
 	r->shed = header_find(f->answer_headers, gate_names(r)->not_run);
 }
 
@@ -146,7 +146,7 @@
 		       r->started_us / 1000, now);
 	gate_note_seen(r, result);
 	if (result == RESULT_UNREACHABLE)
-		g->connect_failures++;
+		gate_not_connected(g, f);
 	if (r->shed) {
 		COUNT(gate_backend_shed);
 		if (f->status == STATUS_MISDIRECTED && r->keyed)
--- a/node/gate-health.c
+++ b/node/gate-health.c
@@ -78,9 +78,9 @@
 	g->probing = false;
 	if (result == RESULT_OK) {
 		g->heard_ms = clock_now_ms();
-		g->connect_failures = 0;
+		gate_connected(g);
 	} else if (result == RESULT_UNREACHABLE) {
-		g->connect_failures++;
+		gate_not_connected(g, f);
 	}
 }
 
--- a/node/gate.c
+++ b/node/gate.c
@@ -126,6 +126,18 @@
 	g_rand_free(g->rand);
 }
 
+void gate_not_connected(struct gate *g, const struct fetch *f)
+{
+	g->connect_failures++;
+	g->connect_refusals += f->refused;
+}
+
+void gate_connected(struct gate *g)
+{
+	g->connect_failures = 0;
+	g->connect_refusals = 0;
+}
+
 void gate_announce(struct gate *g, const struct backend_server *b)
 {
 	bool again = g->backend_server.announced;
@@ -133,7 +145,7 @@
 	g->backend_server = *b;
 	g->backend_server.announced = true;
 	g->draining = false;
-	g->connect_failures = 0;
+	gate_connected(g);
 	g->heard_ms = clock_now_ms();
 	if (!g->fetcher_ready)
 		fetcher_init(&g->fetcher, g->node->loop, b->connections);
@@ -642,6 +654,14 @@
 	gate_probe(g, now);
 	if (g->connect_failures >= MAX_CONNECT_FAILURES) {
 		g_warning("backend server does not accept connections");
+		/*
+		 * Nobody listens at its address any more: it has ended, and
+		 * what it held need not be waited for. A server that is full or
+		 * cannot be reached may still be at work.
+		 */
+		if (g->connect_refusals >= MAX_CONNECT_FAILURES)
+			grants_server_ended(&g->grants);
+		gate_connected(g);
 		gate_leave(g);
 		node_backend_left(g->node);
 	}
--- a/node/gate.h
+++ b/node/gate.h
@@ -56,7 +56,8 @@
 	GHashTable *origins; /* uint64_t entry -> int64_t least clock offset */
 	int64_t heard_ms; /* last sign of life of the backend server */
 	int64_t next_probe_ms;
-	uint32_t connect_failures;
+	uint32_t connect_failures; /* in a row */
+	uint32_t connect_refusals; /* of those, as nobody listens */
 	struct fetch probe;
 	bool probing;
 	ev_timer watch; /* runs while requests are in flight */
@@ -68,6 +69,13 @@
 void gate_init(struct gate *g, struct node *node);
 void gate_finish(struct gate *g);
 
+/*
+ * A connection to the backend server could not be made, or one was; several
+ * failures in a row show that it is gone.
+ */
+void gate_not_connected(struct gate *g, const struct fetch *f);
+void gate_connected(struct gate *g);
+
 /* The backend server came or left. */
 void gate_announce(struct gate *g, const struct backend_server *b);
 void gate_leave(struct gate *g);
--- a/node/granter.c
+++ b/node/granter.c
@@ -79,6 +79,8 @@
 	/* A connection that ended or could not be opened: is it the same life? */
 	if (f->unopened || (result && result != RESULT_TIMEOUT))
 		x->await_beat = true;
+	if (result == RESULT_UNREACHABLE && f->refused)
+		gate_not_connected(&x->node->gate, f);
 	if (outcome == GRANT_FENCED)
 		x->node->member.read_now = true;
 	count(g, &l->call, outcome);
--- a/node/node.c
+++ b/node/node.c
@@ -391,6 +391,8 @@
 
 void node_backend_left(struct node *n)
 {
+	/* Its next heartbeat, if there is one, announces it again. */
+	n->backend_left = true;
 	member_set_wanted(&n->member, false, clock_now_ms());
 }
 
