--- a/gate/queue.c
+++ b/gate/queue.c
@@ -166,11 +166,12 @@
 		    const struct queued *in, uint32_t running, double slots)
 {
 	struct queued sized = *in;
-	double wait;
+	double wait, done_ms;
 
 	sized.work_ms = class_ms(q, in->class_index);
 	wait = wait_ms(q, &sized, running, slots);
-	if (now_ms + wait + sized.work_ms * LEAST_SHARE > in->deadline_ms)
+	done_ms = now_ms + wait + sized.work_ms * LEAST_SHARE;
+	if (done_ms > in->deadline_ms)
 		return false;
 	/*
 	 * A queue that lasts beyond the target serves as many as a short one,
@@ -178,7 +179,7 @@
 	 * refused while it can still go elsewhere or come back; what finds a
 	 * slot free is served late rather than not at all.
 	 */
-	return wait <= 0 || now_ms + wait + sized.work_ms <= in->due_ms;
+	return wait <= 0 || done_ms <= in->due_ms;
 }
 
 struct queued *queue_push(struct queue *q, const struct queued *in)
