--- a/gate/queue.c
+++ b/gate/queue.c
@@ -27,12 +27,15 @@
 	g_free(q->classes);
 	q->classes = g_new0(struct class_load, n);
 	q->n_classes = n;
+	q->has_shares = false;
 }
 
 void queue_set_share(struct queue *q, uint32_t class_index, double share)
 {
-	if (class_index < q->n_classes)
-		q->classes[class_index].refused_share = share;
+	if (class_index >= q->n_classes)
+		return;
+	q->classes[class_index].refused_share = share;
+	q->has_shares = q->has_shares || share > 0;
 }
 
 void queue_count(struct queue *q, uint32_t class_index, bool refused)
@@ -121,8 +124,10 @@
 }
 
 /*
- * The class of work that should be refused when something must: the one with
- * the most headroom, and of that the request with the least to lose.
+ * What should be refused when something must: of the class with the most
+ * headroom, and of that what would be begun last. Where operators have set no
+ * class a target for refusals, headroom would only share them out evenly, and
+ * refuse as many of the short as of the long ones.
  */
 static uint32_t pick_victim(const struct queue *q)
 {
@@ -133,7 +138,9 @@
 		double a = headroom(q, at(q, i)->class_index);
 		double b = headroom(q, at(q, best)->class_index);
 
-		if (a > b || (a >= b && at(q, i)->due_ms > at(q, best)->due_ms))
+		if (!q->has_shares)
+			a = b = 0;
+		if (a > b || (a >= b && before(at(q, best), at(q, i))))
 			best = i;
 	}
 	return best;
--- a/gate/queue.h
+++ b/gate/queue.h
@@ -32,6 +32,7 @@
 	uint32_t max;
 	struct class_load *classes;
 	uint32_t n_classes;
+	bool has_shares; /* some class may be refused by a share */
 	double service_ms; /* smoothed time one slot takes */
 };
 
--- a/t/test-gate.c
+++ b/t/test-gate.c
@@ -310,6 +310,93 @@
 	g_assert_cmpuint(sent_in(&c, 2000, 2002), ==, 100000);
 }
 
+static void learn_two(struct queue *q, double short_ms, double long_ms)
+{
+	queue_init(q, 4);
+	queue_set_classes(q, 2);
+	queue_learn(q, 0, short_ms);
+	queue_learn(q, 1, long_ms);
+}
+
+/*
+ * A server that has more to do than it can. In the order of their targets the
+ * long requests of before would go ahead of short ones that others wait for,
+ * and fewer of all would be served.
+ */
+static void test_queue_shortest_first(void)
+{
+	struct queued in = { .deadline_ms = 1000 };
+	struct queued out;
+	struct queue q;
+
+	learn_two(&q, 15, 110);
+	in.class_index = 1;
+	in.due_ms = 50;
+	g_assert_null(queue_push(&q, &in));
+	in.due_ms = 40;
+	g_assert_null(queue_push(&q, &in));
+	in.class_index = 0;
+	in.due_ms = 60;
+	g_assert_null(queue_push(&q, &in));
+	g_assert_true(queue_pop(&q, &out));
+	g_assert_cmpuint(out.class_index, ==, 0);
+	g_assert_true(queue_pop(&q, &out));
+	g_assert_cmpint(out.due_ms, ==, 40);
+	queue_finish(&q);
+}
+
+/*
+ * A long queue of long requests. A short one need not wait for them, and must
+ * not be refused for their time.
+ */
+static void test_queue_counts_what_goes_before(void)
+{
+	struct queued in = { .deadline_ms = 10000 };
+	struct queue q;
+	uint32_t i;
+
+	learn_two(&q, 15, 110);
+	q.max = 100;
+	in.class_index = 1;
+	in.due_ms = 100;
+	for (i = 0; i < 40; i++)
+		g_assert_null(queue_push(&q, &in));
+	in.class_index = 0;
+	in.due_ms = 60;
+	g_assert_true(queue_can_meet(&q, 0, &in, 12, 12));
+	in.class_index = 1;
+	in.due_ms = 250;
+	g_assert_false(queue_can_meet(&q, 0, &in, 12, 12));
+	queue_finish(&q);
+}
+
+/*
+ * A full queue, and no class that operators would rather have refused. Shared
+ * out evenly, refusals hit the calls that requests elsewhere wait for, and all
+ * of the work on those is wasted.
+ */
+static void test_queue_full_of_long_ones(void)
+{
+	struct queued in = { .deadline_ms = 10000, .due_ms = 100 };
+	struct queued *victim;
+	struct queue q;
+	uint32_t i;
+
+	learn_two(&q, 15, 110);
+	in.class_index = 1;
+	for (i = 0; i < 4; i++) {
+		queue_count(&q, 1, true);
+		g_assert_null(queue_push(&q, &in));
+	}
+	in.class_index = 0;
+	in.due_ms = 200;
+	victim = queue_push(&q, &in);
+	g_assert_nonnull(victim);
+	g_assert_cmpuint(victim->class_index, ==, 1);
+	g_free(victim);
+	queue_finish(&q);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -321,6 +408,11 @@
 			test_cold_before_configuration);
 	g_test_add_func("/cold/sliding", test_cold_sliding);
 	g_test_add_func("/queue/order", test_queue_order);
+	g_test_add_func("/queue/shortest-first", test_queue_shortest_first);
+	g_test_add_func("/queue/counts-what-goes-before",
+			test_queue_counts_what_goes_before);
+	g_test_add_func("/queue/full-of-long-ones",
+			test_queue_full_of_long_ones);
 	g_test_add_func("/queue/by-target", test_queue_refuses_by_target);
 	g_test_add_func("/queue/early", test_queue_early_refusal);
 	g_test_add_func("/queue/short-among-long", test_queue_short_among_long);
--- a/t/test-grants.c
+++ b/t/test-grants.c
@@ -410,6 +410,33 @@
 	grants_finish(&f.g);
 }
 
+/*
+ * Nobody listens at the server's address any more. Waited out, its holds would
+ * keep its keys from their next owner for seconds. A call on its way is another
+ * matter, for it may have found the next life.
+ */
+static void test_ended_server_holds_nothing(void)
+{
+	struct fixture f;
+	struct grant_call late, c;
+
+	give_four(&f);
+	f.now += 1800;
+	renew_lease(&f);
+	g_assert_true(next(&f, &late));
+	done(&f, &late, GRANT_IN_DOUBT, NULL);
+	own(&f, 5, 5, 12);
+	g_assert_true(next(&f, &c));
+	g_assert_cmpuint(c.first, ==, 5);
+	grants_server_ended(&f.g);
+	g_assert_false(grants_may_hold(&f.g, 0, f.now));
+	g_assert_false(grants_granted(&f.g, 0, 10, f.now));
+	g_assert_true(grants_may_hold(&f.g, 5, f.now));
+	done(&f, &c, GRANT_NOT_APPLIED, NULL);
+	g_assert_false(grants_may_hold(&f.g, 5, f.now));
+	grants_finish(&f.g);
+}
+
 /*
  * The server turns a request away for a key that we think it holds. Waiting for
  * the next renewal would have it turn away all others until then.
@@ -465,6 +492,7 @@
 	g_test_add_func("/grants/past", test_past_is_accounted_for);
 	g_test_add_func("/grants/past-kept", test_past_kept_until_joined);
 	g_test_add_func("/grants/new-life", test_new_life_gives_all_back);
+	g_test_add_func("/grants/ended", test_ended_server_holds_nothing);
 	g_test_add_func("/grants/misdirected", test_misdirected_is_given_anew);
 	g_test_add_func("/grants/lapse", test_lapse_lets_nothing_go);
 	return g_test_run();
