net, node: an answer without a body has a head; another server's word is no answer

A server that ends may find another at its address; that one turns away what names the other by its status alone, and mostly with an empty body. An answer without a body never had its head looked at, so also a refusal that says "not run" went to the caller as if it were the answer, instead of to another server.

The head is looked at in any case, 421 counts as not run, and three in a row for requests without keys show that the server is not there, at once instead of at the next tick. Its next heartbeat announces it again.

t0030 failed before: 59 of 60 callers got 421; now all are served, each booking once, and the wrong server is asked three times.

--- a/net/fetch.c
+++ b/net/fetch.c
@@ -103,6 +103,16 @@
 	}
 }
 
+static void head_is_done(struct fetch *f)
+{
+	if (f->head_done)
+		return;
+	f->head_done = true;
+	curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &f->status);
+	if (f->ops->on_head)
+		f->ops->on_head(f);
+}
+
 static bool was_refused(const CURLMsg *msg)
 {
 	long err = 0;
@@ -131,6 +141,9 @@
 			continue;
 		result = result_of(f, msg->data.result);
 		f->refused = was_refused(msg);
+		/* An answer without a body has a head all the same. */
+		if (!result)
+			head_is_done(f);
 		headers = f->answer_headers;
 		finish_one(f);
 		f->ops->on_done(f, result);
@@ -339,16 +352,6 @@
 	return len;
 }
 
-static void head_is_done(struct fetch *f)
-{
-	if (f->head_done)
-		return;
-	f->head_done = true;
-	curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &f->status);
-	if (f->ops->on_head)
-		f->ops->on_head(f);
-}
-
 static size_t on_write(char *data, size_t size, size_t n, void *user)
 {
 	struct fetch *f = user;
--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -92,8 +92,11 @@
 	struct gate_request *r = f->user;
 
 	r->gate->heard_ms = clock_now_ms();
-	gate_connected(r->gate);
-	r->shed = header_find(f->answer_headers, gate_names(r)->not_run);
+	if (f->status != STATUS_MISDIRECTED)
+		gate_connected(r->gate);
+	/* Another server than the one that was named says no more than that. */
+	r->shed = header_find(f->answer_headers, gate_names(r)->not_run) ||
+		  f->status == STATUS_MISDIRECTED;
 }
 
 static bool on_data(struct fetch *f, const void *data, size_t len)
@@ -151,6 +154,8 @@
 		COUNT(gate_backend_shed);
 		if (f->status == STATUS_MISDIRECTED && r->keyed)
 			misdirected(r, now);
+		else if (f->status == STATUS_MISDIRECTED)
+			gate_not_connected(g, f);
 		gate_refuse(r, f->status == STATUS_MISDIRECTED
 				       ? RESULT_NOT_OWNER
 				       : RESULT_OVERLOAD);
@@ -173,6 +178,7 @@
 		COUNT(gate_backend_failed);
 		gate_fail(r, result);
 	}
+	gate_check_reached(g);
 	gate_pump(g);
 }
 
--- a/node/gate-request.h
+++ b/node/gate-request.h
@@ -90,6 +90,9 @@
 void gate_enqueue(struct gate_request *r);
 void gate_refuse(struct gate_request *r, int result);
 
+/* Leave when the backend server was not reached several times in a row. */
+void gate_check_reached(struct gate *g);
+
 /* Start what may be started. */
 void gate_pump(struct gate *g);
 void gate_emit(struct gate *g, GBytes *identity, struct request_msg *m);
--- a/node/gate.c
+++ b/node/gate.c
@@ -636,6 +636,24 @@
 	}
 }
 
+void gate_check_reached(struct gate *g)
+{
+	if (g->connect_failures < MAX_CONNECT_FAILURES ||
+	    !g->backend_server.announced)
+		return;
+	g_warning("backend server is not at its address");
+	/*
+	 * Nobody listens there any more: it has ended, and what it held need
+	 * not be waited for. A server that is full or cannot be reached may
+	 * still be at work.
+	 */
+	if (g->connect_refusals >= MAX_CONNECT_FAILURES)
+		grants_server_ended(&g->grants);
+	gate_connected(g);
+	gate_leave(g);
+	node_backend_left(g->node);
+}
+
 /* Timed duties: probes, queue deadlines, the backend server gone. */
 void gate_tick(struct gate *g)
 {
@@ -652,18 +670,6 @@
 	gate_park_tick(g, now);
 	gate_give_away(g, now);
 	gate_probe(g, now);
-	if (g->connect_failures >= MAX_CONNECT_FAILURES) {
-		g_warning("backend server does not accept connections");
-		/*
-		 * Nobody listens at its address any more: it has ended, and
-		 * what it held need not be waited for. A server that is full or
-		 * cannot be reached may still be at work.
-		 */
-		if (g->connect_refusals >= MAX_CONNECT_FAILURES)
-			grants_server_ended(&g->grants);
-		gate_connected(g);
-		gate_leave(g);
-		node_backend_left(g->node);
-	}
+	gate_check_reached(g);
 	gate_pump(g);
 }
--- a/node/gate.h
+++ b/node/gate.h
@@ -70,8 +70,8 @@
 void gate_finish(struct gate *g);
 
 /*
- * A connection to the backend server could not be made, or one was; several
- * failures in a row show that it is gone.
+ * The backend server could not be reached, or another one was found at its
+ * address; or it was reached. Several failures in a row show that it is gone.
  */
 void gate_not_connected(struct gate *g, const struct fetch *f);
 void gate_connected(struct gate *g);
--- a/t/platform-server.c
+++ b/t/platform-server.c
@@ -332,8 +332,18 @@
 	const char *sent = httpd_header(r, headers_platform.attempt_id);
 	struct job *j;
 
-	if ((expect && strcmp(expect, id)) ||
-	    (key && !holds(g_ascii_strtoll(key, NULL, 10)))) {
+	if (expect && strcmp(expect, id)) {
+		/* Another server than the one meant: the status alone says so. */
+		GPtrArray *headers = headers_new();
+
+		n_misdirected++;
+		header_add(headers, headers_platform.attempt_id,
+			   sent ? sent : "");
+		httpd_reply(r, STATUS_MISDIRECTED, headers, "", 0);
+		g_ptr_array_unref(headers);
+		return;
+	}
+	if (key && !holds(g_ascii_strtoll(key, NULL, 10))) {
 		n_misdirected++;
 		answer(r, STATUS_MISDIRECTED, false);
 		return;
