route: a gate that serves nobody is not offered work for a while

A stopping node refuses what needs no key from the start, and stays listed: 2,846 offers in 2.5 s went to one such gate, which looked idle, and each request has three.

An entry that is told so leaves that gate alone for half a second.

--- a/node/entry.c
+++ b/node/entry.c
@@ -88,8 +88,10 @@
 	struct entry *e = r->entry;
 	int64_t now = clock_now_ms();
 
-	if (m->number == RESULT_NOT_OWNER)
+	if (m->number == RESULT_NOT_OWNER && r->plan.keyed)
 		entry_note_moved_on(r);
+	else if (m->number == RESULT_NOT_OWNER)
+		chooser_not_serving(&e->chooser, r->last_member, now);
 	else
 		chooser_refused(&e->chooser, r->last_member, AVOID_MS, now);
 	entry_step(r, plan_refused(&r->plan, m->number == RESULT_NOT_OWNER,
--- a/route/choose.c
+++ b/route/choose.c
@@ -8,6 +8,7 @@
 #define DEFAULT_LIMIT 4.0
 #define FRESH_MS 200
 #define SILENT_AVOID_MS 300
+#define NOT_SERVING_MS 500
 #define STALL_FACTOR 4
 #define STALL_MIN_MS 20
 #define HOME_BONUS 0.8
@@ -117,6 +118,14 @@
 	v->avoid_until_ms = MAX(v->avoid_until_ms, now_ms + avoid_ms);
 }
 
+void chooser_not_serving(struct chooser *c, int64_t member, int64_t now_ms)
+{
+	struct gate_view *v = chooser_view(c, member);
+
+	v->silent_until_ms = MAX(v->silent_until_ms, now_ms + NOT_SERVING_MS);
+	v->avoid_until_ms = MAX(v->avoid_until_ms, v->silent_until_ms);
+}
+
 /* Work expected ahead of a new request at the gate, per slot it has. */
 static double cost(struct gate_view *v, int64_t home, int64_t now_ms)
 {
--- a/route/choose.h
+++ b/route/choose.h
@@ -75,6 +75,12 @@
 void chooser_refused(struct chooser *c, int64_t member, int64_t avoid_ms,
 		     int64_t now_ms);
 
+/*
+ * The gate serves nobody: its node is stopping, or its server has left. Almost
+ * idle as it is, it would otherwise look the best of all until the log says so.
+ */
+void chooser_not_serving(struct chooser *c, int64_t member, int64_t now_ms);
+
 /*
  * Choose among n gates, skipping `except`; home is preferred when it is no
  * worse. Returns 0 when there is none.
--- a/t/test-route.c
+++ b/t/test-route.c
@@ -126,6 +126,37 @@
 	chooser_finish(&c);
 }
 
+/*
+ * A node that stops refuses all work that needs no key, for seconds, and stays
+ * listed meanwhile. With nothing to do it looks the quickest, so that each
+ * request would spend one of its few offers there.
+ */
+static void test_stopping_gate_is_left_alone(void)
+{
+	struct gate_option options[] = { { .member = 1 }, { .member = 2 } };
+	const struct chooser_ops *ways[] = { &chooser_soonest, &chooser_two };
+	uint32_t i, w;
+
+	for (w = 0; w < G_N_ELEMENTS(ways); w++) {
+		struct chooser c;
+		uint32_t n = 0;
+
+		chooser_init(&c, ways[w], 7);
+		chooser_sent(&c, 1, 1000);
+		chooser_answered(&c, 1, 100, 8, 12, 1000);
+		chooser_sent(&c, 2, 1000);
+		chooser_answered(&c, 2, 50, 0, 12, 1000);
+		chooser_not_serving(&c, 2, 1000);
+		for (i = 0; i < 200; i++)
+			n += chooser_pick(&c, options, 2, 0, 0, 1100) == 2;
+		g_assert_cmpuint(n, ==, 0);
+		for (i = 0; i < 200; i++)
+			n += chooser_pick(&c, options, 2, 0, 0, 5000) == 2;
+		g_assert_cmpuint(n, >, 50);
+		chooser_finish(&c);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -135,5 +166,7 @@
 	g_test_add_func("/route/except", test_except);
 	g_test_add_func("/route/unknown", test_unknown_is_not_quick);
 	g_test_add_func("/route/near-until-full", test_near_until_full);
+	g_test_add_func("/choose/stopping-gate",
+			test_stopping_gate_is_left_alone);
 	return g_test_run();
 }
