--- a/t/lib-platform.sh
+++ b/t/lib-platform.sh
@@ -132,6 +132,34 @@
 		-H "X-Mesh-Request-Id: ${REQUEST_ID:-r-$BASHPID-$RANDOM}" \
 		-w '%{http_code}\n' "$@" "http://$(caller_of "$i")$path"
 }
+# rows_of I: ranges of keys that a server holds, without their fences.
+rows_of() {
+	ask "http://$(backend_of "$1")/rows" | jq -c '[.[] | [.[0], .[1]]]'
+}
+# wait_beats I N: until the server has sent N more heartbeats.
+wait_beats() {
+	local i=$1 until=$(($(server_stat "$1" beats) + $2))
+	more_beats() { [ "$(server_stat "$i" beats)" -gt "$until" ]; }
+	wait_for "more heartbeats" more_beats
+}
+# restart_beside_server I TIMES: kill a node and start it again, its server lives.
+restart_beside_server() {
+	local i=$1 n
+	holds_shards() { [ "$(field "$i" shards_held)" -gt 0 ]; }
+	for ((n = 0; n < $2; n++)); do
+		kill_node "$i"
+		start_platform_node "$i" "${NODE_SERVICE[$i]}" "${NODE_DC[$i]}"
+		wait_for "it to join" members_are "$i" "$N"
+		wait_for "its lease" has_lease "$i"
+		wait_for "its shards" holds_shards
+	done
+}
+misdirected() {
+	local i
+	for i in $NODES; do server_stat "$i" misdirected; done |
+		awk '{n+=$1} END{print n}'
+}
+
 # ran ID: how often all servers ran it.
 ran() {
 	local i sum=0 v
--- a/t/t0028-platform-grants-by-call.sh
+++ b/t/t0028-platform-grants-by-call.sh
@@ -9,38 +9,23 @@
 start_platform "records bookings" "hakata tenjin kurume kitakyu"
 platform_config 7
 wait_platform
-rows_of() {
-	ask "http://$(backend_of 0)/rows" | jq -c '[.[] | [.[0], .[1]]]'
-}
-before=$(rows_of)
+before=$(rows_of 0)
 gone=$(server_stat 0 let_go)
-for n in 1 2 3; do
-	kill_node 0
-	start_platform_node 0 records hakata
-	wait_for "it to join" members_are 0 8
-	wait_for "its lease" has_lease 0
-	all_settled() { [ "$(field 0 shards_held)" -gt 0 ]; }
-	wait_for "its shards" all_settled
-done
-more_beats() { [ "$(server_stat 0 beats)" -gt "$beats" ]; }
+restart_beside_server 0 3
 # A lease and more: what is still held then has been renewed.
-beats=$(($(server_stat 0 beats) + 25))
-wait_for "more heartbeats" more_beats
-[ "$(rows_of)" = "$before" ] && echo "the same rows"
+wait_beats 0 25
+[ "$(rows_of 0)" = "$before" ] && echo "the same rows"
 [ "$(server_stat 0 let_go)" = "$gone" ] && echo "none let go"
 echo "keys held: $(keys_held)"
 key=$(ask "http://$(backend_of 0)/rows" | jq '.[0][0]')
 call 3 GET /look/x -H "X-Mesh-Shard-Key: $key"
 server_control 0 late=3
-beats=$(($(server_stat 0 beats) + 25))
-wait_for "more heartbeats" more_beats
+wait_beats 0 25
 echo "keys held: $(keys_held)"
 doubts() { ask "http://$(operator_of 0)/metrics" | awk '$1=="grants_in_doubt"{print $2}'; }
 [ "$(doubts)" -ge 3 ] && echo "three in doubt"
 server_control 0 refuse=1
-beats=$(($(server_stat 0 beats) + 25))
-wait_for "more heartbeats" more_beats
+wait_beats 0 25
 echo "keys held: $(keys_held)"
 call 5 GET /look/x -H "X-Mesh-Shard-Key: $key"
-echo "misdirected $(for i in $NODES; do server_stat "$i" misdirected; done |
-	awk '{n+=$1} END{print n}')"
+echo "misdirected $(misdirected)"
--- a/t/test-recovery.c
+++ b/t/test-recovery.c
@@ -7,6 +7,16 @@
  * processes are killed beside them.
  */
 
+/* A fleet whose servers hold by grants, at rest for a while. */
+static void start_granted(struct sim *s, uint32_t seed, uint32_t rules,
+			  int64_t quiet_ms)
+{
+	sim_init_granted(s, seed, rules);
+	s->verbose = g_getenv("VERBOSE") != NULL;
+	g_assert_true(sim_converge(s, 20000));
+	sim_run(s, quiet_ms);
+}
+
 static uint64_t heir_forgets(uint32_t seed, uint32_t rules)
 {
 	struct fleet_service *sv;
@@ -14,10 +24,7 @@
 	uint64_t breaches;
 	int owner, heir;
 
-	sim_init_granted(&s, seed, rules);
-	s.verbose = g_getenv("VERBOSE") != NULL;
-	g_assert_true(sim_converge(&s, 20000));
-	sim_run(&s, 30000);
+	start_granted(&s, seed, rules, 30000);
 	sv = fleet_service(sim_newest(&s), "records");
 	owner = sim_slot(&s, sv->shards[0].owner);
 	heir = sim_slot(&s, sv->shards[0].successor);
@@ -72,9 +79,7 @@
 	struct sim s;
 	uint32_t i;
 
-	sim_init_granted(&s, 7, 0);
-	g_assert_true(sim_converge(&s, 20000));
-	sim_run(&s, 20000);
+	start_granted(&s, 7, 0, 20000);
 	for (i = 0; i < SIM_NODES; i++)
 		reads -= s.nodes[i].n_reads;
 	sim_configure(&s, NULL);
@@ -109,10 +114,7 @@
 	uint64_t breaches;
 	int64_t a, x;
 
-	sim_init_granted(&s, seed, rules);
-	s.verbose = g_getenv("VERBOSE") != NULL;
-	g_assert_true(sim_converge(&s, 20000));
-	sim_run(&s, 30000);
+	start_granted(&s, seed, rules, 30000);
 	sv = fleet_service(sim_newest(&s), "records");
 	a = sv->shards[0].owner;
 	x = sim_other_member(&s, a, sv->shards[0].successor, 0);
