route: sending on what a server turned away is a repeat, for keys as well

Rows that had no room in a heartbeat's answer are let go by the server and taken for granted by its node (a known fault), so that it turned their requests away with an empty 421. Such an answer used to go to the caller; since its head is looked at the request is sent on to another owner, and for keys that asked no budget.

It does now; /route/turned-away failed before (1,000 of 1,000 sent on, 210 allowed).

--- a/route/plan.c
+++ b/route/plan.c
@@ -77,6 +77,9 @@
 	if (p->tries >= PLAN_MAX_TRIES || now_ms >= p->deadline_ms ||
 	    !plan_may_reach(p))
 		return give_up(p);
+	/* A server that turned it away has been sent it: the next is a repeat. */
+	if (not_owner && p->keyed && reached && !budget_spend(b))
+		return give_up(p);
 	if (not_owner && p->keyed) {
 		/*
 		 * The key is changing owners. Asking the next candidate costs
--- a/t/test-route.c
+++ b/t/test-route.c
@@ -2,6 +2,7 @@
 
 #include "route/budget.h"
 #include "route/choose.h"
+#include "route/plan.h"
 
 /*
  * In a bad minute every request fails once. Retries must stay a small part of
@@ -37,6 +38,33 @@
  * One backend server stalls. Its gate says nothing, so its last word still
  * sounds well; the age of what waits there must turn entries away.
  */
+/*
+ * A server does not hold the keys that its node thinks it does, and turns their
+ * requests away. Each that is sent on to another server is a repeat, and a
+ * storm of them would double the load of a service that is short already.
+ */
+static void test_turned_away_spends_budget(void)
+{
+	struct budget b;
+	uint32_t sent = 0;
+	uint32_t i;
+
+	budget_init(&b, 0.2, 10);
+	for (i = 0; i < 1000; i++) {
+		struct plan p = { .repeatable = true,
+				  .keyed = true,
+				  .deadline_ms = 1000,
+				  .hold_until_ms = 100,
+				  .max_reached = 3 };
+
+		budget_earn(&b);
+		plan_sent(&p);
+		sent += plan_refused(&p, true, true, 0, &b, 0, 0) == PLAN_SEND;
+	}
+	g_assert_cmpuint(sent, <=, 210);
+	g_assert_cmpuint(sent, >=, 200);
+}
+
 static void test_stalled_gate_is_avoided(void)
 {
 	struct gate_option ids[] = { { 1, 0 }, { 2, 0 }, { 3, 0 }, { 4, 0 } };
@@ -161,6 +189,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/route/budget", test_budget_bounds_retries);
+	g_test_add_func("/route/turned-away", test_turned_away_spends_budget);
 	g_test_add_func("/route/stalled", test_stalled_gate_is_avoided);
 	g_test_add_func("/route/no-herd", test_no_herd);
 	g_test_add_func("/route/except", test_except);
