--- a/t/sim-faults.c
+++ b/t/sim-faults.c
@@ -3,7 +3,7 @@
 #include "state/records.h"
 #include "t/sim.h"
 
-/* What can be done to a simulated fleet, and how it is mended. */
+/* What can be done to a simulated fleet, how it is mended, and a look at it. */
 
 static double chance(struct sim *s)
 {
@@ -202,3 +202,35 @@
 	sim_add_record(s, "", record);
 	json_decref(record);
 }
+
+/* Print who holds what, for a failing seed. */
+void sim_print(struct sim *s)
+{
+	uint32_t i, j;
+
+	for (i = 0; i < SIM_NODES; i++) {
+		struct member_node *n = &s->nodes[i].member;
+
+		if (!s->nodes[i].up)
+			continue;
+		g_print("node %u self %" G_GINT64_FORMAT
+			" applied %" G_GINT64_FORMAT
+			" of %u lease in %" G_GINT64_FORMAT " members %u\n",
+			i, (gint64)n->self, (gint64)n->fleet.applied,
+			s->log->len,
+			(gint64)(member_lease_end_ms(n) - n->now_ms),
+			fleet_n_members(&n->fleet));
+		for (j = 0; j < n->n_holds && i < SIM_KEYED; j++)
+			g_print("  shard %u hold %d clear %d owner "
+				"%" G_GINT64_FORMAT " succ %" G_GINT64_FORMAT
+				" from %" G_GINT64_FORMAT
+				" fsucc %" G_GINT64_FORMAT "\n",
+				j, n->holds[j].state, n->holds[j].clear,
+				(gint64)n->fleet.services[0].shards[j].owner,
+				(gint64)n->fleet.services[0].shards[j].successor,
+				(gint64)n->fleet.services[0].shards[j].from,
+				(gint64)n->fleet.services[0]
+					.shards[j]
+					.from_successor);
+	}
+}
--- a/t/sim.c
+++ b/t/sim.c
@@ -5,8 +5,6 @@
 #include "util/result.h"
 
 #define N_SHARDS 12
-/* Nodes of the service that is divided by key; the others have none. */
-#define N_KEYED 5
 #define ANSWER_LATE_MS 700
 /* As in node/streams.c. */
 #define READ_PAUSE_MS 10000
@@ -23,7 +21,7 @@
 /* Whether the node stands beside a server that holds by grants. */
 bool sim_has_backend(const struct sim_node *nd)
 {
-	return nd->sim->granted && nd->slot < N_KEYED;
+	return nd->sim->granted && nd->slot < SIM_KEYED;
 }
 
 static double chance(struct sim *s)
@@ -435,7 +433,7 @@
 	int64_t fence, end;
 	uint32_t i;
 
-	if (nd->slot >= N_KEYED || sim_has_backend(nd))
+	if (nd->slot >= SIM_KEYED || sim_has_backend(nd))
 		return;
 	for (i = 0; i < s->n_shards; i++) {
 		int64_t now = sim_local(nd);
@@ -465,7 +463,7 @@
 		return sim_backend_holds(nd, shard);
 	if (nd->busy_until[shard] > nd->sim->now)
 		return true;
-	return nd->up && nd->slot < N_KEYED &&
+	return nd->up && nd->slot < SIM_KEYED &&
 	       !member_may_serve(&nd->member, shard, sim_local(nd), &fence,
 				 &end);
 }
@@ -492,7 +490,7 @@
 {
 	int64_t fence, end;
 
-	if (!nd->up || nd->slot >= N_KEYED || sim_has_backend(nd) ||
+	if (!nd->up || nd->slot >= SIM_KEYED || sim_has_backend(nd) ||
 	    member_may_serve(&nd->member, shard, sim_local(nd), &fence, &end))
 		return;
 	if (fence < s->top_fence[shard] ||
@@ -620,7 +618,7 @@
 		if (s->way == &grant_by_call && sim_has_backend(nd))
 			sim_backend_call(nd);
 	}
-	for (i = 0; s->granted && i < N_KEYED; i++)
+	for (i = 0; s->granted && i < SIM_KEYED; i++)
 		sim_backend_step(&s->nodes[i]);
 	check(s);
 }
@@ -633,45 +631,13 @@
 		sim_step(s);
 }
 
-/* Print who holds what, for a failing seed. */
-void sim_print(struct sim *s)
-{
-	uint32_t i, j;
-
-	for (i = 0; i < SIM_NODES; i++) {
-		struct member_node *n = &s->nodes[i].member;
-
-		if (!s->nodes[i].up)
-			continue;
-		g_print("node %u self %" G_GINT64_FORMAT
-			" applied %" G_GINT64_FORMAT
-			" of %u lease in %" G_GINT64_FORMAT " members %u\n",
-			i, (gint64)n->self, (gint64)n->fleet.applied,
-			s->log->len,
-			(gint64)(member_lease_end_ms(n) - n->now_ms),
-			fleet_n_members(&n->fleet));
-		for (j = 0; j < n->n_holds && i < N_KEYED; j++)
-			g_print("  shard %u hold %d clear %d owner "
-				"%" G_GINT64_FORMAT " succ %" G_GINT64_FORMAT
-				" from %" G_GINT64_FORMAT
-				" fsucc %" G_GINT64_FORMAT "\n",
-				j, n->holds[j].state, n->holds[j].clear,
-				(gint64)n->fleet.services[0].shards[j].owner,
-				(gint64)n->fleet.services[0].shards[j].successor,
-				(gint64)n->fleet.services[0].shards[j].from,
-				(gint64)n->fleet.services[0]
-					.shards[j]
-					.from_successor);
-	}
-}
-
 /* The node that serves a shard, -1 none. */
 int sim_server(struct sim *s, uint32_t shard)
 {
 	int64_t fence, end;
 	uint32_t j;
 
-	for (j = 0; j < N_KEYED; j++) {
+	for (j = 0; j < SIM_KEYED; j++) {
 		struct sim_node *nd = &s->nodes[j];
 
 		if (sim_has_backend(nd) && !sim_backend_holds(nd, shard))
--- a/t/sim.h
+++ b/t/sim.h
@@ -13,6 +13,8 @@
  */
 
 #define SIM_NODES 8
+/* Nodes of the service that is divided by key; the others have none. */
+#define SIM_KEYED 5
 #define SIM_STEP_MS 20
 
 struct sim_log_record {
