node: say how a process became level, and what reading the whole log brought

What callers saw: 404 for a route acknowledged 3.7 s before, from processes that had just started. The logs told neither from whom a process took its state for level (the log, or which peer) nor how far that one was, nor where the replay of the log began, nor the version a rejected request was judged by.

--- a/member/member.h
+++ b/member/member.h
@@ -121,6 +121,8 @@
 /* And of our own lease. */
 #define NOTE_LEASE_GAINED "lease gained"
 #define NOTE_LEASE_LAPSED "lease lapsed"
+/* And when the state is level for the first time: with a peer, or 0 the log. */
+#define NOTE_CAUGHT_UP "caught up with"
 
 struct member_ops {
 	/* Send to a member; takes nothing over. */
--- a/member/sync.c
+++ b/member/sync.c
@@ -85,8 +85,11 @@
 {
 	if (n->fleet.applied < msg->applied)
 		sync_fetch(n, msg->from);
-	else if (n->fleet.applied >= n->ahead_applied)
+	else if (n->fleet.applied >= n->ahead_applied) {
+		if (!n->peer_caught_up)
+			member_note(n, NOTE_CAUGHT_UP, msg->from);
 		n->peer_caught_up = true;
+	}
 }
 
 /*
--- a/node/entry-classify.c
+++ b/node/entry-classify.c
@@ -152,12 +152,12 @@
 		entry_reply_not_run(r, "no configuration is in force yet\n");
 		return false;
 	}
+	r->version = f->configuration_version;
 	k = match(e, r->http);
 	if (!k) {
 		entry_reject(r, 404, "no class matches this method and path\n");
 		return false;
 	}
-	r->version = f->configuration_version;
 	if (names->idempotency)
 		r->id_header = httpd_header(r->http, names->idempotency);
 	if (names->attempt_id)
--- a/node/streams.c
+++ b/node/streams.c
@@ -68,10 +68,24 @@
 	g_ptr_array_set_size(n->scanned, 0);
 }
 
+static void note_recovered(struct node *n)
+{
+	const struct scanned_record *first = NULL;
+
+	if (n->scanned->len)
+		first = g_ptr_array_index(n->scanned, 0);
+	EVENT(log_recovered, NULL,
+	      "\"records\":%u,\"first\":%" PRId64 ",\"end\":%" PRId64
+	      ",\"applied\":%" PRId64 ",\"ms\":%" PRId64,
+	      n->scanned->len, first ? first->offset : -1, n->log.scan_from,
+	      n->member.fleet.applied, clock_now_ms() - n->log.read_sent_ms);
+}
+
 static void replay_scanned(struct node *n)
 {
 	uint32_t i;
 
+	note_recovered(n);
 	for (i = 0; i < n->scanned->len; i++) {
 		struct scanned_record *r = g_ptr_array_index(n->scanned, i);
 
--- a/util/event.h
+++ b/util/event.h
@@ -24,6 +24,8 @@
 	X(store_lost, 2, 10)                 \
 	X(store_read_renewed, 2, 10)         \
 	X(store_regained, 2, 10)             \
+	X(log_recovered, 2, 10)              \
+	X(caught_up, 5, 10)                  \
 	X(server_announced, 10, 20)          \
 	X(server_leaves, 10, 20)             \
 	X(server_refused, 2, 10)             \
