--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 
 PROGRAMS = briargrade log-standin backend-standin platform-store \
 	platform-server load slope
-TESTS = test-grants test-member test-schedules test-recovery test-state test-gate test-route test-settings test-net
+TESTS = test-grants test-member test-schedules test-recovery test-start test-log-client test-state test-gate test-route test-settings test-net
 BINARIES = $(PROGRAMS:%=$(OUT)/bin/%) $(TESTS:%=$(OUT)/bin/%)
 SOURCES = $(wildcard *.c builtin/*.[ch] t/*.[ch] \
 	$(foreach d,$(PURE) net node,$(d)/*.[ch]))
@@ -52,7 +52,7 @@
 	@mkdir -p $(@D)
 	@echo "  CC $@"; $(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
-SIM_TESTS = test-member test-schedules test-recovery
+SIM_TESTS = test-member test-schedules test-recovery test-start
 $(SIM_TESTS:%=$(OUT)/bin/%): $(OUT)/bin/%: $(OUT)/t/%.o $(OUT)/t/sim.o \
 		$(OUT)/t/sim-backend.o $(OUT)/t/sim-faults.o $(RULE_OBJ) \
 		$(OTHER_OBJ)
--- a/t/lib-platform.sh
+++ b/t/lib-platform.sh
@@ -23,7 +23,7 @@
  "ready_address": "$(ready_of "$1")",
  "announce_address": "$(announce_of "$1")",
  "seeds": ["$(peer_of 0)", "$(peer_of 1)"], "lease_ms": 3000,
- "snapshot_records": 64, "move_batch": 160, "hold_share": 0.125,
+ "snapshot_records": ${SNAPSHOT_RECORDS:-64}, "move_batch": 160, "hold_share": 0.125,
  "retry_share": 0.2, "retry_reserve": 64, "hedge": false, "limit": "fixed",
  "choice": "soonest", "far_ms": 10, "far_ms_per_kb": 10,
  "stop_limit_ms": 5600, "grants": "${GRANTS:-heartbeat}", ${EXTRA_SETTINGS:-} "log_level": "info",
--- a/t/platform-store.c
+++ b/t/platform-store.c
@@ -15,7 +15,8 @@
  * misbehave: down=0|1, lose=N (answers lost after the write), late_ms=N (the
  * next lose takes effect that much later, if its condition still holds),
  * trim=1 (forget the history, keep the newest), busy=0|1 (429), deaf=1 (the
- * reads that wait now are never answered, and their connections stay open).
+ * reads that wait now are never answered, and their connections stay open),
+ * refuse=0|1 (appends get 503), hold=0|1 (the newest records are told later).
  */
 
 #define MAX_BODY (4 * 1024 * 1024)
@@ -56,7 +57,8 @@
 				 { "keyed.op", NULL, 0 } };
 static GPtrArray *readers;
 static GPtrArray *lates;
-static bool down, busy;
+static bool down, busy, refuse, hold;
+static GPtrArray *held; /* struct reader, who asked for the newest */
 static int64_t lose, late_ms;
 static uint64_t n_appends, n_conflicts, n_reads, n_newest;
 
@@ -248,7 +250,7 @@
 	return strcmp(*(const char *const *)a, *(const char *const *)b);
 }
 
-static void on_newest(struct httpd_request *r, struct topic *t)
+static void reply_newest(struct httpd_request *r, struct topic *t)
 {
 	const char *after = httpd_argument(r, "after");
 	GHashTable *newest = g_hash_table_new(g_str_hash, g_str_equal);
@@ -259,7 +261,6 @@
 	char *text;
 	uint32_t i;
 
-	n_newest++;
 	for (i = 0; i < t->records->len; i++)
 		g_hash_table_insert(
 			newest, ((struct record *)t->records->pdata[i])->key,
@@ -304,6 +305,29 @@
 	g_hash_table_unref(newest);
 }
 
+static void serve_held(void)
+{
+	while (!hold && held->len) {
+		struct reader *w = g_ptr_array_steal_index(held, 0);
+
+		w->r->user = NULL;
+		reply_newest(w->r, w->topic);
+		g_free(w);
+	}
+}
+
+static void on_newest(struct httpd_request *r, struct topic *t)
+{
+	struct reader *w = g_new0(struct reader, 1);
+
+	n_newest++;
+	w->r = r;
+	w->topic = t;
+	r->user = w;
+	g_ptr_array_add(held, w);
+	serve_held();
+}
+
 static void on_publish(struct httpd_request *r)
 {
 	const char *key = httpd_argument(r, "key");
@@ -319,6 +343,8 @@
 
 	down = argument(r, "down", down);
 	busy = argument(r, "busy", busy);
+	refuse = argument(r, "refuse", refuse);
+	hold = argument(r, "hold", hold);
 	lose = argument(r, "lose", lose);
 	late_ms = argument(r, "late_ms", late_ms);
 	for (i = 0; argument(r, "deaf", 0) && i < readers->len; i++)
@@ -327,6 +353,7 @@
 		topics[i].first = topics[i].records->len;
 	httpd_reply_text(r, 200, "done\n");
 	serve_readers();
+	serve_held();
 }
 
 static void on_stats(struct httpd_request *r)
@@ -358,6 +385,8 @@
 		httpd_reply_text(r, 429, "busy\n");
 	else if (!t)
 		httpd_reply_text(r, 400, "no such topic\n");
+	else if (refuse && !strcmp(r->path, "/-/log-append"))
+		httpd_reply_text(r, 503, "no appends\n");
 	else if (!strcmp(r->path, "/-/log-append"))
 		on_append(r, t);
 	else if (!strcmp(r->path, "/-/log-read"))
@@ -374,6 +403,7 @@
 	if (!r->user)
 		return;
 	g_ptr_array_remove_fast(readers, r->user);
+	g_ptr_array_remove_fast(held, r->user);
 	g_free(r->user);
 }
 
@@ -409,6 +439,7 @@
 		topics[i].records = g_ptr_array_new();
 	readers = g_ptr_array_new();
 	lates = g_ptr_array_new();
+	held = g_ptr_array_new();
 	if (httpd_init(&httpd, loop, address, MAX_BODY, &ops, NULL)) {
 		fprintf(stderr, "cannot listen on %s\n", address);
 		return 1;
--- /dev/null
+++ b/t/test-start.c
@@ -0,0 +1,68 @@
+#include "t/sim.h"
+
+/* What a process may take for level with the fleet when it has just started. */
+
+/* Apply the first records of the log to a node that cannot read it. */
+static void apply_first(struct sim *s, uint32_t slot, uint32_t count)
+{
+	struct sim_node *nd = &s->nodes[slot];
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		struct sim_log_record *r = g_ptr_array_index(s->log, i);
+
+		member_on_record(&nd->member, i, r->id, r->record,
+				 sim_local(nd));
+	}
+}
+
+/* The process of slot asks the one of peer for all that it has. */
+static void ask_peer(struct sim *s, uint32_t slot, uint32_t peer)
+{
+	struct sim_node *nd = &s->nodes[peer];
+	struct member_msg msg;
+	struct member *m;
+	uint32_t i;
+
+	member_msg_init(&msg, MSG_RECORDS_ASK);
+	for_each_member (&nd->member.fleet, m, i)
+		if (sim_slot_of_host(m->host) == (int)slot)
+			msg.from = m->id;
+	msg.offset = s->nodes[slot].member.fleet.applied + 1;
+	member_on_message(&nd->member, &msg, sim_local(nd));
+	sim_run(s, 200);
+}
+
+/* A process that is level with one in the middle of its log is not current. */
+static void test_peer_not_level(void)
+{
+	struct sim s;
+	uint32_t i;
+
+	sim_init_granted(&s, 3, 0);
+	g_assert_true(sim_converge(&s, 20000));
+	for (i = 0; i < SIM_NODES; i++)
+		sim_kill(&s, i);
+	for (i = 0; i < 2; i++) {
+		sim_start(&s, i);
+		s.nodes[i].log_cut = true;
+	}
+	apply_first(&s, 0, s.log->len / 2);
+	ask_peer(&s, 1, 0);
+	g_assert_cmpint(s.nodes[1].member.fleet.applied, ==,
+			s.log->len / 2 - 1);
+	g_assert_false(member_is_current(&s.nodes[1].member));
+	s.nodes[0].log_cut = false;
+	sim_run(&s, 100);
+	ask_peer(&s, 1, 0);
+	g_assert_cmpint(s.nodes[1].member.fleet.applied, ==, s.log->len - 1);
+	g_assert_true(member_is_current(&s.nodes[1].member));
+	sim_finish(&s);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/start/peer-not-level", test_peer_not_level);
+	return g_test_run();
+}
