member: level with a peer only where that peer is level itself

What callers saw: 404 for a route acknowledged 3.7 s before, and requests sent by an assignment of keys that was minutes old, from processes that had just started.

Cause: a process took itself for level once it had all that some peer had. When all processes are killed at once, that peer is in the middle of its own log: in the incident six hosts served under offset 120 of 269. Class: a conclusion drawn from a source without asking whether the source is entitled to it.

Ruled out: a configuration that went back, for applied offsets only grew; a late record, for the store had it 3 s before.

Records and states say whether their sender is level, by one flag; a receiver takes itself for level only then. One that has all already is told so too, or a process whom the store turns away would never know.

--- a/member/msg.h
+++ b/member/msg.h
@@ -32,9 +32,12 @@
 	MSG_RESIGN,
 	/* Asks for the records from offset on. */
 	MSG_RECORDS_ASK,
-	/* Records from offset on, as JSON in text. */
+	/* Records from offset on, as JSON in text. flags: SENDER_*. */
 	MSG_RECORDS,
-	/* A whole state as JSON in text, instead of records too old to have. */
+	/*
+	 * A whole state as JSON in text, instead of records too old to have.
+	 * flags: SENDER_*.
+	 */
 	MSG_STATE,
 	/*
 	 * The new owner asks who still serves. offset: its applied offset;
@@ -52,6 +55,9 @@
 	MSG_N_TYPES,
 };
 
+/* The sender's state has been level since its start, see member_is_current(). */
+#define SENDER_IS_CURRENT 1
+
 /* No successor of the sender's can be serving either. */
 #define RELEASE_CLEARS_SUCCESSOR 1
 /* The ids seen for these shards come along. */
--- a/member/sync.c
+++ b/member/sync.c
@@ -79,17 +79,25 @@
 
 /*
  * What a peer sent has been applied. A peer's answer is cut at a size, so it
- * may take several; the last one brings us level with it.
+ * may take several; the last one brings us level with it. A peer that has just
+ * started itself may be far behind, and to be level with it means nothing.
  */
 static void caught_up_with(struct member_node *n, const struct member_msg *msg)
 {
-	if (n->fleet.applied < msg->applied)
+	if (n->fleet.applied < msg->applied) {
 		sync_fetch(n, msg->from);
-	else if (n->fleet.applied >= n->ahead_applied) {
-		if (!n->peer_caught_up)
-			member_note(n, NOTE_CAUGHT_UP, msg->from);
-		n->peer_caught_up = true;
+		return;
 	}
+	if (!(msg->flags & SENDER_IS_CURRENT) || n->peer_caught_up ||
+	    n->fleet.applied < n->ahead_applied)
+		return;
+	n->peer_caught_up = true;
+	member_note(n, NOTE_CAUGHT_UP, msg->from);
+}
+
+static int64_t sender_flags(const struct member_node *n)
+{
+	return member_is_current(n) ? SENDER_IS_CURRENT : 0;
 }
 
 /*
@@ -156,6 +164,7 @@
 		return;
 	member_msg_init(&msg, MSG_RECORDS);
 	msg.offset = offset;
+	msg.flags = sender_flags(n);
 	msg.text = records_from(n, offset);
 	/* What is long they read themselves; that there is news is enough. */
 	if (msg.text->len > PASS_ON_MAX_BYTES)
@@ -194,6 +203,7 @@
 
 	member_msg_init(&msg, MSG_STATE);
 	msg.offset = n->fleet.applied;
+	msg.flags = sender_flags(n);
 	msg.text = g_string_new(text);
 	free(text);
 	json_decref(state);
@@ -207,14 +217,18 @@
 	struct cached_record *first = g_queue_peek_head(n->cache);
 	struct member_msg answer;
 
-	if (msg->offset > n->fleet.applied)
+	/* Who has all that we have asks whether that is all there is. */
+	if (msg->offset > n->fleet.applied + 1 ||
+	    (msg->offset == n->fleet.applied + 1 && !member_is_current(n)))
 		return;
-	if (!first || first->offset > msg->offset) {
+	if (msg->offset <= n->fleet.applied &&
+	    (!first || first->offset > msg->offset)) {
 		send_state(n, msg->from);
 		return;
 	}
 	member_msg_init(&answer, MSG_RECORDS);
 	answer.offset = msg->offset;
+	answer.flags = sender_flags(n);
 	answer.text = records_from(n, msg->offset);
 	member_send(n, msg->from, &answer);
 	member_msg_finish(&answer);
@@ -251,7 +265,7 @@
 	/* Announced and not sent, or after others that we lack. */
 	if (n->fleet.applied < msg->applied && n->fleet.applied == before)
 		n->read_now = true;
-	if (n->fleet.applied > before)
+	else
 		caught_up_with(n, msg);
 }
 
