net: a read of the whole log is not begun anew while it makes progress

What callers saw: 503 for four seconds after all processes were killed at once.

Cause: a process that starts reads the whole log, megabytes on a small host, and hears from peers that there is more than it has. Meant for reads that wait for news on a connection gone silent, log_client_renew() gave this one up after 0.6 s, with 1.4 MB read, and began anew: 12 of 13 hosts in the incident. The time limit of a read covers a silent connection here.

Failed before: /log-client/recovery-is-not-renewed (two reads begun, not one).

--- a/net/log-client.c
+++ b/net/log-client.c
@@ -168,6 +168,9 @@
  */
 void log_client_renew(struct log_client *c)
 {
+	/* A read of the whole log is long, and tells of the news by itself. */
+	if (c->trimmed)
+		return;
 	if (!c->reading && !c->failures)
 		read_at_once(c);
 	if (!c->reading || c->renewed ||
--- a/net/log-client.h
+++ b/net/log-client.h
@@ -117,7 +117,8 @@
 /*
  * There is news that the read under way should have told of by now: replace it
  * by a new one, on a new connection; read at once where none is under way. No
- * effect on a read that is young, or that was itself begun for this.
+ * effect on a read that is young, or that was itself begun for this, nor while
+ * the whole log is read.
  */
 void log_client_renew(struct log_client *c);
 
