node: a peer's word does not end the read of the whole log

What callers saw: 503 for four to six seconds after all processes were killed at once, and keys without an owner for as long.

Cause: a process that starts reads the whole log from a scan position of 0 and stands at -1 itself.

--- a/node/node.c
+++ b/node/node.c
@@ -193,6 +193,18 @@
 	operator_on_event(n, ev);
 }
 
+/* Records that peers sent need not be read from the log any more. */
+static void read_after_peers(struct node *n)
+{
+	int64_t next = n->member.fleet.applied + 1;
+
+	if (!n->log.trimmed)
+		n->log.next = MAX(n->log.next, next);
+	else if (member_is_current(&n->member) ||
+		 (!n->log.ops->recover && next >= n->log.scan_from))
+		log_client_seek(&n->log, next);
+}
+
 static void on_member_message(struct node *n, const void *data, size_t len)
 {
 	struct member_msg msg;
@@ -208,11 +220,7 @@
 		remember_address(n, msg.from, current_source->address);
 	member_on_message(&n->member, &msg, clock_now_ms());
 	audit_flush(&n->audit);
-	if (!n->log.trimmed && n->log.next <= n->member.fleet.applied)
-		n->log.next = n->member.fleet.applied + 1;
-	else if (n->log.trimmed &&
-		 n->member.fleet.applied + 1 >= n->log.scan_from)
-		log_client_seek(&n->log, n->member.fleet.applied + 1);
+	read_after_peers(n);
 	member_msg_finish(&msg);
 }
 
