--- a/node/node.h
+++ b/node/node.h
@@ -4,6 +4,7 @@
 #include <ev.h>
 #include <stdbool.h>
 
+#include "state/scan.h"
 #include "audit/audit.h"
 #include "gate/life.h"
 #include "member/member.h"
@@ -64,8 +65,7 @@
 	struct audit audit;
 	GPtrArray *publishes; /* struct publish */
 	GHashTable *addresses; /* last address of each member seen */
-	GHashTable *snapshots; /* upto -> struct snapshot_parts */
-	GPtrArray *scanned; /* records met while looking for a snapshot */
+	struct log_scan scan; /* records met while looking for a snapshot */
 	ev_timer tick;
 	ev_signal sigterm;
 	ev_signal sigint;
--- a/node/streams.c
+++ b/node/streams.c
@@ -12,7 +12,6 @@
  * and the operators', where they publish in one of their own.
  */
 
-#define MAX_SNAPSHOT_PARTS 1024
 /* A read tells of news within some milliseconds of others hearing of it. */
 #define DEAF_MS 200
 /* One of four is heard of within a second on the mean; more cost more calls. */
@@ -23,38 +22,6 @@
 /* Ranks change with the members, and are worked out anew that often. */
 #define WAIT_EVERY_MS 1000
 
-struct snapshot_parts {
-	uint32_t n_parts;
-	uint32_t n_have;
-	char **data;
-};
-
-struct scanned_record {
-	int64_t offset;
-	char *id;
-	json_t *record;
-};
-
-static void parts_free(gpointer p)
-{
-	struct snapshot_parts *s = p;
-	uint32_t i;
-
-	for (i = 0; i < s->n_parts; i++)
-		g_free(s->data[i]);
-	g_free(s->data);
-	g_free(s);
-}
-
-static void scanned_free(gpointer p)
-{
-	struct scanned_record *r = p;
-
-	g_free(r->id);
-	json_decref(r->record);
-	g_free(r);
-}
-
 static void apply(struct node *n, int64_t offset, const char *id,
 		  const json_t *record)
 {
@@ -62,110 +29,65 @@
 	audit_flush(&n->audit);
 }
 
-static void drop_scan(struct node *n)
-{
-	g_hash_table_remove_all(n->snapshots);
-	g_ptr_array_set_size(n->scanned, 0);
-}
-
-static void note_recovered(struct node *n)
+/*
+ * Begin with the newest snapshot after what we have that can be loaded, so that
+ * no more is replayed than need be.
+ */
+static int64_t load_snapshot(struct node *n)
 {
-	const struct scanned_record *first = NULL;
+	json_t *state;
 
-	if (n->scanned->len)
-		first = g_ptr_array_index(n->scanned, 0);
-	EVENT(log_recovered, NULL,
-	      "\"records\":%u,\"first\":%" PRId64 ",\"end\":%" PRId64
-	      ",\"applied\":%" PRId64 ",\"ms\":%" PRId64,
-	      n->scanned->len, first ? first->offset : -1, n->log.scan_from,
-	      n->member.fleet.applied, clock_now_ms() - n->log.read_sent_ms);
+	while ((state = log_scan_take_snapshot(&n->scan,
+					       n->member.fleet.applied))) {
+		int err = member_load(&n->member, state, clock_now_ms());
+
+		json_decref(state);
+		if (!err) {
+			g_info("loaded the snapshot of offset "
+			       "%" G_GINT64_FORMAT,
+			       (gint64)n->member.fleet.applied);
+			return n->member.fleet.applied;
+		}
+		g_warning("snapshot in the log not usable: %s",
+			  result_name(err));
+	}
+	return -1;
 }
 
 static void replay_scanned(struct node *n)
 {
+	const GPtrArray *records = n->scan.records;
+	const struct scanned_record *first =
+		records->len ? g_ptr_array_index(records, 0) : NULL;
+	int64_t before = n->member.fleet.applied;
+	int64_t snapshot = load_snapshot(n);
+	int64_t from = n->member.fleet.applied;
 	uint32_t i;
 
-	note_recovered(n);
-	for (i = 0; i < n->scanned->len; i++) {
-		struct scanned_record *r = g_ptr_array_index(n->scanned, i);
+	for (i = 0; i < records->len; i++) {
+		const struct scanned_record *r = g_ptr_array_index(records, i);
 
 		if (r->offset > n->member.fleet.applied)
 			apply(n, r->offset, r->id, r->record);
 	}
-	drop_scan(n);
+	EVENT(log_recovered, NULL,
+	      "\"records\":%u,\"first\":%" PRId64 ",\"end\":%" PRId64
+	      ",\"before\":%" PRId64 ",\"snapshot\":%" PRId64
+	      ",\"replayed\":%" PRId64 ",\"ms\":%" PRId64,
+	      records->len, first ? first->offset : -1, n->log.scan_from,
+	      before, snapshot, n->member.fleet.applied - from,
+	      clock_now_ms() - n->log.read_sent_ms);
+	log_scan_clear(&n->scan);
 	log_client_seek(&n->log, n->member.fleet.applied + 1);
 }
 
-static void load_parts(struct node *n, const struct snapshot_parts *parts)
-{
-	GString *text = g_string_new(NULL);
-	json_t *state;
-	uint32_t i;
-	int err = RESULT_INVALID;
-
-	for (i = 0; i < parts->n_parts; i++)
-		g_string_append(text, parts->data[i]);
-	state = json_loadb(text->str, text->len, 0, NULL);
-	if (state)
-		err = member_load(&n->member, state, clock_now_ms());
-	json_decref(state);
-	g_string_free(text, TRUE);
-	if (err) {
-		g_warning("snapshot in the log not usable: %s",
-			  result_name(err));
-		return;
-	}
-	g_info("loaded the snapshot of offset %" G_GINT64_FORMAT,
-	       (gint64)n->member.fleet.applied);
-	replay_scanned(n);
-}
-
-static void take_snapshot_part(struct node *n, const json_t *record)
-{
-	int64_t upto = json_integer_value(json_object_get(record, "upto"));
-	int64_t part = json_integer_value(json_object_get(record, "part"));
-	int64_t n_parts = json_integer_value(json_object_get(record, "parts"));
-	const char *data = json_string_value(json_object_get(record, "data"));
-	struct snapshot_parts *s = g_hash_table_lookup(n->snapshots, &upto);
-
-	if (!data || n_parts < 1 || n_parts > MAX_SNAPSHOT_PARTS || part < 0 ||
-	    part >= n_parts || (s && s->n_parts != n_parts))
-		return;
-	if (!s) {
-		s = g_new0(struct snapshot_parts, 1);
-		s->n_parts = n_parts;
-		s->data = g_new0(char *, n_parts);
-		g_hash_table_insert(n->snapshots,
-				    g_memdup2(&upto, sizeof(upto)), s);
-	}
-	if (s->data[part])
-		return;
-	s->data[part] = g_strdup(data);
-	if (++s->n_have == s->n_parts)
-		load_parts(n, s);
-}
-
-static void scan_record(struct node *n, int64_t offset, const char *id,
-			const json_t *record)
-{
-	const char *type = json_string_value(json_object_get(record, "type"));
-	struct scanned_record *r = g_new(struct scanned_record, 1);
-
-	r->offset = offset;
-	r->id = g_strdup(id);
-	r->record = json_incref((json_t *)record);
-	g_ptr_array_add(n->scanned, r);
-	if (type && !strcmp(type, "snapshot"))
-		take_snapshot_part(n, record);
-}
-
 static void on_record(void *user, int64_t offset, const char *id,
 		      const json_t *record)
 {
 	struct node *n = user;
 
 	if (n->log.trimmed) {
-		scan_record(n, offset, id, record);
+		log_scan_add(&n->scan, offset, id, record);
 		return;
 	}
 	if (offset > n->member.fleet.applied) {
@@ -203,7 +125,7 @@
 	g_info("the log begins at offset %" G_GINT64_FORMAT
 	       "; looking for a snapshot",
 	       (gint64)first);
-	drop_scan(n);
+	log_scan_clear(&n->scan);
 	log_client_scan(&n->log, first);
 }
 
@@ -320,9 +242,7 @@
 {
 	const char *address = n->settings.log;
 
-	n->snapshots = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-					     g_free, parts_free);
-	n->scanned = g_ptr_array_new_with_free_func(scanned_free);
+	log_scan_init(&n->scan);
 	published_init(&n->published);
 	if (n->settings.interface == INTERFACE_OWN) {
 		log_client_init(&n->log, n->loop, address, &log_http_ops,
@@ -347,6 +267,5 @@
 	if (n->operators.ops)
 		log_client_finish(&n->operators);
 	published_finish(&n->published);
-	g_hash_table_unref(n->snapshots);
-	g_ptr_array_unref(n->scanned);
+	log_scan_finish(&n->scan);
 }
--- a/t/test-state.c
+++ b/t/test-state.c
@@ -3,6 +3,7 @@
 
 #include "state/fleet.h"
 #include "state/records.h"
+#include "state/scan.h"
 #include "util/result.h"
 
 static int64_t applied_next;
@@ -356,6 +357,47 @@
 	fleet_finish(&f);
 }
 
+static void scan_snapshot(struct log_scan *s, int64_t offset, int64_t upto,
+			  const char *text, bool whole)
+{
+	json_t *r = record_snapshot(upto, 0, whole ? 1 : 2, text, strlen(text));
+
+	log_scan_add(s, offset, "", r);
+	json_decref(r);
+}
+
+static int64_t take_snapshot(struct log_scan *s, int64_t after)
+{
+	json_t *state = log_scan_take_snapshot(s, after);
+	int64_t applied = -1;
+
+	if (state)
+		applied = json_integer_value(json_object_get(state, "applied"));
+	json_decref(state);
+	return applied;
+}
+
+/* Older snapshots, torn ones and rubbish are no reason to replay for long. */
+static void test_newest_snapshot(void)
+{
+	struct log_scan s;
+
+	log_scan_init(&s);
+	scan_snapshot(&s, 10, 9, "{\"applied\":9}", true);
+	scan_snapshot(&s, 20, 19, "{\"applied\":19}", true);
+	scan_snapshot(&s, 30, 29, "{\"applied\":", true);
+	scan_snapshot(&s, 40, 39, "{\"applied\":39}", false);
+	g_assert_cmpuint(s.records->len, ==, 4);
+	g_test_expect_message(NULL, G_LOG_LEVEL_WARNING, "*29 is no JSON");
+	g_assert_cmpint(take_snapshot(&s, -1), ==, 19);
+	g_test_assert_expected_messages();
+	g_assert_cmpint(take_snapshot(&s, 9), ==, -1);
+	g_assert_cmpint(take_snapshot(&s, -1), ==, 9);
+	log_scan_clear(&s);
+	g_assert_cmpint(take_snapshot(&s, -1), ==, -1);
+	log_scan_finish(&s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -376,5 +418,6 @@
 	g_test_add_func("/state/gap", test_gap);
 	g_test_add_func("/state/losses-leave-few-rows",
 			test_losses_leave_few_rows);
+	g_test_add_func("/state/newest-snapshot", test_newest_snapshot);
 	return g_test_run();
 }
