member: a process that starts waits for what operators have published

What callers saw: 404 for a route in force, from processes that had read the fleet's log to its end.

Cause: an operator's change is acknowledged by the store, and lies in the operators' stream until some process makes it a record of the fleet's log, some 100 ms later. When all processes are killed in between, nobody does; those that follow took the log's end for all there is, and served by the version before. Class: two sources, of which the one that is read first is taken for the whole.

A process is current now when it has read both streams to their ends once and what the operators' held then is in force; or when a current peer says so. Later changes do not end it, they come into force while requests are served by the version before.

--- a/member/member.c
+++ b/member/member.c
@@ -30,6 +30,7 @@
 	n->ops_user = ops_user;
 	n->now_ms = now_ms;
 	n->ahead_applied = -1;
+	n->needs_source = n->fleet.source;
 	n->rand = g_rand_new_with_seed(seed);
 	/* We cannot know how long ago a record read at the start was made. */
 	n->quiet_until_ms = now_ms + member_wait_ms(n);
@@ -248,11 +249,45 @@
 	       witness_set_has(&m->old_witnesses, LOG_WITNESS);
 }
 
-bool member_is_current(const struct member_node *n)
+bool member_is_level(const struct member_node *n)
 {
 	return n->log_caught_up || n->peer_caught_up;
 }
 
+bool member_is_current(const struct member_node *n)
+{
+	return n->published_in_force || n->peer_caught_up;
+}
+
+/*
+ * A change that operators published may not be a record of the log yet, and
+ * those who would have brought it in may all have ended.
+ */
+static void look_at_published(struct member_node *n)
+{
+	if (n->published_in_force || !n->log_caught_up || n->awaits_published ||
+	    n->needs_source > n->fleet.source)
+		return;
+	n->published_in_force = true;
+	member_note(n, NOTE_CURRENT, n->fleet.configuration_version);
+}
+
+void member_expect_published(struct member_node *n)
+{
+	n->awaits_published = true;
+}
+
+void member_published_read(struct member_node *n, int64_t now_ms)
+{
+	n->now_ms = MAX(n->now_ms, now_ms);
+	if (!n->awaits_published)
+		return;
+	n->awaits_published = false;
+	if (n->published)
+		n->needs_source = n->published_source;
+	look_at_published(n);
+}
+
 void member_on_log_tail(struct member_node *n, int64_t sent_ms, int64_t now_ms)
 {
 	n->now_ms = MAX(n->now_ms, now_ms);
@@ -262,6 +297,7 @@
 		member_note(n, NOTE_CAUGHT_UP, 0);
 	}
 	n->log_caught_up = true;
+	look_at_published(n);
 }
 
 static void send_resign(struct member_node *n, int64_t process)
@@ -320,6 +356,7 @@
 	holds_tick(n);
 	resign_tick(n);
 	sync_tick(n);
+	look_at_published(n);
 	propose_tick(n);
 }
 
--- a/member/member.h
+++ b/member/member.h
@@ -123,6 +123,8 @@
 #define NOTE_LEASE_LAPSED "lease lapsed"
 /* And when the state is level for the first time: with a peer, or 0 the log. */
 #define NOTE_CAUGHT_UP "caught up with"
+/* And when it has been current, by the log. */
+#define NOTE_CURRENT "current"
 
 struct member_ops {
 	/* Send to a member; takes nothing over. */
@@ -156,7 +158,10 @@
 	int64_t settling; /* the change of witnesses we last sent a settle for */
 	bool leased; /* we have had a lease in this incarnation */
 	int64_t joined_ms; /* when this incarnation began */
-	bool peer_caught_up; /* we have had all that some peer had once */
+	bool peer_caught_up; /* we have had all that a current peer had once */
+	bool awaits_published; /* the operators' stream is still to be read */
+	int64_t needs_source; /* what it held then, to be in force first */
+	bool published_in_force; /* and it has been, with the log's end read */
 	bool had_lease;
 	int64_t no_lease_since_ms; /* 0 while there is one */
 	struct witness_set unfit; /* witnesses that did not answer us */
@@ -243,6 +248,15 @@
 void member_set_published(struct member_node *n, int64_t source, json_t *doc,
 			  int64_t now_ms);
 
+/*
+ * Operators publish in a stream of their own, which is still to be read; call
+ * before the first tick.
+ */
+void member_expect_published(struct member_node *n);
+
+/* That stream has been read to its end. */
+void member_published_read(struct member_node *n, int64_t now_ms);
+
 /*
  * Give shards of ours (uint32_t) to another member, by a record to the log.
  * Returns whether one goes out; those that are not ours or not settled stay.
@@ -261,7 +275,13 @@
 
 /*
  * Whether the state has been brought level since the start, with the log or
- * with a peer. Until then it may be far behind what is in force.
+ * with a peer. Until then it may be far behind what is agreed.
+ */
+bool member_is_level(const struct member_node *n);
+
+/*
+ * Whether besides all that operators had published by then has been in force
+ * here. Until then callers may be told what holds no more.
  */
 bool member_is_current(const struct member_node *n);
 
--- a/node/node.c
+++ b/node/node.c
@@ -126,11 +126,15 @@
 	else if (!strcmp(what, NOTE_CAUGHT_UP))
 		EVENT(caught_up, NULL,
 		      "\"with\":%" PRId64 ",\"applied\":%" PRId64
-		      ",\"version\":%" PRId64 ",\"source\":%" PRId64
-		      ",\"published\":%" PRId64 ",\"ms\":%" PRId64,
+		      ",\"ms\":%" PRId64,
 		      subject, n->member.fleet.applied,
-		      n->member.fleet.configuration_version,
-		      n->member.fleet.source, n->member.published_source,
+		      clock_now_ms() - n->started_ms);
+	else if (!strcmp(what, NOTE_CURRENT))
+		EVENT(current, NULL,
+		      "\"version\":%" PRId64 ",\"source\":%" PRId64
+		      ",\"published\":%" PRId64 ",\"ms\":%" PRId64,
+		      subject, n->member.fleet.source,
+		      n->member.published_source,
 		      clock_now_ms() - n->started_ms);
 	g_info("member %" G_GINT64_FORMAT ": %s %" G_GINT64_FORMAT,
 	       (gint64)n->member.self, what, (gint64)subject);
--- a/node/streams.c
+++ b/node/streams.c
@@ -157,14 +157,15 @@
 	(void)sent_ms;
 	if (n->operators.trimmed)
 		log_client_seek(&n->operators, n->operators.scan_from);
-	if (!n->published_changed)
-		return;
-	n->published_changed = false;
-	doc = published_document(&n->published);
-	if (doc)
-		member_set_published(&n->member, n->operators.next, doc,
-				     clock_now_ms());
-	json_decref(doc);
+	if (n->published_changed) {
+		n->published_changed = false;
+		doc = published_document(&n->published);
+		if (doc)
+			member_set_published(&n->member, n->operators.next, doc,
+					     clock_now_ms());
+		json_decref(doc);
+	}
+	member_published_read(&n->member, clock_now_ms());
 }
 
 static void on_published_trimmed(void *user, int64_t first)
@@ -255,6 +256,7 @@
 	log_client_init(&n->operators, n->loop, address, &store_operator_ops,
 			&operator_handlers, n);
 	log_client_recover_first(&n->operators);
+	member_expect_published(&n->member);
 	n->log.name = "fleet";
 	n->operators.name = "operators";
 	n->operators.wait_ms = LOG_WAIT_LONG_MS;
--- a/util/event.h
+++ b/util/event.h
@@ -26,6 +26,7 @@
 	X(store_regained, 2, 10)             \
 	X(log_recovered, 2, 10)              \
 	X(caught_up, 5, 10)                  \
+	X(current, 5, 10)                    \
 	X(server_announced, 10, 20)          \
 	X(server_leaves, 10, 20)             \
 	X(server_refused, 2, 10)             \
