state: a change that cannot be used is taken note of

Found while looking for what could hold up a process that waits for an operator's change: a document that does not pass the check is dropped at replay and left the position in the operators' stream as it was, so every node went on appending it, and a process that starts would never be current by the log.

The position moves on, the configuration in force stays. /state/unusable-change failed before (position -1, not 7).

--- a/state/fleet.c
+++ b/state/fleet.c
@@ -567,6 +567,9 @@
 		}
 		emit(f, &ev, r);
 	}
+	/* One that cannot be used has been looked at, or it comes for ever. */
+	if (err && source)
+		f->source = json_integer_value(source);
 	configuration_finish(cfg);
 	g_free(cfg);
 	return err;
--- a/t/test-state.c
+++ b/t/test-state.c
@@ -357,6 +357,25 @@
 	fleet_finish(&f);
 }
 
+/* A change that cannot be used must not hold up who waits for it. */
+static void test_unusable_change(void)
+{
+	json_t *doc = json_pack("{s:s}", "services", "none");
+	json_t *r = record_published(7, doc, 1);
+	struct fleet f;
+
+	set_up(&f);
+	g_assert_cmpint(f.source, <, 7);
+	g_assert_cmpint(fleet_apply(&f, applied_next++, "", r), ==,
+			RESULT_INVALID);
+	g_assert_cmpint(f.source, ==, 7);
+	g_assert_nonnull(f.document);
+	g_assert_cmpuint(f.configuration.n_services, ==, 1);
+	json_decref(r);
+	json_decref(doc);
+	fleet_finish(&f);
+}
+
 static void scan_snapshot(struct log_scan *s, int64_t offset, int64_t upto,
 			  const char *text, bool whole)
 {
@@ -419,5 +438,6 @@
 	g_test_add_func("/state/losses-leave-few-rows",
 			test_losses_leave_few_rows);
 	g_test_add_func("/state/newest-snapshot", test_newest_snapshot);
+	g_test_add_func("/state/unusable-change", test_unusable_change);
 	return g_test_run();
 }
