member: a process that has nothing is handed the state by its peers

A process that starts asks its seeds from offset 0 on; a peer that still keeps every record since the beginning answered with all of them, each configuration to be checked anew. Now it hands over its state, as it does where its records do not reach back so far.

/start/all-as-state failed before (19 records replayed, a limit of 5).

--- a/member/sync.c
+++ b/member/sync.c
@@ -221,8 +221,9 @@
 	if (msg->offset > n->fleet.applied + 1 ||
 	    (msg->offset == n->fleet.applied + 1 && !member_is_current(n)))
 		return;
+	/* Who has nothing would replay all records, and needs only the state. */
 	if (msg->offset <= n->fleet.applied &&
-	    (!first || first->offset > msg->offset)) {
+	    (!msg->offset || !first || first->offset > msg->offset)) {
 		send_state(n, msg->from);
 		return;
 	}
--- a/t/test-start.c
+++ b/t/test-start.c
@@ -60,9 +60,28 @@
 	sim_finish(&s);
 }
 
+/* A process that has nothing is handed the state, not each record since then. */
+static void test_all_as_state(void)
+{
+	struct sim s;
+
+	sim_init_granted(&s, 5, 0);
+	g_assert_true(sim_converge(&s, 20000));
+	sim_run(&s, 10000);
+	sim_kill(&s, 1);
+	sim_start(&s, 1);
+	s.nodes[1].log_cut = true;
+	ask_peer(&s, 1, 0);
+	g_assert_cmpint(s.nodes[1].member.fleet.applied, ==, s.log->len - 1);
+	g_assert_true(member_is_current(&s.nodes[1].member));
+	g_assert_cmpuint(s.nodes[1].member.cache->length, <, 5);
+	sim_finish(&s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/start/peer-not-level", test_peer_not_level);
+	g_test_add_func("/start/all-as-state", test_all_as_state);
 	return g_test_run();
 }
