--- a/model/experiment.c
+++ b/model/experiment.c
@@ -11,13 +11,14 @@
 	"retry_share", "retry_reserve", "services", "classes",
 	"policies",    "faults",	"seeds",    NULL
 };
-static const char *const service_fields[] = { "name",	"servers",  "slots",
-					      "spread", "crowding", "keyed",
-					      "skew",	NULL };
+static const char *const service_fields[] = { "name",	"servers",   "slots",
+					      "spread", "crowding",  "keyed",
+					      "skew",	"link_mbps", NULL };
 static const char *const class_fields[] = {
-	"name",	     "service",	    "per_s",	  "work_ms",	"noise",
-	"target_ms", "deadline_ms", "repeatable", "attempts",	"retries",
-	"calls",     "call_share",  "worth",	  "late_worth", NULL
+	"name",	    "service",	  "per_s",	  "work_ms",
+	"noise",    "target_ms",  "deadline_ms",  "repeatable",
+	"attempts", "retries",	  "calls",	  "call_share",
+	"worth",    "late_worth", "answer_bytes", NULL
 };
 static const char *const fault_fields[] = { "kind",   "service", "server",
 					    "from_s", "to_s",	 "factor",
@@ -82,6 +83,7 @@
 	s->crowding = json_check_number(c, o, path, "crowding", 0.2, 0, 10);
 	s->keyed = json_check_bool(c, o, path, "keyed", false);
 	s->skew = json_check_share(c, o, path, "skew", 0);
+	s->link_mbps = json_check_number(c, o, path, "link_mbps", 0, 0, 1e6);
 }
 
 static void read_class(struct json_check *c, const json_t *o, const char *path,
@@ -107,6 +109,8 @@
 	k->worth = json_check_number(c, o, path, "worth", k->per_s > 0, 0, 1e6);
 	k->late_worth = json_check_number(c, o, path, "late_worth",
 					  0.3 * k->worth, 0, 1e6);
+	k->answer_bytes =
+		json_check_number(c, o, path, "answer_bytes", 0, 0, 1e9);
 	/* Only a class read before can be called, so that none calls itself. */
 	calls = json_check_string(c, o, path, "calls", "", NAME_MAX_LEN);
 	e->n_classes = i;
--- a/model/internal.h
+++ b/model/internal.h
@@ -56,6 +56,7 @@
 	uint32_t service;
 	double speed; /* work takes this much longer */
 	struct admission gate;
+	int64_t link_free_us; /* when its link has sent all there is */
 	struct chooser chooser;
 	struct budget budgets[MODEL_MAX];
 	struct class_cost costs[MODEL_MAX];
--- a/model/model.h
+++ b/model/model.h
@@ -28,6 +28,7 @@
 	double crowding; /* how much longer work takes with all slots in use */
 	bool keyed; /* each request has one server that can take it */
 	double skew; /* of keys: share of requests for the busiest server's */
+	double link_mbps; /* of each of its hosts, 0 without bound */
 };
 
 struct model_class {
@@ -45,6 +46,7 @@
 	double call_share; /* of its requests do so */
 	double worth; /* of one answered in target */
 	double late_worth; /* of one answered late */
+	double answer_bytes;
 };
 
 enum model_fault_kind {
--- a/model/server.c
+++ b/model/server.c
@@ -16,6 +16,20 @@
 		       : (int64_t)(j->model->e->link_ms * US_PER_MS);
 }
 
+/* When an answer that ends now is at its entry, behind those before it. */
+static int64_t answer_at_us(struct job *j)
+{
+	struct host *h = j->gate;
+	double mbps = j->model->e->services[h->service].link_mbps;
+	double us = mbps > 0 ? class_of(j->request)->answer_bytes * 8 / mbps
+			     : 0;
+
+	if (h == j->request->entry)
+		return j->model->now_us;
+	h->link_free_us = MAX(h->link_free_us, j->model->now_us) + (int64_t)us;
+	return h->link_free_us + link_us(j);
+}
+
 /* A refusal on its way back to the entry. */
 struct word {
 	struct job *job;
@@ -71,7 +85,7 @@
 		m->result->wasted_ms += ms;
 	admission_done(&j->gate->gate, j->request->class_index, LIMIT_ANSWERED,
 		       ms, j->started_us / US_PER_MS, now_ms(m));
-	model_at(m, m->now_us + link_us(j), entry_answered, j);
+	model_at(m, answer_at_us(j), entry_answered, j);
 	pump(m, j->gate);
 }
 
