gate: long answers beyond what the host's link carries are refused at once

Cause: a gate admits by its server's slots. Its host's link carries 1.25 MB/s, the answers that it admits come to 1.9, and queue in the link until all of them are late and many run out of time; what else goes over that link waits with them. Class: a resource that is used up without anybody counting it. Ruled out: the processor (a quarter used), the servers (30% of their slots busy).

The gate works out what its link has still to send (gate/link.c): what was handed to it, drained at the rate of the settings, and what requests in progress will bring by their class's usual size. A long answer is taken if the link is free within half of the time until it is late; short ones, which refusing would not help, by their deadline. Answers to the same host do not use the link. A refused caller comes back when the link has drained.

--- a/gate/admission.c
+++ b/gate/admission.c
@@ -6,11 +6,16 @@
 
 #define QUEUE_PER_SLOT 4
 #define MIN_WAIT_MS 100
+/* Of the time until a request is late; the rest is for its work. */
+#define LINK_TARGET_SHARE 0.5
+/* Refusing an answer as short as this would not help those behind it. */
+#define SHORT_ANSWER_BYTES 8192.0
 
 void admission_init(struct admission *a, const struct limit_ops *limit,
-		    int64_t now_ms)
+		    double link_mbps, int64_t now_ms)
 {
 	memset(a, 0, sizeof(*a));
+	link_init(&a->link, link_mbps);
 	queue_init(&a->queue, QUEUE_PER_SLOT);
 	cold_init(&a->cold, now_ms);
 	limit_init(&a->limit, limit, 1, now_ms);
@@ -28,6 +33,24 @@
 	limit_init(&a->limit, limit, slots, now_ms);
 }
 
+/*
+ * Whether the link is free soon enough. Long answers beyond what it carries
+ * would queue there and all be late; of those refused in time most are served
+ * elsewhere, or find room when they come back.
+ */
+static bool link_can_meet(const struct admission *a, const struct queued *in,
+			  int64_t now_ms)
+{
+	double bytes = queue_usual_bytes(&a->queue, in->class_index);
+	double wait = link_wait_ms(&a->link, bytes, now_ms);
+
+	if (!in->remote)
+		return true;
+	if (bytes < SHORT_ANSWER_BYTES)
+		return now_ms + wait <= in->deadline_ms;
+	return wait <= (in->due_ms - now_ms) * LINK_TARGET_SHARE;
+}
+
 int admission_offer(struct admission *a, const struct queued *in,
 		    bool elsewhere, int64_t now_ms, struct queued **victim)
 {
@@ -41,12 +64,26 @@
 	/* Late already: refused now, its caller can still go elsewhere. */
 	if (!queue_can_meet(&a->queue, now_ms, in, a->n_running, a->limit.now))
 		return RESULT_OVERLOAD;
+	if (!link_can_meet(a, in, now_ms)) {
+		COUNT(gate_refused_link);
+		return RESULT_OVERLOAD;
+	}
 	if (!limit_allows(&a->limit, a->n_running))
 		COUNT(gate_queued);
 	*victim = queue_push(&a->queue, in);
 	return RESULT_OK;
 }
 
+double admission_promise(struct admission *a, const struct queued *in)
+{
+	double bytes = 0;
+
+	if (in->remote)
+		bytes = queue_usual_bytes(&a->queue, in->class_index);
+	link_promise(&a->link, bytes);
+	return bytes;
+}
+
 bool admission_next(struct admission *a, int64_t now_ms, struct queued *out)
 {
 	return a->queue.heap->len && limit_allows(&a->limit, a->n_running) &&
@@ -88,10 +125,12 @@
 	return a->n_running + a->queue.heap->len;
 }
 
-int64_t admission_wait_ms(const struct admission *a, double jitter)
+int64_t admission_wait_ms(const struct admission *a, double jitter,
+			  int64_t now_ms)
 {
 	double drain = a->queue.heap->len * a->queue.service_ms /
 		       MAX(a->limit.now, 1.0);
+	double wait = MAX(drain, link_wait_ms(&a->link, 0, now_ms));
 
-	return (int64_t)((MIN_WAIT_MS + drain) * (1 + jitter));
+	return (int64_t)((MIN_WAIT_MS + wait) * (1 + jitter));
 }
--- a/gate/admission.h
+++ b/gate/admission.h
@@ -7,6 +7,7 @@
 
 #include "gate/cold.h"
 #include "gate/limit.h"
+#include "gate/link.h"
 #include "gate/queue.h"
 
 /*
@@ -20,11 +21,12 @@
 	struct limit limit;
 	struct queue queue;
 	struct cold cold;
+	struct link link;
 	uint32_t n_running; /* handed to the backend server */
 };
 
 void admission_init(struct admission *a, const struct limit_ops *limit,
-		    int64_t now_ms);
+		    double link_mbps, int64_t now_ms);
 void admission_finish(struct admission *a);
 
 /* A backend server with slots announced itself: it has just started. */
@@ -40,6 +42,12 @@
 int admission_offer(struct admission *a, const struct queued *in,
 		    bool elsewhere, int64_t now_ms, struct queued **victim);
 
+/*
+ * What a request that was taken will bring over the link, by its class. Give it
+ * to link_withdraw() when the request has ended, however it did.
+ */
+double admission_promise(struct admission *a, const struct queued *in);
+
 /* The next request to begin now; false when none may be, or none waits. */
 bool admission_next(struct admission *a, int64_t now_ms, struct queued *out);
 
@@ -67,10 +75,11 @@
 uint32_t admission_load(const struct admission *a);
 
 /*
- * How long until a refused caller should come back: the time that the queue
- * takes to drain, spread by jitter in [0, 1), so that they do not all return at
- * once.
+ * How long until a refused caller should come back: the time that the queue or
+ * the link takes to drain, spread by jitter in [0, 1), so that they do not all
+ * return at once.
  */
-int64_t admission_wait_ms(const struct admission *a, double jitter);
+int64_t admission_wait_ms(const struct admission *a, double jitter,
+			  int64_t now_ms);
 
 #endif
--- a/gate/queue.c
+++ b/gate/queue.c
@@ -254,3 +254,15 @@
 	if (class_index < q->n_classes)
 		smooth(&q->classes[class_index].service_ms, service_ms);
 }
+
+void queue_learn_bytes(struct queue *q, uint32_t class_index, double bytes)
+{
+	if (class_index < q->n_classes)
+		smooth(&q->classes[class_index].answer_bytes, bytes);
+}
+
+double queue_usual_bytes(const struct queue *q, uint32_t class_index)
+{
+	return class_index < q->n_classes ? q->classes[class_index].answer_bytes
+					  : 0;
+}
--- a/gate/queue.h
+++ b/gate/queue.h
@@ -17,12 +17,14 @@
 	double refused;
 	double refused_share; /* target */
 	double service_ms; /* smoothed time at the server, 0 unknown */
+	double answer_bytes; /* smoothed */
 };
 
 struct queued {
 	int64_t due_ms; /* arrival plus the class's target */
 	int64_t deadline_ms;
 	uint32_t class_index;
+	bool remote; /* its answer goes out over the host's link */
 	double work_ms; /* usual for its class; the queue fills this in */
 	void *request;
 };
@@ -72,4 +74,8 @@
 /* Learn how long the backend server took for one request of a class. */
 void queue_learn(struct queue *q, uint32_t class_index, double service_ms);
 
+/* The same for how long its answer was, and what that usually comes to. */
+void queue_learn_bytes(struct queue *q, uint32_t class_index, double bytes);
+double queue_usual_bytes(const struct queue *q, uint32_t class_index);
+
 #endif
--- a/model/internal.h
+++ b/model/internal.h
@@ -31,6 +31,7 @@
 	bool good; /* how its work ended */
 	int64_t sent_us;
 	int64_t started_us;
+	double promised_bytes; /* to its gate's link */
 	struct job *next_free;
 };
 
--- a/model/run.c
+++ b/model/run.c
@@ -116,7 +116,7 @@
 		h->index = m->n_hosts++;
 		h->service = service;
 		h->speed = 1 + s->spread * i / MAX(s->servers - 1, 1);
-		admission_init(&h->gate, m->policy->limit, 0);
+		admission_init(&h->gate, m->policy->limit, s->link_mbps, 0);
 		cold_set_rate(&h->gate.cold, COLD_ANY);
 		queue_set_classes(&h->gate.queue, m->e->n_classes);
 		admission_announce(&h->gate, m->policy->limit, s->slots, 0);
--- a/model/server.c
+++ b/model/server.c
@@ -30,6 +30,12 @@
 	return h->link_free_us + link_us(j);
 }
 
+static void give_back_link(struct job *j)
+{
+	link_withdraw(&j->gate->gate.link, j->promised_bytes);
+	j->promised_bytes = 0;
+}
+
 /* A refusal on its way back to the entry. */
 struct word {
 	struct job *job;
@@ -49,10 +55,12 @@
 	struct word *w = g_new0(struct word, 1);
 
 	g_ptr_array_add(m->memory, w);
+	give_back_link(j);
 	j->state = JOB_ENDED;
 	w->job = j;
 	w->not_owner = not_owner;
-	w->wait_ms = admission_wait_ms(&j->gate->gate, g_rand_double(m->rand));
+	w->wait_ms = admission_wait_ms(&j->gate->gate, g_rand_double(m->rand),
+				       now_ms(m));
 	queue_count(&j->gate->gate.queue, j->request->class_index, true);
 	model_at(m, m->now_us + link_us(j), word_arrives, w);
 }
@@ -85,6 +93,12 @@
 		m->result->wasted_ms += ms;
 	admission_done(&j->gate->gate, j->request->class_index, LIMIT_ANSWERED,
 		       ms, j->started_us / US_PER_MS, now_ms(m));
+	give_back_link(j);
+	queue_learn_bytes(&j->gate->gate.queue, j->request->class_index,
+			  class_of(j->request)->answer_bytes);
+	if (j->gate != j->request->entry)
+		link_sent(&j->gate->gate.link,
+			  class_of(j->request)->answer_bytes, now_ms(m));
 	model_at(m, answer_at_us(j), entry_answered, j);
 	pump(m, j->gate);
 }
@@ -158,7 +172,9 @@
 	struct host *h = j->gate;
 	const struct request *r = j->request;
 	const struct model_class *k = class_of(r);
-	struct queued in = { .class_index = r->class_index, .request = j };
+	struct queued in = { .class_index = r->class_index,
+			     .remote = h != r->entry,
+			     .request = j };
 	struct queued *victim;
 
 	if (j->state != JOB_ON_WAY || !j->wanted)
@@ -175,6 +191,7 @@
 		return;
 	}
 	j->state = JOB_WAITING;
+	j->promised_bytes = admission_promise(&h->gate, &in);
 	if (victim) {
 		refuse(m, victim->request, false);
 		g_free(victim);
@@ -185,6 +202,7 @@
 
 void gate_cancel(struct model *m, struct job *j)
 {
+	give_back_link(j);
 	if (j->state == JOB_WAITING)
 		queue_remove(&j->gate->gate.queue, j);
 	if (j->state == JOB_RUNNING) {
--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -169,6 +169,7 @@
 			      ",\"arrived_ms\":%" PRId64,
 			      g->node->member.self, f->status, ms, r->total,
 			      r->sent_ms, r->arrived_ms);
+		queue_learn_bytes(&g->load.queue, r->class_index, r->total);
 		send_part(r, true);
 		gate_request_free(r);
 	} else if (!f->sent) {
--- a/node/gate-request.h
+++ b/node/gate-request.h
@@ -43,6 +43,7 @@
 	int64_t target_ms;
 	uint32_t priority;
 	struct fetch fetch;
+	double promised_bytes; /* to our link, for its answer */
 	GByteArray *pending; /* answer not yet sent on */
 	bool head_sent;
 	bool shed; /* the server says that it did not run it */
--- a/node/gate.c
+++ b/node/gate.c
@@ -56,6 +56,7 @@
 	struct gate *g = r->gate;
 
 	g_hash_table_remove(g->requests, r);
+	link_withdraw(&g->load.link, r->promised_bytes);
 	if (r->shard >= 0 && r->shard < g->n_shards)
 		g->shard_load[r->shard]--;
 	if (r->identity)
@@ -86,7 +87,8 @@
 	ev_init(&g->watch, gate_on_watch);
 	g->watch.repeat = WATCH_S;
 	g->watch.data = g;
-	admission_init(&g->load, node->settings.limit, clock_now_ms());
+	admission_init(&g->load, node->settings.limit, node->settings.link_mbps,
+		       clock_now_ms());
 	ids_init(&g->ids, MAX_IDS);
 	grants_init(&g->grants, node->settings.grants,
 		    clock_now_ms() + node->settings.lease_ms + GRANT_MARGIN_MS);
@@ -200,6 +202,7 @@
 	out = g_byte_array_sized_new(256 + m->len);
 	request_msg_encode(m, out);
 	id = g_bytes_get_data(identity, &len);
+	link_sent(&g->load.link, out->len, clock_now_ms());
 	peers_answer(&g->node->peers, id, len, PLANE_REQUEST, out->data,
 		     out->len);
 	g_byte_array_unref(out);
@@ -249,7 +252,8 @@
 				 .flags = r->shed ? REQ_FLAG_REACHED : 0,
 				 .wait_ms = admission_wait_ms(
 					 &r->gate->load,
-					 g_rand_double(r->gate->rand)) };
+					 g_rand_double(r->gate->rand),
+					 clock_now_ms()) };
 
 	if (result == RESULT_NOT_OWNER)
 		COUNT(gate_refused_not_owner);
@@ -543,6 +547,7 @@
 	struct queued q = { .due_ms = r->arrived_ms + r->target_ms,
 			    .deadline_ms = r->answer_by_ms,
 			    .class_index = r->class_index,
+			    .remote = r->identity,
 			    .request = r };
 	struct queued *victim;
 
@@ -550,6 +555,7 @@
 		gate_refuse(r, RESULT_OVERLOAD);
 		return;
 	}
+	r->promised_bytes = admission_promise(&g->load, &q);
 	if (victim) {
 		struct gate_request *v = victim->request;
 
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -30,6 +30,7 @@
 				      "hold_share",
 				      "far_ms",
 				      "far_ms_per_kb",
+				      "link_mbps",
 				      "retry_share",
 				      "retry_reserve",
 				      "host",
@@ -222,6 +223,7 @@
 	s->far_ms = json_check_number(c, o, "$", "far_ms", 0, 0, 60000);
 	s->far_ms_per_kb =
 		json_check_number(c, o, "$", "far_ms_per_kb", 0, 0, 60000);
+	s->link_mbps = json_check_number(c, o, "$", "link_mbps", 0, 0, 1e6);
 	s->hold_share = json_check_number(c, o, "$", "hold_share", 0, 0, 1000);
 	s->retry_share =
 		json_check_share(c, o, "$", "retry_share", DEFAULT_RETRY_SHARE);
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -55,6 +55,7 @@
 	 */
 	double far_ms;
 	double far_ms_per_kb;
+	double link_mbps; /* of this host, 0 unknown */
 	double hold_share; /* of its target a request waits for an owner, 0 all
 			      its time */
 	double retry_share; /* of requests, that repeats may add */
--- a/t/test-gate.c
+++ b/t/test-gate.c
@@ -4,6 +4,7 @@
 #include "gate/cold.h"
 #include "gate/ids.h"
 #include "gate/limit.h"
+#include "gate/link.h"
 #include "gate/queue.h"
 
 /*
@@ -397,6 +398,26 @@
 	queue_finish(&q);
 }
 
+/* A link of 8 Mbit/s carries 1,000 bytes a millisecond, 900 of them answers. */
+static void test_link(void)
+{
+	struct link l;
+
+	link_init(&l, 8);
+	link_sent(&l, 90000, 1000);
+	g_assert_cmpfloat(link_wait_ms(&l, 0, 1000), ==, 100);
+	g_assert_cmpfloat(link_wait_ms(&l, 9000, 1050), ==, 60);
+	link_promise(&l, 18000);
+	g_assert_cmpfloat(link_wait_ms(&l, 0, 1050), ==, 70);
+	link_withdraw(&l, 18000);
+	link_sent(&l, 9000, 1090);
+	g_assert_cmpfloat(link_wait_ms(&l, 0, 1090), ==, 20);
+	g_assert_cmpfloat(link_wait_ms(&l, 0, 5000), ==, 0);
+	link_init(&l, 0);
+	link_sent(&l, 1e9, 1000);
+	g_assert_cmpfloat(link_wait_ms(&l, 1e9, 1000), ==, 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -420,5 +441,6 @@
 	g_test_add_func("/ids/full", test_ids_full);
 	g_test_add_func("/ids/move", test_ids_move);
 	g_test_add_func("/ids/made", test_ids_made);
+	g_test_add_func("/link/wait", test_link);
 	return g_test_run();
 }
--- a/t/test-settings.c
+++ b/t/test-settings.c
@@ -145,7 +145,8 @@
 		"\"lease_ms\":2500,\"hold_max_ms\":7000,\"stop_limit_ms\":4000,"
 		"\"kept_idle_s\":5,\"snapshot_records\":50,\"move_batch\":9,"
 		"\"hold_share\":0.5,\"retry_share\":0.3,\"retry_reserve\":40,"
-		"\"far_ms\":11,\"far_ms_per_kb\":1.5,\"choice\":\"soonest\"}";
+		"\"far_ms\":11,\"far_ms_per_kb\":1.5,\"link_mbps\":20.5,"
+		"\"choice\":\"soonest\"}";
 	GString *errors = g_string_new(NULL);
 	g_autofree char *path = NULL;
 	struct settings s;
@@ -170,6 +171,7 @@
 	g_assert_cmpfloat(s.retry_reserve, ==, 40);
 	g_assert_cmpfloat(s.far_ms, ==, 11);
 	g_assert_cmpfloat(s.far_ms_per_kb, ==, 1.5);
+	g_assert_cmpfloat(s.link_mbps, ==, 20.5);
 	g_assert_true(s.choice == &chooser_soonest);
 	g_unlink(path);
 	g_string_free(errors, TRUE);
--- a/util/counters.h
+++ b/util/counters.h
@@ -25,6 +25,7 @@
 	X(gate_admitted)           \
 	X(gate_queued)             \
 	X(gate_parked)             \
+	X(gate_refused_link)       \
 	X(gate_refused_overload)   \
 	X(gate_refused_not_owner)  \
 	X(gate_refused_deadline)   \
