node: callers are shut out in time also when the server leaves during a stop

Cause: asked to stop beside a living server, a node shuts callers out after two questions of the platform, 2.3 s. When the server says 1.8 s later that it leaves too, the node goes over to giving its keys away, and that path shut callers out only once all was given, 3 s of a lease or more; the time limit came first. Not new: the path is as old as the ready page.

Both paths shut callers out by the same clock now. t0034 failed before (callers let in until the work was done).

--- a/node/node.c
+++ b/node/node.c
@@ -320,6 +320,19 @@
 	ev_break(n->loop, EVBREAK_ALL);
 }
 
+/*
+ * Where a ready page tells callers to go elsewhere, they are let in only until
+ * that has been noticed: those let in later would be cut off at the time limit.
+ */
+static void shut_out_callers(struct node *n, int64_t asked_ms)
+{
+	if (!n->settings.ready_address[0])
+		return;
+	entry_drain(&n->entry);
+	if (asked_ms >= NOTICE_MS)
+		entry_close(&n->entry);
+}
+
 static void tick_stop(struct node *n)
 {
 	int64_t now = clock_now_ms();
@@ -328,6 +341,7 @@
 		tick_pause(n);
 		return;
 	}
+	shut_out_callers(n, now - n->stopping_ms);
 	if (now - n->stopping_ms >= n->settings.stop_limit_ms) {
 		g_warning("stopped at the time limit");
 		ev_break(n->loop, EVBREAK_ALL);
