gate: short answers wait for what the link has, not for what it was promised

A call's answer of 600 bytes goes out before the downloads that are still worked on, and was refused for their bytes.

Short answers count the backlog alone, and long ones may fill 0.4 of the time until they are late, not half.

--- a/gate/admission.c
+++ b/gate/admission.c
@@ -7,7 +7,7 @@
 #define QUEUE_PER_SLOT 4
 #define MIN_WAIT_MS 100
 /* Of the time until a request is late; the rest is for its work. */
-#define LINK_TARGET_SHARE 0.5
+#define LINK_TARGET_SHARE 0.4
 /* Refusing an answer as short as this would not help those behind it. */
 #define SHORT_ANSWER_BYTES 8192.0
 
@@ -42,13 +42,15 @@
 			  int64_t now_ms)
 {
 	double bytes = queue_usual_bytes(&a->queue, in->class_index);
-	double wait = link_wait_ms(&a->link, bytes, now_ms);
 
 	if (!in->remote)
 		return true;
+	/* It goes out before the long ones that are still worked on. */
 	if (bytes < SHORT_ANSWER_BYTES)
-		return now_ms + wait <= in->deadline_ms;
-	return wait <= (in->due_ms - now_ms) * LINK_TARGET_SHARE;
+		return now_ms + link_backlog_ms(&a->link, now_ms) <=
+		       in->deadline_ms;
+	return link_wait_ms(&a->link, bytes, now_ms) <=
+	       (in->due_ms - now_ms) * LINK_TARGET_SHARE;
 }
 
 int admission_offer(struct admission *a, const struct queued *in,
--- a/gate/link.c
+++ b/gate/link.c
@@ -46,3 +46,8 @@
 	return (backlog(l, now_ms) + l->promised_bytes + bytes) /
 	       l->bytes_per_ms;
 }
+
+double link_backlog_ms(const struct link *l, int64_t now_ms)
+{
+	return l->bytes_per_ms > 0 ? backlog(l, now_ms) / l->bytes_per_ms : 0;
+}
--- a/gate/link.h
+++ b/gate/link.h
@@ -31,4 +31,7 @@
 /* How long the link takes for all that it was handed and promised, and bytes. */
 double link_wait_ms(const struct link *l, double bytes, int64_t now_ms);
 
+/* How long it takes for what it was handed, which goes before all else. */
+double link_backlog_ms(const struct link *l, int64_t now_ms);
+
 #endif
--- a/t/test-gate.c
+++ b/t/test-gate.c
@@ -409,6 +409,7 @@
 	g_assert_cmpfloat(link_wait_ms(&l, 9000, 1050), ==, 60);
 	link_promise(&l, 18000);
 	g_assert_cmpfloat(link_wait_ms(&l, 0, 1050), ==, 70);
+	g_assert_cmpfloat(link_backlog_ms(&l, 1050), ==, 50);
 	link_withdraw(&l, 18000);
 	link_sent(&l, 9000, 1090);
 	g_assert_cmpfloat(link_wait_ms(&l, 0, 1090), ==, 20);
