--- a/member/propose.c
+++ b/member/propose.c
@@ -47,14 +47,21 @@
 {
 	n->now_ms = MAX(n->now_ms, now_ms);
 	n->append_pending[kind] = false;
+	if (kind == APPEND_SNAPSHOT && n->snapshot_parts->len) {
+		if (result == RESULT_OK)
+			g_ptr_array_remove_index(n->snapshot_parts, 0);
+		else if (result != RESULT_CONFLICT)
+			g_ptr_array_set_size(n->snapshot_parts, 0);
+	}
 	if (result == RESULT_OK) {
 		n->next_append_ms[kind] = n->now_ms + RETRY_MS;
+		/* The parts of a snapshot belong close together. */
+		if (kind == APPEND_SNAPSHOT && n->snapshot_parts->len)
+			n->next_append_ms[kind] = n->now_ms;
 		if (kind == APPEND_JOIN)
 			n->next_join_ms = n->now_ms + RETRY_MS;
 		return;
 	}
-	if (kind == APPEND_SNAPSHOT)
-		g_ptr_array_set_size(n->snapshot_parts, 0);
 	if (result == RESULT_CONFLICT) {
 		n->next_append_ms[kind] =
 			n->now_ms + g_rand_int_range(n->rand, 0, CONFLICT_MS);
@@ -466,7 +473,6 @@
 		return;
 	member_append(n, APPEND_SNAPSHOT,
 		      json_incref(g_ptr_array_index(n->snapshot_parts, 0)));
-	g_ptr_array_remove_index(n->snapshot_parts, 0);
 }
 
 static bool any_unowned(const struct fleet_service *s)
--- a/t/test-start.c
+++ b/t/test-start.c
@@ -1,4 +1,6 @@
+#include "state/records.h"
 #include "t/sim.h"
+#include "util/result.h"
 
 /* What a process may take for level with the fleet when it has just started. */
 
@@ -78,10 +80,38 @@
 	sim_finish(&s);
 }
 
+/* Another's record comes before a part of a snapshot: the rest still follows. */
+static void test_snapshot_after_conflict(void)
+{
+	struct member_node *n;
+	struct sim s;
+	uint32_t i;
+
+	sim_init_granted(&s, 9, 0);
+	g_assert_true(sim_converge(&s, 20000));
+	n = &s.nodes[0].member;
+	for (i = 0; i < 2; i++)
+		g_ptr_array_add(n->snapshot_parts,
+				record_snapshot(n->fleet.applied, i, 2, "", 0));
+	n->next_append_ms[APPEND_SNAPSHOT] = 0;
+	n->append_pending[APPEND_SNAPSHOT] = false;
+	member_tick(n, n->now_ms);
+	g_assert_true(n->append_pending[APPEND_SNAPSHOT]);
+	member_append_done(n, APPEND_SNAPSHOT, RESULT_CONFLICT, n->now_ms);
+	g_assert_cmpuint(n->snapshot_parts->len, ==, 2);
+	n->next_append_ms[APPEND_SNAPSHOT] = 0;
+	member_tick(n, n->now_ms);
+	member_append_done(n, APPEND_SNAPSHOT, RESULT_OK, n->now_ms);
+	g_assert_cmpuint(n->snapshot_parts->len, ==, 1);
+	sim_finish(&s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/start/peer-not-level", test_peer_not_level);
 	g_test_add_func("/start/all-as-state", test_all_as_state);
+	g_test_add_func("/start/snapshot-after-conflict",
+			test_snapshot_after_conflict);
 	return g_test_run();
 }
