--- a/member/propose.c
+++ b/member/propose.c
@@ -15,6 +15,8 @@
 #define UNANSWERED_ASKS 3
 #define SPREAD_PER_MEMBER_MS 20
 #define SNAPSHOT_PART_BYTES (64 * 1024)
+/* Of the records between snapshots: how much longer the next by rank waits. */
+#define SNAPSHOT_RANK_SHARE 8
 #define LOG_WITNESSED_LAPSES 2
 /* After another's append came first: read it, then decide again. */
 #define CONFLICT_MS 30
@@ -449,14 +451,18 @@
 static bool snapshot_due(const struct member_node *n)
 {
 	int64_t age = n->now_ms - n->snapshot_seen_ms;
-	int64_t records = n->fleet.applied - n->fleet.snapshot_offset;
-	int64_t wait = MIN(assign_rank(&n->fleet, "snapshot", n->self), 20) *
-		       BALANCE_RANK_STEP_MS;
+	/* One that another has begun to write counts as well. */
+	int64_t records = n->fleet.applied -
+			  MAX(n->fleet.snapshot_offset, n->fleet.snapshot_upto);
+	int64_t rank = MIN(assign_rank(&n->fleet, "snapshot", n->self), 20);
 
 	if (records <= 1)
 		return false;
-	return age >= n->timing.snapshot_interval_ms + wait ||
-	       records >= n->timing.snapshot_records + wait / 10;
+	if (age >= n->timing.snapshot_interval_ms + rank * BALANCE_RANK_STEP_MS)
+		return true;
+	return records >=
+	       n->timing.snapshot_records +
+		       rank * n->timing.snapshot_records / SNAPSHOT_RANK_SHARE;
 }
 
 /*
--- a/t/test-start.c
+++ b/t/test-start.c
@@ -106,6 +106,38 @@
 	sim_finish(&s);
 }
 
+/* Records after which the newest snapshot would be overwritten in the store. */
+#define RING 256
+
+/*
+ * Who would write the snapshot cannot reach the log, and records go on: another
+ * must write it before the one that there is has been overwritten.
+ */
+static void test_next_writes_snapshot(void)
+{
+	struct sim s;
+	uint32_t i;
+	int64_t most = 0;
+
+	sim_init_granted(&s, 11, 0);
+	g_assert_true(sim_converge(&s, 20000));
+	for (i = 0; i < SIM_NODES; i++)
+		if (!assign_rank(&s.nodes[i].member.fleet, "snapshot",
+				 s.nodes[i].member.self))
+			s.nodes[i].log_cut = true;
+	for (i = 0; i < 2 * RING; i++) {
+		const struct fleet *f = sim_newest(&s);
+
+		sim_configure(&s, NULL);
+		sim_run(&s, 100);
+		most = MAX(most, f->applied - f->snapshot_offset);
+	}
+	g_test_message("%" G_GINT64_FORMAT " records since a snapshot",
+		       (gint64)most);
+	g_assert_cmpint(most, <, RING);
+	sim_finish(&s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -113,5 +145,7 @@
 	g_test_add_func("/start/all-as-state", test_all_as_state);
 	g_test_add_func("/start/snapshot-after-conflict",
 			test_snapshot_after_conflict);
+	g_test_add_func("/start/next-writes-snapshot",
+			test_next_writes_snapshot);
 	return g_test_run();
 }
