net, platform: a long read ends when nothing arrives, not when it takes long

Cause: 83 of 88 processes wrote store_lost 1 s after their start. The read of the whole log, some megabytes in pages of one, had a limit of 1 s in all, and a page takes 0.8 s of a 10 Mbit/s link that all else shares. Given up in the middle, it was begun anew with a limit of 2 s.

--- a/net/fetch.c
+++ b/net/fetch.c
@@ -469,6 +469,13 @@
 	f->open_by_ms = open_by_ms;
 }
 
+void fetch_bound_idle(struct fetch *f, int64_t idle_ms)
+{
+	curl_easy_setopt(f->easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
+	curl_easy_setopt(f->easy, CURLOPT_LOW_SPEED_TIME,
+			 (long)MAX(idle_ms / 1000, 1));
+}
+
 void fetch_cancel(struct fetch *f)
 {
 	GPtrArray *headers = f->answer_headers;
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -81,6 +81,12 @@
  */
 void fetch_bound(struct fetch *f, int64_t send_by_ms, int64_t open_by_ms);
 
+/*
+ * End a request just started with RESULT_TIMEOUT when nothing arrives for
+ * idle_ms, by whole seconds, whatever its time limit.
+ */
+void fetch_bound_idle(struct fetch *f, int64_t idle_ms);
+
 /* Drop a request; on_done is not called. Its connection closes. */
 void fetch_cancel(struct fetch *f);
 
--- a/t/platform-store.c
+++ b/t/platform-store.c
@@ -16,7 +16,8 @@
  * next lose takes effect that much later, if its condition still holds),
  * trim=1 (forget the history, keep the newest), busy=0|1 (429), deaf=1 (the
  * reads that wait now are never answered, and their connections stay open),
- * refuse=0|1 (appends get 503), hold=0|1 (the newest records are told later).
+ * refuse=0|1 (appends get 503), hold=0|1 (the newest records are told later),
+ * trickle_ms=N (the newest records of the fleet take so long to arrive).
  */
 
 #define MAX_BODY (4 * 1024 * 1024)
@@ -44,6 +45,15 @@
 	bool deaf;
 };
 
+/* An answer on a slow way. */
+struct trickle {
+	struct httpd_request *r;
+	char *text;
+	size_t len;
+	size_t sent;
+	int64_t began_ms;
+};
+
 struct late {
 	struct topic *topic;
 	int64_t at;
@@ -58,6 +68,8 @@
 static GPtrArray *readers;
 static GPtrArray *lates;
 static bool down, busy, refuse, hold;
+static int64_t trickle_ms;
+static GPtrArray *slow; /* struct trickle */
 static GPtrArray *held; /* struct reader, who asked for the newest */
 static int64_t lose, late_ms;
 static uint64_t n_appends, n_conflicts, n_reads, n_newest;
@@ -298,13 +310,53 @@
 	answer = json_pack("{s:o,s:b,s:i}", "items", items, "more", more,
 			   "end_offset", (int)t->records->len);
 	text = json_dumps(answer, JSON_COMPACT);
-	httpd_reply(r, 200, NULL, text, strlen(text));
+	if (trickle_ms && t == &topics[0]) {
+		struct trickle *w = g_new0(struct trickle, 1);
+
+		w->r = r;
+		w->text = g_strdup(text);
+		w->len = strlen(text);
+		w->began_ms = clock_now_ms();
+		r->user = w;
+		g_ptr_array_add(slow, w);
+		httpd_stream(r, 200, NULL, w->len);
+	} else {
+		httpd_reply(r, 200, NULL, text, strlen(text));
+	}
 	free(text);
 	json_decref(answer);
 	g_ptr_array_unref(keys);
 	g_hash_table_unref(newest);
 }
 
+static void trickle_free(struct trickle *w)
+{
+	g_ptr_array_remove_fast(slow, w);
+	g_free(w->text);
+	g_free(w);
+}
+
+static void serve_slow(void)
+{
+	int64_t now = clock_now_ms();
+	uint32_t i;
+
+	for (i = slow->len; i-- > 0;) {
+		struct trickle *w = g_ptr_array_index(slow, i);
+		size_t upto =
+			MIN(w->len * (now - w->began_ms) / MAX(trickle_ms, 1),
+			    w->len);
+
+		httpd_push(w->r, w->text + w->sent, upto - w->sent);
+		w->sent = upto;
+		if (upto < w->len)
+			continue;
+		w->r->user = NULL;
+		httpd_end(w->r, true);
+		trickle_free(w);
+	}
+}
+
 static void serve_held(void)
 {
 	while (!hold && held->len) {
@@ -345,6 +397,7 @@
 	busy = argument(r, "busy", busy);
 	refuse = argument(r, "refuse", refuse);
 	hold = argument(r, "hold", hold);
+	trickle_ms = argument(r, "trickle_ms", trickle_ms);
 	lose = argument(r, "lose", lose);
 	late_ms = argument(r, "late_ms", late_ms);
 	for (i = 0; argument(r, "deaf", 0) && i < readers->len; i++)
@@ -402,6 +455,10 @@
 	(void)user;
 	if (!r->user)
 		return;
+	if (g_ptr_array_find(slow, r->user, NULL)) {
+		trickle_free(r->user);
+		return;
+	}
 	g_ptr_array_remove_fast(readers, r->user);
 	g_ptr_array_remove_fast(held, r->user);
 	g_free(r->user);
@@ -416,6 +473,7 @@
 	(void)w;
 	(void)events;
 	do_late();
+	serve_slow();
 	serve_readers();
 }
 
@@ -440,6 +498,7 @@
 	readers = g_ptr_array_new();
 	lates = g_ptr_array_new();
 	held = g_ptr_array_new();
+	slow = g_ptr_array_new();
 	if (httpd_init(&httpd, loop, address, MAX_BODY, &ops, NULL)) {
 		fprintf(stderr, "cannot listen on %s\n", address);
 		return 1;
