--- a/Makefile
+++ b/Makefile
@@ -63,16 +63,12 @@
 	@mkdir -p $(@D)
 	@echo "  CC $@"; $(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
-test: binaries
+test: packages
+	$(MAKE) binaries
 	OUT=$(OUT) t/run-tests
 
-# Debian's packages; nothing is installed when all are there.
-PACKAGES = libev-dev libzmq3-dev libmicrohttpd-dev libcurl4-openssl-dev \
-	libjansson-dev libglib2.0-dev libmsgpack-dev libhttp-parser-dev libxxhash-dev gcc make \
-	pkg-config jq curl
 packages:
-	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
-		{ apt-get update -qq && apt-get install -y -qq $(PACKAGES); }
+	t/install-packages
 
 # The tests that need no other process.
 unit: binaries
