--- a/t/platform-store.c
+++ b/t/platform-store.c
@@ -22,6 +22,7 @@
 
 #define MAX_BODY (4 * 1024 * 1024)
 #define MAX_ITEMS 500
+#define MAX_RECORD_BYTES 262144
 #define LENGTH_BYTES 4
 #define OFFSET_BYTES 8
 
@@ -212,6 +213,10 @@
 		lose_answer(r);
 		return;
 	}
+	if (r->body->len > LENGTH_BYTES + MAX_RECORD_BYTES) {
+		httpd_reply_text(r, 400, "the record is too long\n");
+		return;
+	}
 	n_appends++;
 	if (!take(t, r->body->data, r->body->len)) {
 		httpd_reply_text(r, 400, "malformed\n");
