--- a/member/member.c
+++ b/member/member.c
@@ -294,7 +294,7 @@
 	n->log_read_sent_ms = MAX(n->log_read_sent_ms, sent_ms);
 	if (!n->log_caught_up) {
 		n->first_end = n->fleet.applied;
-		member_note(n, NOTE_CAUGHT_UP, 0);
+		member_note(n, NOTE_CAUGHT_UP, LOG_WITNESS);
 	}
 	n->log_caught_up = true;
 	look_at_published(n);
--- a/member/member.h
+++ b/member/member.h
@@ -121,7 +121,7 @@
 /* And of our own lease. */
 #define NOTE_LEASE_GAINED "lease gained"
 #define NOTE_LEASE_LAPSED "lease lapsed"
-/* And when the state is level for the first time: with a peer, or 0 the log. */
+/* And when the state is level for the first time: with a peer, or LOG_WITNESS. */
 #define NOTE_CAUGHT_UP "caught up with"
 /* And when it has been current, by the log. */
 #define NOTE_CURRENT "current"
@@ -190,6 +190,8 @@
 	int64_t next_append_ms[N_APPEND_KINDS];
 	bool append_pending[N_APPEND_KINDS];
 	GPtrArray *snapshot_parts; /* json_t * still to be appended */
+	int64_t snapshot_cut; /* the offset that they stand for */
+	bool snapshot_begun; /* some of them are in the log */
 	GArray *vouches; /* struct vouch */
 	GArray *watches; /* struct watch */
 	GArray *proofs; /* struct proof */
--- a/member/propose.c
+++ b/member/propose.c
@@ -50,6 +50,7 @@
 	n->now_ms = MAX(n->now_ms, now_ms);
 	n->append_pending[kind] = false;
 	if (kind == APPEND_SNAPSHOT && n->snapshot_parts->len) {
+		n->snapshot_begun = n->snapshot_begun || result == RESULT_OK;
 		if (result == RESULT_OK)
 			g_ptr_array_remove_index(n->snapshot_parts, 0);
 		else if (result != RESULT_CONFLICT)
@@ -436,6 +437,8 @@
 	uint32_t parts = (len + SNAPSHOT_PART_BYTES - 1) / SNAPSHOT_PART_BYTES;
 	uint32_t i;
 
+	n->snapshot_cut = n->fleet.applied;
+	n->snapshot_begun = false;
 	for (i = 0; i < parts; i++) {
 		size_t at = (size_t)i * SNAPSHOT_PART_BYTES;
 
@@ -473,6 +476,9 @@
 {
 	if (!n->self || !may_append(n, APPEND_SNAPSHOT))
 		return;
+	/* Another came first, with the same state or a newer one. */
+	if (n->fleet.snapshot_upto >= n->snapshot_cut + n->snapshot_begun)
+		g_ptr_array_set_size(n->snapshot_parts, 0);
 	if (!n->snapshot_parts->len && snapshot_due(n))
 		cut_snapshot(n);
 	if (!n->snapshot_parts->len)
--- a/t/test-start.c
+++ b/t/test-start.c
@@ -106,6 +106,46 @@
 	sim_finish(&s);
 }
 
+static uint32_t n_snapshot_records(const struct sim *s)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < s->log->len; i++) {
+		const struct sim_log_record *r = g_ptr_array_index(s->log, i);
+
+		count += !g_strcmp0(
+			"snapshot",
+			json_string_value(json_object_get(r->record, "type")));
+	}
+	return count;
+}
+
+/* Who comes second with a snapshot leaves it to the one who was first. */
+static void test_one_snapshot_at_a_time(void)
+{
+	struct member_node *n;
+	struct sim s;
+	json_t *r;
+	uint32_t before, i;
+
+	sim_init_granted(&s, 9, 0);
+	g_assert_true(sim_converge(&s, 20000));
+	n = &s.nodes[0].member;
+	for (i = 0; i < 2; i++)
+		g_ptr_array_add(n->snapshot_parts,
+				record_snapshot(n->fleet.applied, i, 2, "", 0));
+	n->snapshot_cut = n->fleet.applied;
+	r = record_snapshot(n->fleet.applied, 0, 2, "", 0);
+	before = n_snapshot_records(&s);
+	sim_append(&s, r);
+	n->read_now = true;
+	sim_run(&s, 200);
+	g_assert_cmpuint(n->snapshot_parts->len, ==, 0);
+	g_assert_cmpuint(n_snapshot_records(&s), ==, before + 1);
+	sim_finish(&s);
+}
+
 /* Records after which the newest snapshot would be overwritten in the store. */
 #define RING 256
 
@@ -145,6 +185,8 @@
 	g_test_add_func("/start/all-as-state", test_all_as_state);
 	g_test_add_func("/start/snapshot-after-conflict",
 			test_snapshot_after_conflict);
+	g_test_add_func("/start/one-snapshot-at-a-time",
+			test_one_snapshot_at_a_time);
 	g_test_add_func("/start/next-writes-snapshot",
 			test_next_writes_snapshot);
 	return g_test_run();
