--- a/member/member.c
+++ b/member/member.c
@@ -214,9 +214,11 @@
 
 	n->now_ms = MAX(n->now_ms, now_ms);
 	err = fleet_load(&n->fleet, snapshot);
-	if (!err)
-		member_state_replaced(n);
-	return err;
+	if (err)
+		return err;
+	n->fleet.snapshot_upto = n->fleet.applied;
+	member_state_replaced(n);
+	return RESULT_OK;
 }
 
 void member_set_published(struct member_node *n, int64_t source, json_t *doc,
--- a/member/msg.h
+++ b/member/msg.h
@@ -55,7 +55,7 @@
 	MSG_N_TYPES,
 };
 
-/* The sender's state has been level since its start, see member_is_current(). */
+/* The sender is current, as member_is_current() tells. */
 #define SENDER_IS_CURRENT 1
 
 /* No successor of the sender's can be serving either. */
--- a/state/snapshot.c
+++ b/state/snapshot.c
@@ -84,6 +84,8 @@
 	json_object_set_new(out, "configuration_version",
 			    json_integer(f->configuration_version));
 	json_object_set_new(out, "source", json_integer(f->source));
+	json_object_set_new(out, "snapshot_upto",
+			    json_integer(f->snapshot_upto));
 	json_object_set_new(out, "log_witnessed_gone",
 			    json_boolean(f->log_witnessed_gone));
 	return out;
@@ -184,6 +186,8 @@
 
 	if (json_integer_value(json_object_get(o, "format")) != SNAPSHOT_FORMAT)
 		return RESULT_INVALID;
+	f->snapshot_upto =
+		json_integer_value(json_object_get(o, "snapshot_upto"));
 	f->applied = json_integer_value(json_object_get(o, "applied"));
 	f->log_witnessed_gone =
 		json_is_true(json_object_get(o, "log_witnessed_gone"));
--- a/t/test-start.c
+++ b/t/test-start.c
@@ -178,6 +178,39 @@
 	sim_finish(&s);
 }
 
+/* The snapshot that a process begins with need not be written once more. */
+static void test_loaded_snapshot_counts(void)
+{
+	const struct fleet *f;
+	json_t *state;
+	struct sim s;
+	uint32_t i;
+
+	sim_init_granted(&s, 13, 0);
+	g_assert_true(sim_converge(&s, 20000));
+	for (i = 0; i < RING; i++)
+		sim_configure(&s, NULL);
+	sim_run(&s, 5000);
+	state = fleet_snapshot(sim_newest(&s));
+	sim_kill(&s, 1);
+	sim_start(&s, 1);
+	g_assert_cmpint(member_load(&s.nodes[1].member, state,
+				    sim_local(&s.nodes[1])),
+			==, RESULT_OK);
+	json_decref(state);
+	f = &s.nodes[1].member.fleet;
+	g_assert_cmpint(f->applied, >, RING);
+	g_assert_cmpint(f->applied - f->snapshot_upto, <, 60);
+	/* Nor one that it hears of from a peer. */
+	sim_kill(&s, 1);
+	sim_start(&s, 1);
+	s.nodes[1].log_cut = true;
+	ask_peer(&s, 1, 0);
+	g_assert_cmpint(f->applied, >, RING);
+	g_assert_cmpint(f->applied - f->snapshot_upto, <, 120);
+	sim_finish(&s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -189,5 +222,7 @@
 			test_one_snapshot_at_a_time);
 	g_test_add_func("/start/next-writes-snapshot",
 			test_next_writes_snapshot);
+	g_test_add_func("/start/loaded-snapshot-counts",
+			test_loaded_snapshot_counts);
 	return g_test_run();
 }
