node, gate: what becomes of a request whose caller left, and how late its gate hears

The logs of the incident could not tell three hypotheses apart: a cancel was counted without the state that the request was in at its gate, its way between nodes was not measured, and nothing said how long a round of the loop takes or how many requests were begun behind the one whose caller left.

New: event gate_cancelled, fields of request_abandoned, histograms cancel_ms and loop_ms.

--- a/net/httpd.c
+++ b/net/httpd.c
@@ -395,6 +395,11 @@
 	return !h->connections->len;
 }
 
+uint32_t httpd_behind(const struct httpd_request *r)
+{
+	return r->from ? g_queue_get_length((GQueue *)&r->from->ahead) : 0;
+}
+
 static enum MHD_Result copy_header(void *user, enum MHD_ValueKind kind,
 				   const char *name, const char *value)
 {
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -113,6 +113,9 @@
 struct httpd_request *httpd_request_new(struct httpd *h);
 void httpd_request_free(struct httpd_request *r);
 
+/* Requests begun behind this one on its connection. */
+uint32_t httpd_behind(const struct httpd_request *r);
+
 /* All headers, name and value in turn; the caller unrefs. */
 GPtrArray *httpd_headers(const struct httpd_request *r);
 const char *httpd_header(const struct httpd_request *r, const char *name);
--- a/node/entry-attempt.c
+++ b/node/entry-attempt.c
@@ -45,7 +45,11 @@
 		       enum request_msg_type type, int64_t number)
 {
 	struct request_msg m = {
-		.type = type, .origin = e->origin, .id = a->id, .number = number
+		.type = type,
+		.origin = e->origin,
+		.id = a->id,
+		.number = number,
+		.sent_ms = clock_now_ms(),
 	};
 
 	deliver(e, a, &m);
--- a/node/entry.c
+++ b/node/entry.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <string.h>
 
 #include "net/clock.h"
@@ -384,8 +385,12 @@
 	if (!r || r->done)
 		return;
 	COUNT(requests_abandoned);
-	EVENT(request_abandoned, r->attempt_id, "\"class\":\"%s\"",
-	      event_text(r->class_name));
+	EVENT(request_abandoned, r->attempt_id,
+	      "\"class\":\"%s\",\"repeatable\":%s,\"age_ms\":%" PRId64
+	      ",\"open\":%u,\"tries\":%u,\"behind\":%u",
+	      event_text(r->class_name), r->plan.repeatable ? "true" : "false",
+	      clock_now_ms() - r->plan.received_ms, r->plan.open, r->plan.tries,
+	      httpd_behind(http));
 	r->done = true;
 	entry_cancel_others(r, NULL);
 }
--- a/node/gate.c
+++ b/node/gate.c
@@ -465,7 +465,7 @@
 }
 
 /*
- * How long a request was on its way. A link can hold messages back for seconds
+ * How long a message was on its way. A link can hold messages back for seconds
  * and deliver them then, when their callers have long been answered. The
  * clocks of two hosts differ by an unknown amount; the least difference seen
  * between sending and arrival is that amount and the fastest way, and what is
@@ -478,7 +478,6 @@
 
 	if (least) {
 		*least = MIN(*least, offset);
-		MEASURE(hop_ms, offset - *least);
 		return offset - *least;
 	}
 	if (g_hash_table_size(g->origins) >= MAX_ORIGINS)
@@ -509,6 +508,7 @@
 {
 	struct gate_request *r = g_new0(struct gate_request, 1);
 	gpointer index = g_hash_table_lookup(g->class_indexes, m->class_name);
+	int64_t late_ms;
 
 	r->gate = g;
 	r->identity = identity ? g_bytes_new(identity, len) : NULL;
@@ -529,7 +529,9 @@
 	r->keyed = m->flags & REQ_FLAG_KEYED;
 	r->shard = r->keyed ? m->shard : NO_SHARD;
 	r->arrived_ms = clock_now_ms();
-	r->deadline_ms = r->arrived_ms + m->deadline_ms - delay_ms(g, m);
+	late_ms = delay_ms(g, m);
+	MEASURE(hop_ms, late_ms);
+	r->deadline_ms = r->arrived_ms + m->deadline_ms - late_ms;
 	r->answer_by_ms = r->deadline_ms - WORD_MARGIN_MS;
 	if (r->shard >= 0 && r->shard < g->n_shards)
 		g->shard_load[r->shard]++;
@@ -597,11 +599,29 @@
 		gate_enqueue(r);
 }
 
-static void cancel(struct gate_request *r)
+static const char *state_name(enum gate_state state)
+{
+	static const char *const names[] = {
+		[GATE_WAITING] = "waiting",
+		[GATE_PARKED] = "parked",
+		[GATE_RUNNING] = "running",
+	};
+
+	return names[state];
+}
+
+static void cancel(struct gate_request *r, int64_t late_ms)
 {
 	struct gate *g = r->gate;
 
 	COUNT(gate_cancelled);
+	EVENT(gate_cancelled, r->attempt_id,
+	      "\"member\":%" PRId64 ",\"state\":\"%s\",\"repeatable\":%s"
+	      ",\"age_ms\":%" PRId64 ",\"late_ms\":%" PRId64
+	      ",\"sent_ms\":%" PRId64 ",\"arrived_ms\":%" PRId64,
+	      g->node->member.self, state_name(r->state),
+	      r->repeatable ? "true" : "false", clock_now_ms() - r->arrived_ms,
+	      late_ms, r->sent_ms, r->arrived_ms);
 	if (r->state == GATE_PARKED) {
 		gate_unpark(r);
 	} else if (r->state == GATE_WAITING) {
@@ -631,7 +651,10 @@
 	if (!r)
 		return;
 	if (m->type == REQ_CANCEL) {
-		cancel(r);
+		int64_t late_ms = delay_ms(g, m);
+
+		MEASURE(cancel_ms, late_ms);
+		cancel(r, late_ms);
 		return;
 	}
 	if (m->type == REQ_CREDIT) {
--- a/node/node.c
+++ b/node/node.c
@@ -7,6 +7,7 @@
 #include "node/node.h"
 #include "util/counters.h"
 #include "util/event.h"
+#include "util/histogram.h"
 #include "util/result.h"
 
 #define TICK_S 0.05
@@ -445,8 +446,41 @@
 		g_strlcpy(m->boot_id, g_strstrip(boot), sizeof(m->boot_id));
 }
 
+static void on_awake(struct ev_loop *loop, ev_check *w, int events)
+{
+	struct node *n = w->data;
+
+	(void)loop;
+	(void)events;
+	n->awake_us = clock_now_us();
+}
+
+static void on_asleep(struct ev_loop *loop, ev_prepare *w, int events)
+{
+	struct node *n = w->data;
+
+	(void)loop;
+	(void)events;
+	if (n->awake_us)
+		MEASURE(loop_ms, (clock_now_us() - n->awake_us) / 1000.0);
+}
+
+/* How long a round takes: nothing that comes in meanwhile is looked at. */
+static void watch_rounds(struct node *n)
+{
+	ev_check_init(&n->awake, on_awake);
+	ev_prepare_init(&n->asleep, on_asleep);
+	ev_set_priority(&n->awake, EV_MAXPRI);
+	ev_set_priority(&n->asleep, EV_MINPRI);
+	n->awake.data = n;
+	n->asleep.data = n;
+	ev_check_start(n->loop, &n->awake);
+	ev_prepare_start(n->loop, &n->asleep);
+}
+
 static void init_watchers(struct node *n)
 {
+	watch_rounds(n);
 	ev_timer_init(&n->tick, on_tick, 0, TICK_S);
 	ev_signal_init(&n->sigterm, on_signal, SIGTERM);
 	ev_signal_init(&n->sigint, on_signal, SIGINT);
@@ -523,6 +557,8 @@
 void node_finish(struct node *n)
 {
 	ev_timer_stop(n->loop, &n->tick);
+	ev_check_stop(n->loop, &n->awake);
+	ev_prepare_stop(n->loop, &n->asleep);
 	ev_signal_stop(n->loop, &n->sigterm);
 	ev_signal_stop(n->loop, &n->sigint);
 	ev_signal_stop(n->loop, &n->sighup);
--- a/node/node.h
+++ b/node/node.h
@@ -67,6 +67,9 @@
 	GHashTable *addresses; /* last address of each member seen */
 	struct log_scan scan; /* records met while looking for a snapshot */
 	ev_timer tick;
+	ev_check awake;
+	ev_prepare asleep;
+	int64_t awake_us; /* when this round of the loop began */
 	ev_signal sigterm;
 	ev_signal sigint;
 	ev_signal sighup;
--- a/util/histogram.h
+++ b/util/histogram.h
@@ -18,6 +18,8 @@
 	X(queue_ms) /* at the gate, before it was begun */             \
 	X(server_ms) /* at the backend server */                       \
 	X(hop_ms) /* between nodes, beyond the fastest seen */         \
+	X(cancel_ms) /* the same for what takes a request back */      \
+	X(loop_ms) /* a round of the loop, without its waiting */      \
 	X(grant_ms) /* how long grants in heartbeat answers last */    \
 	X(store_append_ms) /* an append to the log, to its answer */
 
