node: a request whose caller left is taken back wherever it waits, whatever its class

Cause: an entry cancelled only what may be repeated. The rest it forgot, so that work under way would not be cut off; but at that moment most of it had not begun and waited in a gate's queue (up to its deadline, 3 s and more). Class: who decides lacks the state that decides. Only the gate knows whether a request has begun, so the entry now takes back everything and the gate lets go what has not been sent; what may not be repeated and is under way goes on, its answer is dropped there, and an answer longer than the window no longer waits for credit that nobody gives.

--- a/node/entry-attempt.c
+++ b/node/entry-attempt.c
@@ -75,20 +75,8 @@
 	for (i = 0; i < MAX_ATTEMPTS; i++) {
 		struct attempt *a = r->attempts[i];
 
-		if (!a || a == keep)
-			continue;
-		/*
-		 * Work that may not be repeated is worth its result even when
-		 * its caller has left: cut off halfway it helps nobody, and
-		 * nobody may send it again.
-		 */
-		if (r->plan.repeatable) {
+		if (a && a != keep)
 			entry_cancel_attempt(e, a, false);
-		} else {
-			chooser_dropped(&e->chooser, a->member, false,
-					clock_now_ms());
-			entry_forget_attempt(e, a);
-		}
 	}
 }
 
--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -109,7 +109,7 @@
 	 * An entry whose caller reads slowly must not make this process hold
 	 * the whole answer: beyond the window the backend server waits.
 	 */
-	if (r->uncredited >= GATE_WINDOW_BYTES)
+	if (r->uncredited >= GATE_WINDOW_BYTES && !r->unwanted)
 		return false;
 	g_byte_array_append(r->pending, data, len);
 	XXH64_update(&r->digest, data, len);
--- a/node/gate-request.h
+++ b/node/gate-request.h
@@ -47,6 +47,7 @@
 	GByteArray *pending; /* answer not yet sent on */
 	bool head_sent;
 	bool shed; /* the server says that it did not run it */
+	bool unwanted; /* taken back, and its server is not to be cut off */
 	int64_t total;
 	int64_t uncredited;
 	XXH64_state_t digest;
--- a/node/gate.c
+++ b/node/gate.c
@@ -210,6 +210,8 @@
 
 void gate_emit_for(struct gate_request *r, struct request_msg *m)
 {
+	if (r->unwanted)
+		return;
 	m->origin = r->origin;
 	m->id = r->id;
 	gate_emit(r->gate, r->identity, m);
@@ -614,6 +616,16 @@
 {
 	struct gate *g = r->gate;
 
+	/*
+	 * Work that may not be repeated is worth its result even when its
+	 * caller has left: cut off halfway it helps nobody, and nobody may
+	 * send it again.
+	 */
+	if (r->state == GATE_RUNNING && !r->repeatable && r->fetch.sent) {
+		r->unwanted = true;
+		fetch_resume(&r->fetch);
+		return;
+	}
 	COUNT(gate_cancelled);
 	EVENT(gate_cancelled, r->attempt_id,
 	      "\"member\":%" PRId64 ",\"state\":\"%s\",\"repeatable\":%s"
