net: a caller that leaves ends all that it sent in a row on its connection

What callers saw: the users' sample of GONE is a history request, which may be repeated and is sent in a row with others.

Cause: on leaving, only the request whose turn it was got cancelled. The next one was read by libmicrohttpd from its buffer and sent to a gate, then cancelled a round of the loop later, and so on until a write failed; those begun ahead waited for their turn to be cancelled. A request that had waited unread until its caller gave up was begun too, and nobody watched a caller while the next piece of its answer was awaited.

Now leaving is a property of the connection: all its requests are taken back at once, no more are begun on it, its end is looked for before a request is handed over, and it is watched while an answer stalls.

--- a/net/ahead.c
+++ b/net/ahead.c
@@ -209,6 +209,20 @@
 	return begun;
 }
 
+static void left(gpointer request, gpointer user)
+{
+	struct httpd_request *r = request;
+
+	(void)user;
+	if (r->httpd->ops->on_gone)
+		r->httpd->ops->on_gone(r->httpd->user, r);
+}
+
+void ahead_left(struct httpd_connection *c)
+{
+	g_queue_foreach(&c->ahead, left, NULL);
+}
+
 void ahead_drop(struct httpd_connection *c)
 {
 	struct httpd_request *r;
--- a/net/ahead.h
+++ b/net/ahead.h
@@ -23,6 +23,9 @@
 struct httpd_request *ahead_take(struct httpd_connection *c,
 				 const struct httpd_request *r);
 
+/* The caller has left: nothing that was begun ahead is wanted any more. */
+void ahead_left(struct httpd_connection *c);
+
 /* The connection is closed: end what was begun ahead on it. */
 void ahead_drop(struct httpd_connection *c);
 
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -11,6 +11,7 @@
 #include "net/ahead.h"
 #include "net/headers.h"
 #include "net/httpd.h"
+#include "util/counters.h"
 #include "util/result.h"
 
 #define CONNECTION_LIMIT 4096
@@ -71,17 +72,33 @@
 	MHD_resume_connection(r->connection);
 }
 
+static bool has_left(const struct httpd_connection *c)
+{
+	struct pollfd p = { .fd = c->fd, .events = POLLRDHUP };
+
+	return poll(&p, 1, 0) > 0 && p.revents;
+}
+
+/*
+ * All that came over the connection ends at once, not only the request whose
+ * turn it is: one after the other, each would take a round of the loop, and
+ * those that libmicrohttpd has read already would be begun for nobody.
+ */
 static void caller_left(struct httpd_request *r)
 {
 	struct httpd *h = r->httpd;
 
 	ev_timer_stop(h->loop, &r->from->look);
-	if (r->answered)
-		return;
-	if (h->ops->on_gone)
+	r->from->left = true;
+	if (h->ops->on_gone) {
 		h->ops->on_gone(h->user, r);
+		ahead_left(r->from);
+	}
 	/* Whatever is written fails, and that ends the request. */
-	httpd_reply_text(r, MHD_HTTP_SERVICE_UNAVAILABLE, "");
+	if (r->streaming)
+		httpd_end(r, false);
+	else
+		httpd_reply_text(r, MHD_HTTP_SERVICE_UNAVAILABLE, "");
 }
 
 /*
@@ -107,24 +124,21 @@
 	if (!r->from->current)
 		return;
 	ev_timer_again(loop, &r->from->look);
-	ahead_look(r->from);
+	if (!r->streaming)
+		ahead_look(r->from);
 }
 
 static void on_look(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct httpd_connection *c = w->data;
-	struct pollfd p = { .fd = c->fd, .events = POLLRDHUP };
 
 	(void)events;
-	if (!c->current) {
+	if (!c->current)
 		ev_timer_stop(loop, w);
-		return;
-	}
-	if (poll(&p, 1, 0) > 0 && p.revents) {
+	else if (has_left(c))
 		caller_left(c->current);
-		return;
-	}
-	ahead_look(c);
+	else if (!c->current->streaming)
+		ahead_look(c);
 }
 
 static void watch_caller(struct httpd_request *r)
@@ -237,6 +251,14 @@
 				 "the body is too large\n");
 		return send_queued(r);
 	}
+	/* It may have waited in the socket until its caller gave it up. */
+	if (h->ops->on_gone && r->from &&
+	    (r->from->left || has_left(r->from))) {
+		r->from->left = true;
+		ahead_left(r->from);
+		COUNT(requests_left_unread);
+		return MHD_NO;
+	}
 	begun = r->from ? ahead_take(r->from, r) : NULL;
 	if (begun) {
 		begun->connection = r->connection;
@@ -446,7 +468,7 @@
 		MHD_add_response_header(r->response,
 					g_ptr_array_index(headers, i),
 					g_ptr_array_index(headers, i + 1));
-	if (r->httpd->draining)
+	if (r->httpd->draining || (r->from && r->from->left))
 		MHD_add_response_header(r->response, "Connection", "close");
 }
 
@@ -482,6 +504,7 @@
 					 : MHD_CONTENT_READER_END_OF_STREAM;
 		MHD_suspend_connection(r->connection);
 		r->suspended = true;
+		watch_caller(r);
 		return 0;
 	}
 	memcpy(out, r->pending->data, n);
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -20,8 +20,9 @@
 	/* A whole request; must be answered sooner or later. */
 	void (*on_request)(void *user, struct httpd_request *r);
 	/*
-	 * The caller has left while its request is being worked on. May be
-	 * NULL; on_closed follows.
+	 * The caller has left while its request is being worked on, or before
+	 * the turn of one that was begun ahead of it. May be NULL; on_closed
+	 * follows.
 	 */
 	void (*on_gone)(void *user, struct httpd_request *r);
 	/*
@@ -58,6 +59,7 @@
 	int fd;
 	bool busy; /* a request on it has begun and is not finished */
 	bool closing; /* it was told to close when idle for a moment */
+	bool left; /* the caller has closed it: nothing more is begun */
 	struct httpd_request *current; /* suspended while it is worked on */
 	ev_timer look; /* for what else comes meanwhile */
 	GQueue ahead; /* struct httpd_request begun before their turn */
--- a/util/counters.h
+++ b/util/counters.h
@@ -15,6 +15,7 @@
 	X(requests_unknown)        \
 	X(requests_rejected)       \
 	X(requests_abandoned)      \
+	X(requests_left_unread)    \
 	X(requests_retried)        \
 	X(requests_hedged)         \
 	X(hedges_won)              \
