member: a large fleet's start and changes cost the store few calls

Ruled out: the operators' stream read by a few only (calls as low, but a host cut off from its peers would hear of a configuration too late).

--- a/member/member.h
+++ b/member/member.h
@@ -188,6 +188,7 @@
 	int64_t published_source;
 	int64_t published_since_ms;
 	int64_t next_append_ms[N_APPEND_KINDS];
+	uint32_t conflicts[N_APPEND_KINDS]; /* in a row */
 	bool append_pending[N_APPEND_KINDS];
 	GPtrArray *snapshot_parts; /* json_t * still to be appended */
 	int64_t snapshot_cut; /* the offset that they stand for */
@@ -240,6 +241,13 @@
 void member_append_done(struct member_node *n, enum append_kind kind,
 			int result, int64_t now_ms);
 
+/*
+ * Whether records of a kind tell of their writer alone, and so mean the same
+ * after others that it has not read. Of the rest another may have appended one
+ * that makes ours needless.
+ */
+bool member_append_is_own(enum append_kind kind);
+
 /* Ask to be a member, or to leave once what runs has ended. */
 void member_set_wanted(struct member_node *n, bool wanted, int64_t now_ms);
 
--- a/member/propose.c
+++ b/member/propose.c
@@ -3,6 +3,7 @@
 #include "member/internal.h"
 #include "state/records.h"
 #include "util/counters.h"
+#include "util/hash.h"
 #include "util/result.h"
 
 #define RANK_STEP_MS 300
@@ -18,11 +19,19 @@
 /* Of the records between snapshots: how much longer the next by rank waits. */
 #define SNAPSHOT_RANK_SHARE 8
 #define LOG_WITNESSED_LAPSES 2
-/* After another's append came first: read it, then decide again. */
+/*
+ * After another's append came first: read it, then decide again. Each further
+ * time in a row may wait twice as long, so that many find their turns.
+ */
 #define CONFLICT_MS 30
+#define CONFLICT_DOUBLINGS 5
 /* Whom operators' changes wait for, one after the other: they are urgent. */
 #define PUBLISH_STEP_MS 150
 #define PUBLISH_STRANGER_MS 400
+/* Those that are no members have no rank, and may be many. */
+#define PUBLISH_SPREAD_MS 1000
+/* Where nobody has joined yet, all hosts start at about the same time. */
+#define FIRST_JOIN_SPREAD_MS 1000
 /* Backend servers announce themselves within about a second of each other. */
 #define PLACE_QUIET_MS 1200
 #define PLACE_LATEST_MS 4000
@@ -39,11 +48,24 @@
 	return g_rand_int_range(n->rand, 0, MAX(range, 200));
 }
 
+bool member_append_is_own(enum append_kind kind)
+{
+	return kind == APPEND_JOIN || kind == APPEND_SETTLE ||
+	       kind == APPEND_WITNESSES || kind == APPEND_GIVE;
+}
+
 static bool may_append(const struct member_node *n, enum append_kind kind)
 {
 	return !n->append_pending[kind] && n->now_ms >= n->next_append_ms[kind];
 }
 
+static int64_t conflict_ms(struct member_node *n, enum append_kind kind)
+{
+	uint32_t doublings = MIN(n->conflicts[kind]++, CONFLICT_DOUBLINGS);
+
+	return g_rand_int_range(n->rand, 0, CONFLICT_MS << doublings);
+}
+
 void member_append_done(struct member_node *n, enum append_kind kind,
 			int result, int64_t now_ms)
 {
@@ -56,6 +78,8 @@
 		else if (result != RESULT_CONFLICT)
 			g_ptr_array_set_size(n->snapshot_parts, 0);
 	}
+	if (result != RESULT_CONFLICT)
+		n->conflicts[kind] = 0;
 	if (result == RESULT_OK) {
 		n->next_append_ms[kind] = n->now_ms + RETRY_MS;
 		/* The parts of a snapshot belong close together. */
@@ -66,8 +90,7 @@
 		return;
 	}
 	if (result == RESULT_CONFLICT) {
-		n->next_append_ms[kind] =
-			n->now_ms + g_rand_int_range(n->rand, 0, CONFLICT_MS);
+		n->next_append_ms[kind] = n->now_ms + conflict_ms(n, kind);
 		n->next_join_ms = MIN(n->next_join_ms, n->now_ms);
 		return;
 	}
@@ -154,6 +177,10 @@
 		return;
 	if (!n->want_member || n->resigning || !n->log_caught_up)
 		return;
+	if (!n->next_join_ms && !fleet_n_members(&n->fleet))
+		n->next_join_ms =
+			n->now_ms +
+			g_rand_int_range(n->rand, 0, FIRST_JOIN_SPREAD_MS);
 	if (!may_append(n, APPEND_JOIN) || n->now_ms < n->next_join_ms)
 		return;
 	n->next_join_ms = n->now_ms + RETRY_MS + spread_ms(n);
@@ -524,7 +551,9 @@
  */
 static void propose_published(struct member_node *n)
 {
-	int64_t wait = PUBLISH_STRANGER_MS;
+	int64_t wait =
+		PUBLISH_STRANGER_MS +
+		hash_pair(n->me.host, n->published_source) % PUBLISH_SPREAD_MS;
 
 	if (!n->published || n->published_source <= n->fleet.source ||
 	    !n->log_caught_up || !may_append(n, APPEND_PUBLISHED))
--- a/member/sync.c
+++ b/member/sync.c
@@ -2,6 +2,7 @@
 
 #include "member/internal.h"
 #include "util/counters.h"
+#include "util/deflate.h"
 #include "util/hash.h"
 #include "util/result.h"
 
@@ -20,9 +21,12 @@
 #define CACHE_MAX_BYTES (1024 * 1024)
 #define CACHE_MAX_RECORDS 4096
 #define BATCH_MAX_BYTES (256 * 1024)
-/* A snapshot is longer, a large configuration too; the store's bytes are cheap.
+/* What is longer in its short form is read by each; the store's bytes are cheap.
  */
 #define PASS_ON_MAX_BYTES (8 * 1024)
+/* Text longer than this is compressed; JSON never begins with the mark. */
+#define PLAIN_MAX_BYTES 2048
+#define SHORT_FORM 'z'
 #define READERS_EVERY_MS 500
 /* So few wait at the log all of them. */
 #define FEW_MEMBERS 4
@@ -37,6 +41,26 @@
 	g_free(c);
 }
 
+/*
+ * Who has applied what comes before a part of a snapshot has no need of it, and
+ * who has nothing is handed the state. So that it need not be read by each
+ * because it is long, it is kept without what it holds.
+ */
+static char *text_to_keep(const json_t *record)
+{
+	const char *type = json_string_value(json_object_get(record, "type"));
+	json_t *bare;
+	char *text;
+
+	if (g_strcmp0(type, "snapshot"))
+		return json_dumps(record, JSON_COMPACT);
+	bare = json_copy((json_t *)record);
+	json_object_set_new(bare, "data", json_string(""));
+	text = json_dumps(bare, JSON_COMPACT);
+	json_decref(bare);
+	return text;
+}
+
 /* Keep a record that was just applied for peers that lack it. */
 void sync_remember(struct member_node *n, int64_t offset, const char *append_id,
 		   const json_t *record)
@@ -45,7 +69,7 @@
 
 	c->offset = offset;
 	c->append_id = g_strdup(append_id);
-	c->text = json_dumps(record, JSON_COMPACT);
+	c->text = text_to_keep(record);
 	n->cache_bytes += strlen(c->text);
 	g_queue_push_tail(n->cache, c);
 	while (n->cache_bytes > CACHE_MAX_BYTES ||
@@ -136,6 +160,34 @@
 	       fleet_n_members(&n->fleet) <= FEW_MEMBERS;
 }
 
+static void shorten(GString *text)
+{
+	GString *packed;
+
+	if (text->len <= PLAIN_MAX_BYTES)
+		return;
+	packed = deflate_bytes(text->str, text->len);
+	g_string_truncate(text, 0);
+	g_string_append_c(text, SHORT_FORM);
+	g_string_append_len(text, packed->str, packed->len);
+	g_string_free(packed, TRUE);
+}
+
+static json_t *load_text(const GString *text)
+{
+	GString *plain;
+	json_t *o;
+
+	if (!text->len || text->str[0] != SHORT_FORM)
+		return json_loadb(text->str, text->len, 0, NULL);
+	plain = inflate_bytes(text->str + 1, text->len - 1, MSG_MAX_TEXT);
+	if (!plain)
+		return NULL;
+	o = json_loadb(plain->str, plain->len, 0, NULL);
+	g_string_free(plain, TRUE);
+	return o;
+}
+
 /* Records from an offset on, as text for MSG_RECORDS. */
 static GString *records_from(const struct member_node *n, int64_t offset)
 {
@@ -152,6 +204,7 @@
 					       c->append_id, c->text);
 	}
 	g_string_append_c(text, ']');
+	shorten(text);
 	return text;
 }
 
@@ -205,6 +258,7 @@
 	msg.offset = n->fleet.applied;
 	msg.flags = sender_flags(n);
 	msg.text = g_string_new(text);
+	shorten(msg.text);
 	free(text);
 	json_decref(state);
 	member_send(n, to, &msg);
@@ -245,7 +299,7 @@
 
 	if (!msg->text)
 		return;
-	list = json_loadb(msg->text->str, msg->text->len, 0, NULL);
+	list = load_text(msg->text);
 	json_array_foreach(list, i, pair)
 	{
 		const char *id = json_string_value(json_array_get(pair, 0));
@@ -277,7 +331,7 @@
 
 	if (!msg->text || msg->offset <= n->fleet.applied)
 		return;
-	state = json_loadb(msg->text->str, msg->text->len, 0, NULL);
+	state = load_text(msg->text);
 	if (!state) {
 		COUNT(peer_messages_malformed);
 		return;
--- a/t/test-start.c
+++ b/t/test-start.c
@@ -211,6 +211,80 @@
 	sim_finish(&s);
 }
 
+/* Eighty processes that start at once and retry at once leave no one room. */
+static void test_conflicts_wait_longer(void)
+{
+	struct member_node *n;
+	int64_t longest = 0;
+	struct sim s;
+	uint32_t i;
+
+	sim_init_granted(&s, 11, 0);
+	g_assert_true(sim_converge(&s, 20000));
+	n = &s.nodes[0].member;
+	for (i = 0; i < 40; i++) {
+		member_append_done(n, APPEND_JOIN, RESULT_CONFLICT, n->now_ms);
+		longest = MAX(longest,
+			      n->next_append_ms[APPEND_JOIN] - n->now_ms);
+	}
+	g_assert_cmpint(longest, >, 500);
+	member_append_done(n, APPEND_JOIN, RESULT_OK, n->now_ms);
+	member_append_done(n, APPEND_JOIN, RESULT_CONFLICT, n->now_ms);
+	g_assert_cmpint(n->next_append_ms[APPEND_JOIN] - n->now_ms, <=, 30);
+	sim_finish(&s);
+}
+
+/* Who is level needs no snapshot, and would have to read it for being long. */
+static void test_snapshot_is_not_passed_on(void)
+{
+	const struct cached_record *c;
+	struct member_node *n;
+	json_t *record;
+	GString *text = g_string_new(NULL);
+	struct sim s;
+
+	sim_init_granted(&s, 12, 0);
+	g_assert_true(sim_converge(&s, 20000));
+	n = &s.nodes[0].member;
+	g_string_set_size(text, 60000);
+	memset(text->str, 'x', text->len);
+	record = record_snapshot(n->fleet.applied, 0, 1, text->str, text->len);
+	member_on_record(n, n->fleet.applied + 1, "snapshot-x", record,
+			 n->now_ms);
+	c = g_queue_peek_tail(n->cache);
+	g_assert_cmpint(c->offset, ==, n->fleet.applied);
+	g_assert_cmpuint(strlen(c->text), <, 200);
+	g_assert_nonnull(json_object_get(record, "data"));
+	json_decref(record);
+	g_string_free(text, TRUE);
+	sim_finish(&s);
+}
+
+/* A long configuration is passed on as well, or each host reads it itself. */
+static void test_long_record_is_passed_on(void)
+{
+	GString *text = g_string_new(NULL);
+	struct sim s;
+	uint32_t i;
+	int64_t end;
+
+	sim_init_granted(&s, 13, 0);
+	g_assert_true(sim_converge(&s, 20000));
+	sim_run(&s, 1000);
+	for (i = 0; i < SIM_NODES; i++)
+		s.nodes[i].log_cut = !s.nodes[i].member.is_reader;
+	for (i = 0; i < 1000; i++)
+		g_string_append_printf(text, "/path%u/,", i);
+	sim_append(&s, json_pack("{s:s,s:s}", "type", "padding", "text",
+				 text->str));
+	end = s.log->len - 1;
+	sim_run(&s, 200);
+	for (i = 0; i < SIM_NODES; i++)
+		g_assert_cmpint(s.nodes[i].member.fleet.applied, >=, end);
+	g_string_free(text, TRUE);
+	sim_finish(&s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -224,5 +298,11 @@
 			test_next_writes_snapshot);
 	g_test_add_func("/start/loaded-snapshot-counts",
 			test_loaded_snapshot_counts);
+	g_test_add_func("/start/conflicts-wait-longer",
+			test_conflicts_wait_longer);
+	g_test_add_func("/start/snapshot-is-not-passed-on",
+			test_snapshot_is_not_passed_on);
+	g_test_add_func("/start/long-record-is-passed-on",
+			test_long_record_is_passed_on);
 	return g_test_run();
 }
