--- a/net/log-client.c
+++ b/net/log-client.c
@@ -138,8 +138,7 @@
 	c->scan_from = from;
 }
 
-/* End a pause between reads. */
-static void read_at_once(struct log_client *c)
+void log_client_read_now(struct log_client *c)
 {
 	if (c->reading)
 		return;
@@ -172,7 +171,7 @@
 	if (c->trimmed)
 		return;
 	if (!c->reading && !c->failures)
-		read_at_once(c);
+		log_client_read_now(c);
 	if (!c->reading || c->renewed ||
 	    clock_now_ms() - c->read_sent_ms < RENEW_AGE_MS)
 		return;
@@ -253,6 +252,7 @@
 void log_client_read_done(struct log_client *c, struct log_batch *b)
 {
 	int64_t reached;
+	bool news;
 
 	c->reading = false;
 	if (b->result == RESULT_TRIMMED) {
@@ -289,6 +289,7 @@
 	take_records(c, b);
 	if (c->trimmed && c->ops->recover)
 		c->scan_from = b->next;
+	news = json_array_size(b->records);
 	reached = c->trimmed ? c->scan_from : c->next;
 	if (reached < b->next) {
 		read_again(c, 0);
@@ -296,7 +297,10 @@
 	}
 	settle_doubts(c);
 	c->handlers->on_tail(c->user, c->read_sent_ms);
-	read_again(c, c->trimmed || has_doubts(c) ? 0 : c->pause_ms);
+	if (c->trimmed || has_doubts(c))
+		read_again(c, 0);
+	else
+		read_again(c, MAX(c->pause_ms, news ? c->gather_ms : 0));
 }
 
 void log_client_appended(struct log_append *a, int result, bool sent)
@@ -308,7 +312,7 @@
 	}
 	if (result == RESULT_CONFLICT) {
 		/* What came first must be read before it is tried again. */
-		read_at_once(a->client);
+		log_client_read_now(a->client);
 		end_append(a, result);
 		return;
 	}
@@ -323,8 +327,8 @@
 	read_after_doubt(a->client);
 }
 
-void log_client_append(struct log_client *c, int kind, void *append_user,
-		       json_t *record)
+void log_client_append(struct log_client *c, int kind, bool anywhere,
+		       void *append_user, json_t *record)
 {
 	struct log_append *a;
 	json_t *body;
@@ -340,6 +344,7 @@
 	a->client = c;
 	a->began_ms = clock_now_ms();
 	a->kind = kind;
+	a->anywhere = anywhere;
 	a->user = append_user;
 	a->answer = g_string_new(NULL);
 	g_snprintf(a->id, sizeof(a->id), "%s-%" G_GUINT64_FORMAT, c->writer,
--- a/net/log-client.h
+++ b/net/log-client.h
@@ -47,6 +47,8 @@
 	int64_t began_ms;
 	int kind; /* the caller's own mark */
 	void *user;
+	bool anywhere; /* it may come after records not read yet */
+	uint32_t moves; /* to another offset, since others came first */
 	bool in_doubt; /* sent, and no answer came */
 	int64_t doubt_ms;
 };
@@ -80,6 +82,7 @@
 	int64_t read_sent_ms;
 	int64_t wait_ms; /* how long a read may wait for news */
 	int64_t pause_ms; /* between reads that found all there is */
+	int64_t gather_ms; /* after a read with news, before the next */
 	int64_t patience_ms; /* how long beyond that for its answer */
 	bool reading;
 	bool renewed; /* the read under way replaced one that heard nothing */
@@ -122,9 +125,17 @@
  */
 void log_client_renew(struct log_client *c);
 
-/* Append a record, which is stolen. */
-void log_client_append(struct log_client *c, int kind, void *append_user,
-		       json_t *record);
+/* End a pause between reads. */
+void log_client_read_now(struct log_client *c);
+
+/*
+ * Append a record, which is stolen. anywhere: it means the same after records
+ * that have not been read yet. Where others come first, RESULT_CONFLICT tells
+ * that these should be read; a record that may come anywhere tries to follow
+ * them a few times before.
+ */
+void log_client_append(struct log_client *c, int kind, bool anywhere,
+		       void *append_user, json_t *record);
 
 /* For the ops: a read or an append has ended. */
 void log_client_read_done(struct log_client *c, struct log_batch *b);
--- a/node/node.c
+++ b/node/node.c
@@ -65,7 +65,8 @@
 {
 	struct node *n = user;
 
-	log_client_append(&n->log, kind, NULL, record);
+	log_client_append(&n->log, kind, member_append_is_own(kind), NULL,
+			  record);
 }
 
 /*
--- a/node/operator.c
+++ b/node/operator.c
@@ -374,7 +374,7 @@
 	who = g_strdup_printf("%s [%s]", by, p->id);
 	json_object_set_new(record, "by", json_string(who));
 	g_ptr_array_add(n->publishes, p);
-	log_client_append(&n->log, APPEND_OPERATOR, p, record);
+	log_client_append(&n->log, APPEND_OPERATOR, false, p, record);
 }
 
 static const char *text_or(const json_t *o, const char *name,
@@ -430,7 +430,7 @@
 	}
 	record = record_expel(0, "declared lost by an operator");
 	record_expel_add(record, m);
-	log_client_append(&n->log, APPEND_DECLARE_LOST, NULL, record);
+	log_client_append(&n->log, APPEND_DECLARE_LOST, false, NULL, record);
 	reply_json(r, 202,
 		   json_pack("{s:s,s:I}", "outcome", "sent", "member",
 			     (json_int_t)m->id));
--- a/node/streams.c
+++ b/node/streams.c
@@ -19,6 +19,11 @@
 #define LOG_WAIT_LOOKOUT_MS 3000
 /* Those whom others pass records on to look for themselves that often. */
 #define LOG_PAUSE_MS 10000
+/* News seldom comes alone: what follows it is fetched with one read. */
+#define GATHER_MS 100
+/* The same for those who do not serve yet, or whom others pass it on to. */
+#define GATHER_LONG_MS 500
+#define GATHER_OPERATORS_MS 1000
 /* Ranks change with the members, and are worked out anew that often. */
 #define WAIT_EVERY_MS 1000
 
@@ -137,6 +142,9 @@
 		operator_appended(n, append_user, result);
 	else if (kind < N_APPEND_KINDS)
 		member_append_done(&n->member, kind, result, clock_now_ms());
+	/* Only our own record tells us what we are a member as. */
+	if (kind == APPEND_JOIN && !result)
+		log_client_read_now(&n->log);
 }
 
 static void on_published(void *user, int64_t offset, const char *id,
@@ -219,9 +227,13 @@
 	/* A node with its lease from peers need not keep asking the log. */
 	n->log.wait_ms = member_needs_log(m) ? LOG_WAIT_SHORT_MS
 					     : n->operators.wait_ms;
+	n->log.gather_ms = m->self ? GATHER_MS : GATHER_LONG_MS;
 	n->log.pause_ms = member_reads_log(m) ? 0 : LOG_PAUSE_MS;
-	if (n->log.pause_ms)
+	n->operators.gather_ms = GATHER_MS;
+	if (n->log.pause_ms) {
 		n->log.wait_ms = 0;
+		n->operators.gather_ms = GATHER_OPERATORS_MS;
+	}
 	/* What operators changed is in force elsewhere by now, or nobody reads.
 	 */
 	if (m->published && m->published_source > m->fleet.source &&
@@ -234,7 +246,7 @@
 		n->source_ahead_ms = 0;
 	else if (!n->source_ahead_ms)
 		n->source_ahead_ms = now;
-	else if (now - n->source_ahead_ms > DEAF_MS)
+	else if (now - n->source_ahead_ms > DEAF_MS + n->operators.gather_ms)
 		log_client_renew(&n->operators);
 }
 
--- a/t/test-log-client.c
+++ b/t/test-log-client.c
@@ -40,10 +40,62 @@
 	log_client_finish(&c);
 }
 
+static void take_record(void *user, int64_t offset, const char *id,
+			const json_t *record)
+{
+	struct log_client *c = user;
+
+	(void)id;
+	(void)record;
+	c->next = offset + 1;
+}
+
+static void take_tail(void *user, int64_t sent_ms)
+{
+	(void)user;
+	(void)sent_ms;
+}
+
+static const struct log_handlers takers = { .on_record = take_record,
+					    .on_tail = take_tail };
+
+static void read_brings(struct log_client *c, uint32_t n_records)
+{
+	struct log_batch b = { .records = json_array() };
+	int64_t offset;
+
+	b.next = c->next + n_records;
+	for (offset = c->next; offset < b.next; offset++)
+		json_array_append_new(b.records,
+				      json_pack("{s:I,s:s,s:{}}", "offset",
+						(json_int_t)offset, "id", "x",
+						"record"));
+	log_client_read_done(c, &b);
+	json_decref(b.records);
+}
+
+/* Each record by itself wakes every reader: those that follow soon share a
+ * read. */
+static void test_news_is_gathered(void)
+{
+	struct ev_loop *loop = ev_default_loop(0);
+	struct log_client c;
+
+	log_client_init(&c, loop, "127.0.0.1:1", &ops, &takers, &c);
+	c.gather_ms = 100;
+	ev_run(loop, EVRUN_ONCE);
+	read_brings(&c, 1);
+	g_assert_cmpfloat(ev_timer_remaining(loop, &c.timer), >, 0.09);
+	read_brings(&c, 0);
+	g_assert_cmpfloat(ev_timer_remaining(loop, &c.timer), <, 0.01);
+	log_client_finish(&c);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/log-client/recovery-is-not-renewed",
 			test_recovery_is_not_renewed);
+	g_test_add_func("/log-client/news-is-gathered", test_news_is_gathered);
 	return g_test_run();
 }
--- a/t/test-net.c
+++ b/t/test-net.c
@@ -3,10 +3,12 @@
 
 #include "member/msg.h"
 #include "net/address.h"
+#include "net/httpd.h"
 #include "net/headers.h"
 #include "net/log-client.h"
 #include "net/request-msg.h"
 #include "util/deflate.h"
+#include "platform/store.h"
 #include "util/result.h"
 
 #define N_MUTATIONS 20000
@@ -180,7 +182,7 @@
 	g_assert_cmpuint(n_reads, ==, 1);
 	g_assert_cmpint(last_wait_ms, ==, 10000);
 	lost_result = RESULT_OK;
-	log_client_append(&c, 0, NULL, json_object());
+	log_client_append(&c, 0, false, NULL, json_object());
 	ev_timer_init(&stop, end_loop, 0.1, 0);
 	ev_timer_start(loop, &stop);
 	ev_run(loop, 0);
@@ -191,6 +193,91 @@
 	log_client_finish(&c);
 }
 
+#define STORE_ADDRESS "127.0.0.1:29871"
+#define STORE_END 7
+
+struct refusing_store {
+	struct httpd httpd;
+	struct ev_loop *loop;
+	uint32_t n_appends;
+	int64_t last_at;
+	uint32_t n_reads;
+	int result; /* that the writer was told */
+};
+
+/* The stream ends at seven, and has never heard of anyone who thinks it does
+ * not. */
+static void store_request(void *user, struct httpd_request *r)
+{
+	struct refusing_store *s = user;
+	const char *at = httpd_argument(r, "at");
+
+	if (!at) {
+		s->n_reads++;
+		httpd_reply_text(r, 503, "");
+		return;
+	}
+	s->n_appends++;
+	s->last_at = g_ascii_strtoll(at, NULL, 10);
+	httpd_reply_text(r, s->last_at == STORE_END ? 200 : 412,
+			 "{\"offset\":7,\"end_offset\":7}");
+}
+
+static void store_closed(void *user, struct httpd_request *r)
+{
+	(void)user;
+	(void)r;
+}
+
+static void store_appended(void *user, int kind, void *append_user, int result)
+{
+	struct refusing_store *s = user;
+
+	(void)kind;
+	(void)append_user;
+	s->result = result;
+	ev_break(s->loop, EVBREAK_ALL);
+}
+
+static void append_to(struct refusing_store *s, bool anywhere)
+{
+	static const struct httpd_ops ops = { .on_request = store_request,
+					      .on_closed = store_closed };
+	static const struct log_handlers handlers = {
+		.on_tail = ignore_tail, .on_appended = store_appended
+	};
+	struct log_client c;
+
+	memset(s, 0, sizeof(*s));
+	s->loop = ev_default_loop(0);
+	g_assert_cmpint(httpd_init(&s->httpd, s->loop, STORE_ADDRESS, 1024,
+				   &ops, s),
+			==, RESULT_OK);
+	log_client_init(&c, s->loop, STORE_ADDRESS, &store_fleet_ops, &handlers,
+			s);
+	ev_timer_stop(s->loop, &c.timer);
+	c.next = 3;
+	log_client_append(&c, 0, anywhere, NULL, json_object());
+	ev_run(s->loop, 0);
+	log_client_finish(&c);
+	httpd_finish(&s->httpd);
+}
+
+/* Many join at once: each that comes second follows instead of reading first. */
+static void test_append_follows(void)
+{
+	struct refusing_store s;
+
+	append_to(&s, true);
+	g_assert_cmpint(s.result, ==, RESULT_OK);
+	g_assert_cmpint(s.last_at, ==, STORE_END);
+	g_assert_cmpuint(s.n_appends, ==, 2);
+	g_assert_cmpuint(s.n_reads, ==, 0);
+	append_to(&s, false);
+	g_assert_cmpint(s.result, ==, RESULT_CONFLICT);
+	g_assert_cmpuint(s.n_appends, ==, 1);
+}
+
 /* What was made short comes back whole, and rubbish as nothing. */
 static void test_short_form(void)
 {
@@ -222,6 +309,7 @@
 	g_test_add_func("/net/address", test_address);
 	g_test_add_func("/net/hop-by-hop", test_hop_by_hop);
 	g_test_add_func("/net/short-form", test_short_form);
+	g_test_add_func("/net/append-follows", test_append_follows);
 	g_test_add_func("/net/lost-answer-is-settled",
 			test_lost_answer_is_settled);
 	return g_test_run();
