gate, node, net: nothing is begun before what takes it back has been read

What callers and servers saw: work begun for callers that had left while a gate was slow, a link late, or a node had not looked at its callers; a half-closed caller told 503 of a booking that ran; an abort at a stop with a request in progress.

The measure of lateness took the least clock offset ever seen, so two clocks that drift apart made everything late after hours; it is the least of the last 10 to 20 s now (gate/delay). - A cancel that overtook its request on a replaced link was ignored. - Requests behind another on a connection were begun before its end was looked for. - A caller that left was written a 503, which a half-closed one reads. Now the connection is cut. - What an entry had asked for stayed at gates after its process was gone. - httpd_finish() stopped libmicrohttpd with suspended connections, which aborts; and the gate was released before the entry that cancels there.

--- a/net/httpd.c
+++ b/net/httpd.c
@@ -79,6 +79,21 @@
 	return poll(&p, 1, 0) > 0 && p.revents;
 }
 
+/*
+ * End a request without a word: its caller may still read, and whatever we said
+ * of one that goes on elsewhere could be wrong.
+ */
+static void cut(struct httpd_request *r)
+{
+	if (r->streaming) {
+		httpd_end(r, false);
+		return;
+	}
+	r->answered = true;
+	r->cut = true;
+	resume(r);
+}
+
 /*
  * All that came over the connection ends at once, not only the request whose
  * turn it is: one after the other, each would take a round of the loop, and
@@ -94,11 +109,7 @@
 		h->ops->on_gone(h->user, r);
 		ahead_left(r->from);
 	}
-	/* Whatever is written fails, and that ends the request. */
-	if (r->streaming)
-		httpd_end(r, false);
-	else
-		httpd_reply_text(r, MHD_HTTP_SERVICE_UNAVAILABLE, "");
+	cut(r);
 }
 
 /*
@@ -124,7 +135,9 @@
 	if (!r->from->current)
 		return;
 	ev_timer_again(loop, &r->from->look);
-	if (!r->streaming)
+	if (has_left(r->from))
+		caller_left(r);
+	else if (!r->streaming)
 		ahead_look(r->from);
 }
 
@@ -244,6 +257,8 @@
 	}
 	if (r->response)
 		return send_queued(r);
+	if (r->cut)
+		return MHD_NO;
 	if (r->answered)
 		return MHD_YES;
 	if (r->too_large) {
@@ -367,9 +382,21 @@
 /* Stop listening and drop what is open. */
 void httpd_finish(struct httpd *h)
 {
+	uint32_t i;
+
 	ev_io_stop(h->loop, &h->io);
 	ev_timer_stop(h->loop, &h->timer);
 	ev_prepare_stop(h->loop, &h->prepare);
+	/* libmicrohttpd aborts where a connection is suspended at its end. */
+	for (i = 0; i < h->connections->len; i++) {
+		struct httpd_connection *c =
+			g_ptr_array_index(h->connections, i);
+
+		ev_timer_stop(h->loop, &c->look);
+		if (c->current)
+			cut(c->current);
+	}
+	MHD_run(h->daemon);
 	MHD_stop_daemon(h->daemon);
 	h->daemon = NULL;
 	g_ptr_array_unref(h->connections);
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -83,6 +83,7 @@
 	bool streaming;
 	bool ended;
 	bool failed;
+	bool cut; /* ends with its connection, unanswered */
 	struct MHD_Response *response; /* queued on resume */
 	uint32_t status;
 	GByteArray *pending; /* streamed bytes not yet taken */
--- a/net/peer.c
+++ b/net/peer.c
@@ -357,6 +357,11 @@
 	return send_body(l->dealer, plane, data, len);
 }
 
+void peers_read(struct peers *p)
+{
+	pump_router(p);
+}
+
 int peers_answer(struct peers *p, const void *identity, size_t identity_len,
 		 enum peer_plane plane, const void *data, size_t len)
 {
--- a/net/peer.h
+++ b/net/peer.h
@@ -63,6 +63,9 @@
 int peers_answer(struct peers *p, const void *identity, size_t identity_len,
 		 enum peer_plane plane, const void *data, size_t len);
 
+/* Read all that has come. */
+void peers_read(struct peers *p);
+
 /* Close a link that has gone silent; the next send opens a new one. */
 void peers_replace(struct peers *p, const char *address);
 
--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -180,7 +180,7 @@
 		gate_fail(r, result);
 	}
 	gate_check_reached(g);
-	gate_pump(g);
+	gate_refill(g);
 }
 
 const struct fetch_ops gate_fetch_ops = {
--- a/node/gate-health.c
+++ b/node/gate-health.c
@@ -68,7 +68,7 @@
 		limit_watch(&g->load.limit, 0, now);
 		ev_timer_stop(loop, w);
 	}
-	gate_pump(g);
+	gate_refill(g);
 }
 
 static void on_probe_done(struct fetch *f, int result)
--- a/node/gate-request.h
+++ b/node/gate-request.h
@@ -31,6 +31,7 @@
 	const char *attempt_id; /* that the answer must echo, or NULL */
 	bool traced;
 	int64_t sent_ms; /* by the entry's clock */
+	int64_t late_ms; /* on its way, beyond the fastest */
 	bool first_sending; /* nobody sent this request's id before */
 	bool repeatable;
 	bool keyed;
@@ -97,6 +98,8 @@
 
 /* Start what may be started. */
 void gate_pump(struct gate *g);
+/* The same when a slot has become free, after reading what came from entries. */
+void gate_refill(struct gate *g);
 void gate_emit(struct gate *g, GBytes *identity, struct request_msg *m);
 
 /* node/gate-health.c: stalls and signs of life of the backend server. */
--- a/node/gate.c
+++ b/node/gate.c
@@ -1,6 +1,7 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "gate/delay.h"
 #include "net/clock.h"
 #include "node/gate-request.h"
 #include "net/headers.h"
@@ -17,6 +18,14 @@
 #define WATCH_S 0.003
 #define MAX_ENTRIES 2048
 #define MAX_ORIGINS 4096
+#define MAX_TAKEN_BACK 1024
+/*
+ * What takes a request back comes the same way, and just as late: of one that
+ * was on its way for longer than this the caller may long have left.
+ */
+#define LATE_MS 400
+/* The library's own thread needs some milliseconds for what waits in sockets. */
+#define HOLD_MS 30
 /*
  * A request still waiting this long before its deadline is refused: later our
  * word that it did not run would come after its entry has given it up, and had
@@ -95,6 +104,8 @@
 	balance_init(&g->balance);
 	g->class_indexes =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g->taken_back = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					      g_free, g_free);
 	g->origins = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					   g_free);
 }
@@ -123,6 +134,7 @@
 	balance_finish(&g->balance);
 	g_hash_table_unref(g->class_indexes);
 	g_hash_table_unref(g->origins);
+	g_hash_table_unref(g->taken_back);
 	g_hash_table_unref(g->entries);
 	g_free(g->shard_load);
 	g_rand_free(g->rand);
@@ -408,6 +420,8 @@
 {
 	struct queued q;
 
+	if (clock_now_ms() < g->hold_until_ms)
+		return;
 	while (g->backend_server.announced &&
 	       admission_next(&g->load, clock_now_ms(), &q))
 		start(q.request);
@@ -416,6 +430,18 @@
 		ev_timer_again(g->node->loop, &g->watch);
 }
 
+void gate_hold(struct gate *g, int64_t now_ms)
+{
+	g->hold_until_ms = now_ms + HOLD_MS;
+}
+
+void gate_refill(struct gate *g)
+{
+	/* What takes a request back may have come, and goes first. */
+	peers_read(&g->node->peers);
+	gate_pump(g);
+}
+
 /* known: this process has seen a configuration before. */
 static void follow_service(struct gate *g, bool known)
 {
@@ -467,26 +493,21 @@
 }
 
 /*
- * How long a message was on its way. A link can hold messages back for seconds
- * and deliver them then, when their callers have long been answered. The
- * clocks of two hosts differ by an unknown amount; the least difference seen
- * between sending and arrival is that amount and the fastest way, and what is
- * beyond it is delay.
+ * A link can hold messages back for seconds and deliver them then, when their
+ * callers have long been answered.
  */
 static int64_t delay_ms(struct gate *g, const struct request_msg *m)
 {
-	int64_t offset = clock_now_ms() - m->sent_ms;
-	int64_t *least = g_hash_table_lookup(g->origins, &m->origin);
+	struct delay *d = g_hash_table_lookup(g->origins, &m->origin);
 
-	if (least) {
-		*least = MIN(*least, offset);
-		return offset - *least;
-	}
+	if (d)
+		return delay_learn(d, m->sent_ms, clock_now_ms());
 	if (g_hash_table_size(g->origins) >= MAX_ORIGINS)
 		g_hash_table_remove_all(g->origins);
+	d = g_new(struct delay, 1);
+	delay_init(d, m->sent_ms, clock_now_ms());
 	g_hash_table_insert(g->origins,
-			    g_memdup2(&m->origin, sizeof(m->origin)),
-			    g_memdup2(&offset, sizeof(offset)));
+			    g_memdup2(&m->origin, sizeof(m->origin)), d);
 	return 0;
 }
 
@@ -510,7 +531,6 @@
 {
 	struct gate_request *r = g_new0(struct gate_request, 1);
 	gpointer index = g_hash_table_lookup(g->class_indexes, m->class_name);
-	int64_t late_ms;
 
 	r->gate = g;
 	r->identity = identity ? g_bytes_new(identity, len) : NULL;
@@ -531,9 +551,9 @@
 	r->keyed = m->flags & REQ_FLAG_KEYED;
 	r->shard = r->keyed ? m->shard : NO_SHARD;
 	r->arrived_ms = clock_now_ms();
-	late_ms = delay_ms(g, m);
-	MEASURE(hop_ms, late_ms);
-	r->deadline_ms = r->arrived_ms + m->deadline_ms - late_ms;
+	r->late_ms = delay_ms(g, m);
+	MEASURE(hop_ms, r->late_ms);
+	r->deadline_ms = r->arrived_ms + m->deadline_ms - r->late_ms;
 	r->answer_by_ms = r->deadline_ms - WORD_MARGIN_MS;
 	if (r->shard >= 0 && r->shard < g->n_shards)
 		g->shard_load[r->shard]++;
@@ -569,6 +589,25 @@
 	gate_pump(g);
 }
 
+/*
+ * A link that was replaced can deliver a request after the new one has brought
+ * what takes it back.
+ */
+static void note_taken_back(struct gate *g, const struct request_msg *m)
+{
+	if (g_hash_table_size(g->taken_back) >= MAX_TAKEN_BACK)
+		g_hash_table_remove_all(g->taken_back);
+	g_hash_table_insert(g->taken_back, g_memdup2(&m->id, sizeof(m->id)),
+			    g_memdup2(&m->origin, sizeof(m->origin)));
+}
+
+static bool was_taken_back(struct gate *g, const struct request_msg *m)
+{
+	const uint64_t *origin = g_hash_table_lookup(g->taken_back, &m->id);
+
+	return origin && *origin == m->origin;
+}
+
 static void on_ask(struct gate *g, const void *identity, size_t len,
 		   const struct request_msg *m)
 {
@@ -591,9 +630,13 @@
 		return;
 	}
 	remember_entry(g, identity, len);
+	if (was_taken_back(g, m))
+		return;
 	r = request_new(g, identity, len, m);
 	if (r->deadline_ms <= r->arrived_ms)
 		gate_refuse(r, RESULT_TIMEOUT);
+	else if (r->late_ms > LATE_MS)
+		gate_refuse(r, RESULT_OVERLOAD);
 	else if (!gate_may_serve(r, &fence, &lease_end_ms)) {
 		if (!gate_park(r))
 			gate_refuse(r, RESULT_NOT_OWNER);
@@ -623,6 +666,8 @@
 	 */
 	if (r->state == GATE_RUNNING && !r->repeatable && r->fetch.sent) {
 		r->unwanted = true;
+		link_withdraw(&g->load.link, r->promised_bytes);
+		r->promised_bytes = 0;
 		fetch_resume(&r->fetch);
 		return;
 	}
@@ -641,7 +686,9 @@
 	} else {
 		fetch_cancel(&r->fetch);
 		admission_cancelled(&g->load);
-		if (r->seen_hash)
+		if (r->seen_hash && !r->fetch.sent)
+			ids_forget(&g->ids, r->seen_hash);
+		else if (r->seen_hash)
 			ids_end(&g->ids, r->seen_hash, SEEN_UNKNOWN, 0, NULL,
 				NULL, 0);
 	}
@@ -660,8 +707,11 @@
 			on_ask(g, identity, len, m);
 		return;
 	}
-	if (!r)
+	if (!r) {
+		if (m->type == REQ_CANCEL)
+			note_taken_back(g, m);
 		return;
+	}
 	if (m->type == REQ_CANCEL) {
 		int64_t late_ms = delay_ms(g, m);
 
@@ -677,6 +727,38 @@
 	}
 }
 
+static bool came_from(const struct gate_request *r, const char *address)
+{
+	size_t len = strlen(address);
+	gsize n;
+	const char *identity;
+
+	if (!r->identity)
+		return false;
+	identity = g_bytes_get_data(r->identity, &n);
+	return n > len && identity[len] == '/' &&
+	       !memcmp(identity, address, len);
+}
+
+void gate_entry_gone(struct gate *g, const char *address)
+{
+	GList *all = g_hash_table_get_keys(g->requests);
+	GList *l;
+
+	for (l = all; l; l = l->next) {
+		struct gate_request *r = l->data;
+
+		if (r->state == GATE_RUNNING || !came_from(r, address))
+			continue;
+		if (r->state == GATE_PARKED)
+			gate_unpark(r);
+		else
+			queue_remove(&g->load.queue, r);
+		gate_refuse(r, RESULT_UNREACHABLE);
+	}
+	g_list_free(all);
+}
+
 void gate_check_reached(struct gate *g)
 {
 	if (g->connect_failures < MAX_CONNECT_FAILURES ||
@@ -712,5 +794,5 @@
 	gate_give_away(g, now);
 	gate_probe(g, now);
 	gate_check_reached(g);
-	gate_pump(g);
+	gate_refill(g);
 }
--- a/node/gate.h
+++ b/node/gate.h
@@ -53,7 +53,9 @@
 	bool in_service; /* by the newest configuration */
 	int64_t version; /* configuration that the queue follows */
 	GHashTable *class_indexes; /* name -> index into its classes + 1 */
-	GHashTable *origins; /* uint64_t entry -> int64_t least clock offset */
+	GHashTable *origins; /* uint64_t entry -> struct delay */
+	int64_t hold_until_ms;
+	GHashTable *taken_back; /* uint64_t id -> uint64_t entry, not come yet */
 	int64_t heard_ms; /* last sign of life of the backend server */
 	int64_t next_probe_ms;
 	uint32_t connect_failures; /* in a row */
@@ -88,6 +90,18 @@
 		     const struct request_msg *m);
 void gate_tick(struct gate *g);
 
+/*
+ * The process did not run for a while: begin nothing until what came meanwhile
+ * had time to be read.
+ */
+void gate_hold(struct gate *g, int64_t now_ms);
+
+/*
+ * The process at a peer address is gone, and its callers with it: what it asked
+ * for and has not begun is refused.
+ */
+void gate_entry_gone(struct gate *g, const char *address);
+
 /* Requests in flight or waiting on a shard, and over all. */
 /* Take over what changed in the configuration; cheap when nothing did. */
 void gate_follow_configuration(struct gate *g);
--- a/node/node.c
+++ b/node/node.c
@@ -192,6 +192,8 @@
 	    (!strcmp(ev->reason, FLEET_REASON_RESTARTED) ||
 	     !strcmp(ev->reason, FLEET_REASON_ENDED)))
 		n->superseded = *ev->member;
+	if (ev->type == FLEET_MEMBER_GONE)
+		gate_entry_gone(&n->gate, ev->member->peer);
 	if (ev->type == FLEET_MEMBER_JOINED) {
 		remember_address(n, ev->member->id, ev->member->peer);
 		note_superseded(n, ev->member);
@@ -447,6 +449,9 @@
 		g_strlcpy(m->boot_id, g_strstrip(boot), sizeof(m->boot_id));
 }
 
+/* The tick wakes the loop much sooner, unless the process does not run. */
+#define FROZEN_US 250000
+
 static void on_awake(struct ev_loop *loop, ev_check *w, int events)
 {
 	struct node *n = w->data;
@@ -454,6 +459,8 @@
 	(void)loop;
 	(void)events;
 	n->awake_us = clock_now_us();
+	if (n->asleep_us && n->awake_us - n->asleep_us > FROZEN_US)
+		gate_hold(&n->gate, n->awake_us / 1000);
 }
 
 static void on_asleep(struct ev_loop *loop, ev_prepare *w, int events)
@@ -462,8 +469,9 @@
 
 	(void)loop;
 	(void)events;
+	n->asleep_us = clock_now_us();
 	if (n->awake_us)
-		MEASURE(loop_ms, (clock_now_us() - n->awake_us) / 1000.0);
+		MEASURE(loop_ms, (n->asleep_us - n->awake_us) / 1000.0);
 }
 
 /* How long a round takes: nothing that comes in meanwhile is looked at. */
@@ -564,11 +572,11 @@
 	ev_signal_stop(n->loop, &n->sigint);
 	ev_signal_stop(n->loop, &n->sighup);
 	operator_finish(n);
+	entry_finish(&n->entry);
 	granter_finish(&n->granter);
 	gate_finish(&n->gate);
 	streams_finish(n);
 	backend_finish(n);
-	entry_finish(&n->entry);
 	peers_finish(&n->peers);
 	member_finish(&n->member);
 	audit_finish(&n->audit);
--- a/node/node.h
+++ b/node/node.h
@@ -70,6 +70,7 @@
 	ev_check awake;
 	ev_prepare asleep;
 	int64_t awake_us; /* when this round of the loop began */
+	int64_t asleep_us; /* when the one before ended */
 	ev_signal sigterm;
 	ev_signal sigint;
 	ev_signal sighup;
--- a/t/test-gate.c
+++ b/t/test-gate.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "gate/delay.h"
 #include "gate/cold.h"
 #include "gate/ids.h"
 #include "gate/limit.h"
@@ -419,6 +420,21 @@
 	g_assert_cmpfloat(link_wait_ms(&l, 1e9, 1000), ==, 0);
 }
 
+/* Two clocks drift apart: what was the fastest way an hour ago says nothing. */
+static void test_delay_follows_drift(void)
+{
+	struct delay d;
+	int64_t ms;
+
+	delay_init(&d, 1000, 500);
+	for (ms = 0; ms < 3600 * 1000; ms += 1000)
+		g_assert_cmpint(delay_learn(&d, 1000 + ms,
+					    500 + ms + ms / 5000),
+				<=, 5);
+	g_assert_cmpint(delay_learn(&d, 1000 + ms, 900 + ms + ms / 5000), >=,
+			400);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -443,5 +459,6 @@
 	g_test_add_func("/ids/move", test_ids_move);
 	g_test_add_func("/ids/made", test_ids_made);
 	g_test_add_func("/link/wait", test_link);
+	g_test_add_func("/delay/follows-drift", test_delay_follows_drift);
 	return g_test_run();
 }
