t: lookups whose callers have left are sent on and begun

Ruled out: those begun ahead that wait at a gate.

The server stand-in can stop halfway through long answers (stall=N).

--- a/t/platform-server.c
+++ b/t/platform-server.c
@@ -23,7 +23,8 @@
  * second answer behind each of N), unsigned=N, lose=N (runs, then closes),
  * cold_ms=N (says that it is cold for so long), late=N (leaves N calls that
  * grant keys unanswered and carries them out 1 s later), refuse=N (refuses N
- * such calls as if it had seen a higher fence).
+ * such calls as if it had seen a higher fence), stall=N (stops halfway through
+ * each of N long answers).
  */
 
 #define MAX_BODY (8 * 1024 * 1024)
@@ -34,6 +35,7 @@
 #define STATUS_FENCED 409
 #define N_KEYS 65536
 #define LATE_S 1.0
+#define STALL_BYTES (256 * 1024)
 
 struct job {
 	struct httpd_request *r;
@@ -53,7 +55,7 @@
 static char id[32];
 static int64_t born_ms, number, beat_sent_ms;
 static bool draining, mute, by_call;
-static int64_t late, refuse;
+static int64_t late, refuse, stall;
 static double work_ms = 1;
 static int64_t lose, without_signature, wrong_id, cold_ms;
 static GArray *held; /* struct grant_row */
@@ -281,6 +283,20 @@
 		    strlen(beat_body), BEAT_LIMIT_MS, false, &beat_ops, NULL);
 }
 
+/* The first half of a long answer, and never the second. */
+static void answer_half(struct httpd_request *r)
+{
+	GPtrArray *headers = headers_new();
+	g_autofree char *half = g_malloc0(STALL_BYTES);
+
+	header_add(headers, headers_platform.attempt_id,
+		   httpd_header(r, headers_platform.attempt_id));
+	header_add(headers, headers_platform.signature, "ab.cd");
+	httpd_stream(r, 200, headers, (int64_t)2 * STALL_BYTES);
+	httpd_push(r, half, STALL_BYTES);
+	g_ptr_array_unref(headers);
+}
+
 static void answer(struct httpd_request *r, uint32_t status, bool ran)
 {
 	GPtrArray *headers = headers_new();
@@ -322,6 +338,11 @@
 		httpd_end(r, false);
 		return;
 	}
+	if (stall > 0) {
+		stall--;
+		answer_half(r);
+		return;
+	}
 	answer(r, 200, true);
 }
 
@@ -428,6 +449,7 @@
 	draining = argument(r, "drain", draining);
 	late = argument(r, "late", late);
 	refuse = argument(r, "refuse", refuse);
+	stall = argument(r, "stall", stall);
 	if (argument(r, "crash", 0))
 		start_life();
 	beat_in(0);
--- /dev/null
+++ b/t/t0041-platform-cancelled-on-the-way.sh
@@ -0,0 +1,47 @@
+#!/bin/bash
+# Lookups reach their gates a second late, with their cancels behind long bodies: none may be begun.
+COLD_PER_S=1000
+. "$(dirname "$0")/lib-platform.sh"
+start_platform "records bookings" "hakata tenjin kurume kitakyu"
+platform_config 7 ',{"name":"slow","kind":"safe","goal_ms":20000,"priority":2,
+	"match":{"path_prefix":"/slow/"},"action":{"service":"bookings",
+	"timeout_ms":20000,"attempts":2}},{"name":"once","kind":"unsafe",
+	"goal_ms":20000,"priority":1,"match":{"path_prefix":"/once/"},
+	"action":{"service":"bookings","timeout_ms":20000,"attempts":2}}'
+wait_platform
+for i in 1 3 5 7; do server_control $i work_ms=500; done
+get() {
+	printf 'GET /slow/%s HTTP/1.1\r\nHost: a.example\r\n' "$1"
+	printf 'X-Mesh-Request-Id: %s\r\nX-Mesh-Deadline-Ms: 20000\r\n\r\n' "$1"
+}
+head -c 1000000 /dev/zero >"$DIR/long"
+before=$(counter 0 requests_received) admitted=$(total gate_admitted)
+for i in 1 3 5 7; do kill -STOP "${NODE_PID[$i]}"; done
+fds=() sent=()
+for i in {1..12}; do
+	exec {fd}<>"/dev/tcp/127.0.0.1/$((BASE_PORT + 1))"
+	fds+=($fd)
+	get "gone-$i" >&$fd
+done
+taken() { [ "$(counter 0 requests_received)" -ge $((before + $1)) ]; }
+wait_for "them to be sent" taken 12
+long() {
+	for fd in "${fds[@]}"; do exec {fd}>&-; done
+	ask -X POST --data-binary @"$DIR/long" -o /dev/null -H "Host: a.example" \
+		-H "X-Mesh-Deadline-Ms: 20000" -H "X-Mesh-Request-Id: $1" \
+		-w '%{http_code}\n' "http://$(caller_of 0)/once/1"
+}
+for i in {1..12}; do long "long-$i" >"$DIR/long-$i" & sent+=($!); done
+wait_for "long ones behind them" taken 24
+for fd in "${fds[@]}"; do exec {fd}>&-; done
+abandoned() { [ "$(counter 0 requests_abandoned)" -ge 12 ]; }
+wait_for "their leaving to be noticed" abandoned
+sleep 0.7
+for i in 1 3 5 7; do kill -CONT "${NODE_PID[$i]}"; done
+wait "${sent[@]}"
+sum=0
+for i in {1..12}; do sum=$((sum + $(ran "gone-$i"))); done
+echo "of 12 that left ran: $sum"
+echo "of 12 that left admitted: $(($(total gate_admitted) - admitted - 12))"
+echo "answers to those that stayed:"
+cat "$DIR"/long-* | sort | uniq -c | sed 's/^ *//'
--- /dev/null
+++ b/t/t0042-platform-leaves-six-in-one.sh
@@ -0,0 +1,25 @@
+#!/bin/bash
+# A caller sends six lookups in one piece and leaves while the first is worked on: no other may be begun.
+. "$(dirname "$0")/lib-platform.sh"
+start_platform "records bookings" "hakata tenjin kurume kitakyu"
+platform_config 7
+wait_platform
+for i in 1 3 5 7; do server_control $i work_ms=1000; done
+get() {
+	printf 'GET /list/%s HTTP/1.1\r\nHost: a.example\r\n' "$1"
+	printf 'X-Mesh-Request-Id: %s\r\nX-Mesh-Deadline-Ms: 15000\r\n\r\n' "$1"
+}
+sum=0
+sent=$(total gate_received)
+for i in {1..10}; do
+	exec 3<>"/dev/tcp/127.0.0.1/$((BASE_PORT + 1))"
+	for id in 1 2 3 4 5 6; do get "row-$i-$id"; done | cat >&3
+	began() { [ "$(ran "row-$i-1")" = 1 ]; }
+	wait_for "the first to begin" began
+	exec 3>&-
+	quiet() { local i s=0; for i in $NODES; do s=$((s + $(field $i in_flight))); done; [ $s -eq 0 ]; }
+	wait_for "their end" quiet
+	for id in 2 3 4 5 6; do sum=$((sum + $(ran "row-$i-$id"))); done
+done
+echo "of 50 behind the first ran: $sum"
+echo "of 50 behind the first sent to a gate: $(($(total gate_received) - sent - 10))"
