gate: a queued request that short ones overtook is refused once it is late

What callers saw: lookups and bookings held until shortly before their deadline, then told that they had not run, with no time left to come back.

Cause: a request is refused on arrival when it would have to wait into lateness, but the queue takes the shortest first, and what was admitted is overtaken by short ones that come later. Under lasting load it is never begun, and was only looked at again 40 ms before its deadline.

Now what waits is held against the same condition as what arrives, each tick, the foremost first. The refusal is true, as the request is still in the queue.

Test: /admission/overtaken, 1,460 ms until the last was told before, under 400 now.

--- a/gate/admission.c
+++ b/gate/admission.c
@@ -92,6 +92,13 @@
 	       cold_allows(&a->cold, now_ms) && queue_pop(&a->queue, out);
 }
 
+bool admission_overtaken(struct admission *a, int64_t now_ms,
+			 struct queued *out)
+{
+	return queue_pop_overtaken(&a->queue, now_ms, a->n_running,
+				   a->limit.now, out);
+}
+
 void admission_started(struct admission *a, int64_t now_ms)
 {
 	a->n_running++;
--- a/gate/admission.h
+++ b/gate/admission.h
@@ -51,6 +51,13 @@
 /* The next request to begin now; false when none may be, or none waits. */
 bool admission_next(struct admission *a, int64_t now_ms, struct queued *out);
 
+/*
+ * One that waits and will not be done in time any more, to be refused while its
+ * caller can still go elsewhere or come back; false when there is none.
+ */
+bool admission_overtaken(struct admission *a, int64_t now_ms,
+			 struct queued *out);
+
 /* One was handed to the backend server. */
 void admission_started(struct admission *a, int64_t now_ms);
 
--- a/gate/queue.c
+++ b/gate/queue.c
@@ -162,22 +162,21 @@
 	uint32_t i;
 
 	for (i = 0; i < q->heap->len; i++)
-		if (!before(in, at(q, i)))
+		if (at(q, i) != in && !before(in, at(q, i)))
 			work_ms += at(q, i)->work_ms;
 	if (!work_ms && running < slots)
 		return 0;
 	return (work_ms + q->service_ms) / MAX(slots, 1.0);
 }
 
-bool queue_can_meet(const struct queue *q, int64_t now_ms,
-		    const struct queued *in, uint32_t running, double slots)
+/* work_ms of in is known by now; in itself may wait in the queue or not. */
+static bool can_be_in_time(const struct queue *q, int64_t now_ms,
+			   const struct queued *in, uint32_t running,
+			   double slots)
 {
-	struct queued sized = *in;
-	double wait, done_ms;
+	double wait = wait_ms(q, in, running, slots);
+	double done_ms = now_ms + wait + in->work_ms * LEAST_SHARE;
 
-	sized.work_ms = class_ms(q, in->class_index);
-	wait = wait_ms(q, &sized, running, slots);
-	done_ms = now_ms + wait + sized.work_ms * LEAST_SHARE;
 	if (done_ms > in->deadline_ms)
 		return false;
 	/*
@@ -189,6 +188,15 @@
 	return wait <= 0 || done_ms <= in->due_ms;
 }
 
+bool queue_can_meet(const struct queue *q, int64_t now_ms,
+		    const struct queued *in, uint32_t running, double slots)
+{
+	struct queued sized = *in;
+
+	sized.work_ms = class_ms(q, in->class_index);
+	return can_be_in_time(q, now_ms, &sized, running, slots);
+}
+
 struct queued *queue_push(struct queue *q, const struct queued *in)
 {
 	struct queued *e = g_memdup2(in, sizeof(*in));
@@ -243,6 +251,20 @@
 	return false;
 }
 
+bool queue_pop_overtaken(struct queue *q, int64_t now_ms, uint32_t running,
+			 double slots, struct queued *out)
+{
+	uint32_t best = q->heap->len;
+	uint32_t i;
+
+	/* The foremost, since those behind it may be in time without it. */
+	for (i = 0; i < q->heap->len; i++)
+		if (!can_be_in_time(q, now_ms, at(q, i), running, slots) &&
+		    (best == q->heap->len || before(at(q, i), at(q, best))))
+			best = i;
+	return best < q->heap->len && take_into(q, best, out);
+}
+
 static void smooth(double *mean, double v)
 {
 	*mean += *mean > 0 ? SERVICE_WEIGHT * (v - *mean) : v;
--- a/gate/queue.h
+++ b/gate/queue.h
@@ -71,6 +71,13 @@
 /* Take one whose deadline has passed; false when there is none. */
 bool queue_pop_expired(struct queue *q, int64_t now_ms, struct queued *out);
 
+/*
+ * Take one that queue_can_meet() would refuse if it came only now, since
+ * shorter ones that came later go before it; false when there is none.
+ */
+bool queue_pop_overtaken(struct queue *q, int64_t now_ms, uint32_t running,
+			 double slots, struct queued *out);
+
 /* Learn how long the backend server took for one request of a class. */
 void queue_learn(struct queue *q, uint32_t class_index, double service_ms);
 
--- a/model/server.c
+++ b/model/server.c
@@ -152,6 +152,8 @@
 {
 	struct queued q;
 
+	while (admission_overtaken(&h->gate, now_ms(m), &q))
+		refuse(m, q.request, false);
 	while (admission_next(&h->gate, now_ms(m), &q))
 		start(m, q.request);
 }
--- a/node/gate.c
+++ b/node/gate.c
@@ -706,6 +706,10 @@
 	gate_follow_configuration(g);
 	while (queue_pop_expired(&g->load.queue, now, &q))
 		gate_refuse(q.request, RESULT_TIMEOUT);
+	while (admission_overtaken(&g->load, now, &q)) {
+		COUNT(gate_refused_overtaken);
+		gate_refuse(q.request, RESULT_OVERLOAD);
+	}
 	if (!g->backend_server.announced)
 		return;
 	gate_park_tick(g, now);
--- a/t/test-gate.c
+++ b/t/test-gate.c
@@ -1,11 +1,13 @@
 #include <glib.h>
 #include <string.h>
 
+#include "gate/admission.h"
 #include "gate/cold.h"
 #include "gate/ids.h"
 #include "gate/limit.h"
 #include "gate/link.h"
 #include "gate/queue.h"
+#include "util/result.h"
 
 /*
  * A server in cold start falls over under full load. The gate must begin with
@@ -398,6 +400,55 @@
 	queue_finish(&q);
 }
 
+static int64_t last_refused_ms(struct admission *a)
+{
+	struct queued in = { .deadline_ms = 1460 };
+	struct queued *victim;
+	struct queued out;
+	int64_t last = 0;
+	int64_t now;
+	uint32_t i;
+
+	in.class_index = 1;
+	in.due_ms = 400;
+	for (i = 0; i < 8; i++)
+		g_assert_cmpint(admission_offer(a, &in, false, 0, &victim), ==,
+				RESULT_OK);
+	in.class_index = 0;
+	for (now = 1; now < 1500; now++) {
+		in.due_ms = now + 60;
+		in.deadline_ms = now + 200;
+		if (now % 2 && !admission_offer(a, &in, false, now, &victim))
+			g_assert_null(victim);
+		while (queue_pop_expired(&a->queue, now, &out) ||
+		       admission_overtaken(a, now, &out))
+			if (out.class_index == 1)
+				last = now;
+		if (now % 4 == 0 && queue_pop(&a->queue, &out))
+			g_assert_cmpuint(out.class_index, ==, 0);
+	}
+	return last;
+}
+
+/*
+ * Twelve slots, all taken, and short requests that come as fast as they free.
+ * The long ones that wait are never begun. Told so only at their deadline,
+ * their callers have no time left to come back.
+ */
+static void test_admission_overtaken(void)
+{
+	struct admission a;
+
+	admission_init(&a, &limit_fixed, 0, 0);
+	admission_announce(&a, &limit_fixed, 12, 0);
+	queue_set_classes(&a.queue, 2);
+	queue_learn(&a.queue, 0, 40);
+	queue_learn(&a.queue, 1, 150);
+	a.n_running = 12;
+	g_assert_cmpint(last_refused_ms(&a), <=, 400);
+	admission_finish(&a);
+}
+
 /* A link of 8 Mbit/s carries 1,000 bytes a millisecond, 900 of them answers. */
 static void test_link(void)
 {
@@ -438,6 +489,7 @@
 	g_test_add_func("/queue/by-target", test_queue_refuses_by_target);
 	g_test_add_func("/queue/early", test_queue_early_refusal);
 	g_test_add_func("/queue/short-among-long", test_queue_short_among_long);
+	g_test_add_func("/admission/overtaken", test_admission_overtaken);
 	g_test_add_func("/ids/repeat", test_ids_repeat);
 	g_test_add_func("/ids/full", test_ids_full);
 	g_test_add_func("/ids/move", test_ids_move);
--- a/util/counters.h
+++ b/util/counters.h
@@ -28,6 +28,7 @@
 	X(gate_parked)             \
 	X(gate_refused_link)       \
 	X(gate_refused_overload)   \
+	X(gate_refused_overtaken)  \
 	X(gate_refused_not_owner)  \
 	X(gate_refused_deadline)   \
 	X(gate_refused_draining)   \
