gate: what a heartbeat's answer names is worked out without a member node

grant_beat_rows() asked the member node itself, so that no test could say what is ours without a fleet. It asks through struct grant_owner now, as calls do. A shard is undecided where it is expected and not served, which is what member_awaits() said; before the node has joined the lease ends at 0 and no row is named in either case. No change of behaviour.

--- a/gate/grant-beat.c
+++ b/gate/grant-beat.c
@@ -160,31 +160,33 @@
  * of others. Left out of an answer it would let that go, and renewed it may
  * have two holders; so for a moment nothing is said of any row.
  */
-static bool undecided(const struct grants *g, const struct member_node *m)
+static bool undecided(const struct grants *g, const struct grant_owner *o)
 {
+	int64_t fence;
 	uint32_t i;
 
 	for (i = 0; i < g->n_shards; i++)
-		if (g->shards[i].held && member_awaits(m, i))
+		if (g->shards[i].held && !o->ops->serves(o->user, i, &fence) &&
+		    o->ops->expects(o->user, i))
 			return true;
 	return false;
 }
 
-GArray *grant_beat_rows(struct grants *g, const struct member_node *m,
+GArray *grant_beat_rows(struct grants *g, const struct grant_owner *o,
 			int64_t beat, int64_t hold_max_ms, int64_t now_ms,
 			int64_t *hold_ms)
 {
 	GArray *rows;
 	uint32_t i;
 
-	*hold_ms = grants_hold_ms(member_lease_end_ms(m), hold_max_ms, now_ms);
-	if (!g->n_shards || *hold_ms < MIN_HOLD_MS || undecided(g, m))
+	*hold_ms = grants_hold_ms(o->lease_end_ms, hold_max_ms, now_ms);
+	if (!g->n_shards || *hold_ms < MIN_HOLD_MS || undecided(g, o))
 		return NULL;
 	rows = g_array_new(FALSE, TRUE, sizeof(struct grant_row));
 	for (i = 0; i < g->n_shards; i++) {
 		int64_t fence;
 
-		if (member_holds(m, i, &fence))
+		if (o->ops->serves(o->user, i, &fence))
 			give(g, i, fence, beat, *hold_ms, rows, now_ms);
 	}
 	return rows;
--- a/gate/grant-beat.h
+++ b/gate/grant-beat.h
@@ -3,8 +3,8 @@
 
 #include <glib.h>
 
+#include "gate/grant-owner.h"
 #include "gate/grants.h"
-#include "member/member.h"
 
 /*
  * Grants by heartbeat. The backend server reports in each heartbeat what it
@@ -27,7 +27,7 @@
  * how many milliseconds of the server's clock they hold. NULL when nothing can
  * be said of any shard, which changes nothing at the server. The caller frees.
  */
-GArray *grant_beat_rows(struct grants *g, const struct member_node *m,
+GArray *grant_beat_rows(struct grants *g, const struct grant_owner *o,
 			int64_t beat, int64_t hold_max_ms, int64_t now_ms,
 			int64_t *hold_ms);
 
--- a/node/backend.c
+++ b/node/backend.c
@@ -77,14 +77,17 @@
 
 static char *answer(struct node *n, int64_t number)
 {
+	struct grant_owner owner;
 	int64_t hold_ms;
-	GArray *rows = grant_beat_rows(&n->gate.grants, &n->member, number,
-				       n->settings.hold_max_ms, clock_now_ms(),
-				       &hold_ms);
+	GArray *rows;
 	uint32_t n_left_out;
 	char *text;
 	uint32_t i;
 
+	grant_owner_from(&owner, &n->member);
+	rows = grant_beat_rows(&n->gate.grants, &owner, number,
+			       n->settings.hold_max_ms, clock_now_ms(),
+			       &hold_ms);
 	if (rows)
 		MEASURE(grant_ms, hold_ms);
 	text = announce_answer(rows, hold_ms, MAX_ANSWER_BYTES, &n_left_out);
--- a/t/sim-backend.c
+++ b/t/sim-backend.c
@@ -58,6 +58,7 @@
 	struct member_node *m = &nd->member;
 	struct fleet_service *service = fleet_service(&m->fleet, "records");
 	GArray *holds = held_rows(s, b);
+	struct grant_owner owner;
 	int64_t now = sim_local(nd);
 
 	if (nd->life_known != b->life) {
@@ -83,7 +84,8 @@
 	grant_beat_heard(&nd->grants, ++b->number, holds, NULL, HOLD_MAX_MS,
 			 now);
 	g_array_unref(holds);
-	return grant_beat_rows(&nd->grants, m, b->number, HOLD_MAX_MS, now,
+	grant_owner_from(&owner, m);
+	return grant_beat_rows(&nd->grants, &owner, b->number, HOLD_MAX_MS, now,
 			       hold_ms);
 }
 
