gate: rows without room in a heartbeat's answer are not taken for granted

What callers saw: a server that is to hold more rows than an answer of 4 KiB takes lets go of those at its end, and its node goes on sending requests for them, each turned away (421) and tried again until its deadline.

Cause: grant_beat_rows() noted every row as given before announce_answer() cut the text, and always cut the highest keys, whether the server held them or not.

Now the rows are worked out first and noted by grant_beat_given() when it is known how many of them are in the answer. What is left out is no longer granted; requests for it are refused at once instead of being parked, since nobody knows when there is room. It still counts as held until the server reports that it let go or the hold has run out, for the answer may be lost: nothing else may have the key before. Rows that the server holds come first, then those that have waited longest; those without room are offered with each further answer.

Ruled out: taking turns among all rows. It serves nobody more, and each turn costs its keys two heartbeats without service and a warm-up.

--- a/gate/grant-beat.c
+++ b/gate/grant-beat.c
@@ -5,8 +5,8 @@
 /* A grant shorter than this ends before the next heartbeat can renew it. */
 #define MIN_HOLD_MS 300
 
-static const struct grant_row *row_on(const GArray *rows, int64_t from,
-				      int64_t to)
+/* The place in rows of the one that has keys of [from, to], -1 none. */
+static int row_on(const GArray *rows, int64_t from, int64_t to)
 {
 	uint32_t i;
 
@@ -15,9 +15,14 @@
 			&g_array_index(rows, struct grant_row, i);
 
 		if (r->from <= to && r->to >= from)
-			return r;
+			return i;
 	}
-	return NULL;
+	return -1;
+}
+
+static const struct grant_row *row_at(const GArray *rows, int place)
+{
+	return &g_array_index(rows, struct grant_row, place);
 }
 
 static void take_held(struct grant *s, const struct grant_row *r,
@@ -57,16 +62,17 @@
 		struct grant *s = &g->shards[i];
 		int64_t from = grants_first_key(g, i);
 		int64_t to = grants_last_key(g, i);
-		const struct grant_row *held = row_on(holds, from, to);
-		const struct grant_row *gone = row_on(released, from, to);
+		int held = row_on(holds, from, to);
+		int gone = row_on(released, from, to);
 
-		if (gone && gone->handover[0]) {
+		if (gone >= 0 && row_at(released, gone)->handover[0]) {
 			g_free(s->handover_out);
-			s->handover_out = g_strdup(gone->handover);
+			s->handover_out =
+				g_strdup(row_at(released, gone)->handover);
 		}
-		s->held = held;
-		if (held)
-			take_held(s, held, hold_max_ms, now_ms);
+		s->held = held >= 0;
+		if (s->held)
+			take_held(s, row_at(holds, held), hold_max_ms, now_ms);
 		else
 			take_free(s, beat);
 	}
@@ -103,7 +109,8 @@
 {
 	const struct grant *s = &g->shards[shard];
 
-	return (s->fence == fence || s->held) && now_ms < s->until_ms;
+	return !s->left_out && (s->fence == fence || s->held) &&
+	       now_ms < s->until_ms;
 }
 
 const struct grant_ops grant_by_heartbeat = {
@@ -114,45 +121,62 @@
 	.granted = granted,
 };
 
-static void add_row(GArray *rows, const struct grant_row *row)
+/* A row of an answer and how much it needs to be in it. */
+struct need {
+	struct grant_row row;
+	bool held;
+	int64_t waits_ms; /* INT64_MAX: it does not */
+};
+
+static struct need need_of(const struct grants *g, uint32_t shard,
+			   int64_t fence, bool with_handovers)
 {
-	struct grant_row *last =
-		rows->len
-			? &g_array_index(rows, struct grant_row, rows->len - 1)
-			: NULL;
+	const struct grant *s = &g->shards[shard];
+	struct need n = { .row = { .from = grants_first_key(g, shard),
+				   .to = grants_last_key(g, shard),
+				   .fence = fence },
+			  .held = s->held,
+			  .waits_ms = s->waits_ms ? s->waits_ms : INT64_MAX };
+	bool confirmed = s->confirmed && s->fence == fence;
 
-	if (last && last->to + 1 == row->from && last->fence == row->fence &&
-	    !strcmp(last->handover, row->handover))
-		last->to = row->to;
-	else
-		g_array_append_val(rows, *row);
+	if (with_handovers && !confirmed && s->handover_in)
+		g_strlcpy(n.row.handover, s->handover_in,
+			  sizeof(n.row.handover));
+	return n;
+}
+
+/* Add a row, joined to the last one where they fit together. */
+static void add_need(GArray *needs, const struct need *n)
+{
+	struct need *last =
+		needs->len ? &g_array_index(needs, struct need, needs->len - 1)
+			   : NULL;
+
+	if (!last || last->row.to + 1 != n->row.from ||
+	    last->row.fence != n->row.fence ||
+	    strcmp(last->row.handover, n->row.handover)) {
+		g_array_append_val(needs, *n);
+		return;
+	}
+	last->row.to = n->row.to;
+	last->held = last->held || n->held;
+	last->waits_ms = MIN(last->waits_ms, n->waits_ms);
 }
 
 /*
- * Note that the answer to heartbeat number beat grants a shard under fence for
- * hold_ms on the server's clock, and add its row to the answer, joined to the
- * last one where they fit together.
+ * What the server holds comes first, for left out it would be let go; then what
+ * has waited longest.
  */
-static void give(struct grants *g, uint32_t shard, int64_t fence, int64_t beat,
-		 int64_t hold_ms, GArray *rows, int64_t now_ms)
+static int by_need(gconstpointer a, gconstpointer b)
 {
-	struct grant *s = &g->shards[shard];
-	struct grant_row row = { .from = grants_first_key(g, shard),
-				 .to = grants_last_key(g, shard),
-				 .fence = fence };
+	const struct need *x = a;
+	const struct need *y = b;
 
-	if (s->fence != fence)
-		s->confirmed = false;
-	if (!s->confirmed && s->handover_in)
-		g_strlcpy(row.handover, s->handover_in, sizeof(row.handover));
-	s->fence = fence;
-	s->beat = beat;
-	s->until_ms = MAX(s->until_ms,
-			  now_ms + (int64_t)(hold_ms * GRANT_SLOW_CLOCK) +
-				  GRANT_MARGIN_MS);
-	/* What an earlier holding left behind is not worth anything now. */
-	g_clear_pointer(&s->handover_out, g_free);
-	add_row(rows, &row);
+	if (x->held != y->held)
+		return x->held ? -1 : 1;
+	if (!x->held && x->waits_ms != y->waits_ms)
+		return x->waits_ms < y->waits_ms ? -1 : 1;
+	return x->row.from < y->row.from ? -1 : 1;
 }
 
 /*
@@ -172,22 +196,67 @@
 	return false;
 }
 
-GArray *grant_beat_rows(struct grants *g, const struct grant_owner *o,
-			int64_t beat, int64_t hold_max_ms, int64_t now_ms,
-			int64_t *hold_ms)
+GArray *grant_beat_rows(const struct grants *g, const struct grant_owner *o,
+			bool with_handovers, int64_t hold_max_ms,
+			int64_t now_ms, int64_t *hold_ms)
 {
-	GArray *rows;
+	GArray *needs, *rows;
 	uint32_t i;
 
 	*hold_ms = grants_hold_ms(o->lease_end_ms, hold_max_ms, now_ms);
 	if (!g->n_shards || *hold_ms < MIN_HOLD_MS || undecided(g, o))
 		return NULL;
-	rows = g_array_new(FALSE, TRUE, sizeof(struct grant_row));
+	needs = g_array_new(FALSE, FALSE, sizeof(struct need));
 	for (i = 0; i < g->n_shards; i++) {
+		struct need n;
 		int64_t fence;
 
-		if (o->ops->serves(o->user, i, &fence))
-			give(g, i, fence, beat, *hold_ms, rows, now_ms);
+		if (!o->ops->serves(o->user, i, &fence))
+			continue;
+		n = need_of(g, i, fence, with_handovers);
+		add_need(needs, &n);
 	}
+	g_array_sort(needs, by_need);
+	rows = g_array_new(FALSE, TRUE, sizeof(struct grant_row));
+	for (i = 0; i < needs->len; i++)
+		g_array_append_val(rows,
+				   g_array_index(needs, struct need, i).row);
+	g_array_unref(needs);
 	return rows;
 }
+
+static void give(struct grant *s, int64_t fence, int64_t beat, int64_t hold_ms,
+		 int64_t now_ms)
+{
+	if (s->fence != fence)
+		s->confirmed = false;
+	s->fence = fence;
+	s->beat = beat;
+	s->until_ms = MAX(s->until_ms,
+			  now_ms + (int64_t)(hold_ms * GRANT_SLOW_CLOCK) +
+				  GRANT_MARGIN_MS);
+	s->waits_ms = 0;
+	/* What an earlier holding left behind is not worth anything now. */
+	g_clear_pointer(&s->handover_out, g_free);
+}
+
+void grant_beat_given(struct grants *g, const GArray *rows, uint32_t n_named,
+		      int64_t beat, int64_t hold_ms, int64_t now_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < g->n_shards; i++) {
+		struct grant *s = &g->shards[i];
+		int place = row_on(rows, grants_first_key(g, i),
+				   grants_last_key(g, i));
+
+		s->left_out = place < 0 || place >= (int)n_named;
+		if (!s->left_out)
+			give(s, row_at(rows, place)->fence, beat, hold_ms,
+			     now_ms);
+		else if (place < 0)
+			s->waits_ms = 0;
+		else if (!s->waits_ms)
+			s->waits_ms = now_ms;
+	}
+}
--- a/gate/grants.c
+++ b/gate/grants.c
@@ -101,6 +101,11 @@
 	return shard < g->n_shards && g->ops->granted(g, shard, fence, now_ms);
 }
 
+bool grants_lacks_room(const struct grants *g, uint32_t shard)
+{
+	return shard < g->n_shards && g->shards[shard].waits_ms;
+}
+
 int64_t grants_hold_ms(int64_t end_ms, int64_t max_ms, int64_t now_ms)
 {
 	int64_t left = (int64_t)((end_ms - now_ms - GRANT_MARGIN_MS) /
--- a/gate/grants.h
+++ b/gate/grants.h
@@ -49,6 +49,8 @@
 	int64_t beat; /* number of the heartbeat whose answer granted it */
 	bool confirmed; /* reported as held under this fence since */
 	bool held; /* reported as held, under any, in the last heartbeat */
+	bool left_out; /* of the last answer that named rows */
+	int64_t waits_ms; /* ours, without room in an answer since, 0 none */
 	char *handover_in; /* from the last holder, to go with the grant */
 	char *handover_out; /* from our server when it let go */
 };
@@ -125,6 +127,9 @@
 bool grants_granted(const struct grants *g, uint32_t shard, int64_t fence,
 		    int64_t now_ms);
 
+/* Whether a shard is ours and the last answer had no room for it. */
+bool grants_lacks_room(const struct grants *g, uint32_t shard);
+
 /* The keys of a shard, as the backend server counts them. */
 int64_t grants_first_key(const struct grants *g, uint32_t shard);
 int64_t grants_last_key(const struct grants *g, uint32_t shard);
--- a/node/backend.c
+++ b/node/backend.c
@@ -75,34 +75,48 @@
 	cold_set(&n->gate.load.cold, a->cold_left_ms, clock_now_ms());
 }
 
+/* The answer to a heartbeat; n_named of its rows had room. */
+static char *write_answer(struct node *n, const struct grant_owner *o,
+			  bool with_handovers, GArray **rows, int64_t *hold_ms,
+			  uint32_t *n_named)
+{
+	uint32_t n_left_out;
+	char *text;
+
+	*rows = grant_beat_rows(&n->gate.grants, o, with_handovers,
+				n->settings.hold_max_ms, clock_now_ms(),
+				hold_ms);
+	text = announce_answer(*rows, *hold_ms, MAX_ANSWER_BYTES, &n_left_out);
+	*n_named = *rows ? (*rows)->len - n_left_out : 0;
+	return text;
+}
+
 static char *answer(struct node *n, int64_t number)
 {
 	struct grant_owner owner;
 	int64_t hold_ms;
 	GArray *rows;
-	uint32_t n_left_out;
+	uint32_t n_named;
 	char *text;
-	uint32_t i;
 
 	grant_owner_from(&owner, &n->member);
-	rows = grant_beat_rows(&n->gate.grants, &owner, number,
-			       n->settings.hold_max_ms, clock_now_ms(),
-			       &hold_ms);
-	if (rows)
-		MEASURE(grant_ms, hold_ms);
-	text = announce_answer(rows, hold_ms, MAX_ANSWER_BYTES, &n_left_out);
+	text = write_answer(n, &owner, true, &rows, &hold_ms, &n_named);
+	if (!rows)
+		return text;
 	/* Cold keys are better than keys let go because a row had no room. */
-	for (i = 0; n_left_out && i < rows->len; i++)
-		g_array_index(rows, struct grant_row, i).handover[0] = '\0';
-	if (n_left_out) {
+	if (n_named < rows->len) {
 		g_free(text);
-		text = announce_answer(rows, hold_ms, MAX_ANSWER_BYTES,
-				       &n_left_out);
-	}
-	if (n_left_out)
-		g_warning("%u rows left out of an answer too long", n_left_out);
-	if (rows)
 		g_array_unref(rows);
+		text = write_answer(n, &owner, false, &rows, &hold_ms,
+				    &n_named);
+	}
+	if (n_named < rows->len)
+		g_warning("%u of %u rows left out of an answer too long",
+			  rows->len - n_named, rows->len);
+	MEASURE(grant_ms, hold_ms);
+	grant_beat_given(&n->gate.grants, rows, n_named, number, hold_ms,
+			 clock_now_ms());
+	g_array_unref(rows);
 	return text;
 }
 
--- a/t/sim-backend.c
+++ b/t/sim-backend.c
@@ -50,6 +50,35 @@
 	return rows;
 }
 
+static const struct grant_row *row_of(const GArray *rows, int64_t key)
+{
+	uint32_t i;
+
+	for (i = 0; i < rows->len; i++) {
+		const struct grant_row *r =
+			&g_array_index(rows, struct grant_row, i);
+
+		if (r->from <= key && r->to >= key)
+			return r;
+	}
+	return NULL;
+}
+
+/* A request for a key that an answer leaves out would be turned away. */
+static void check_granted(struct sim_node *nd, const GArray *rows)
+{
+	uint32_t i;
+
+	for (i = 0; i < nd->sim->n_shards; i++) {
+		int64_t fence;
+
+		if (member_holds(&nd->member, i, &fence) &&
+		    grants_granted(&nd->grants, i, fence, sim_local(nd)) &&
+		    !row_of(rows, shard_from(nd->sim, i)))
+			nd->sim->unnamed++;
+	}
+}
+
 /* What the node beside a server does with its heartbeat. */
 static GArray *node_on_beat(struct sim_node *nd, int64_t *hold_ms)
 {
@@ -59,6 +88,8 @@
 	struct fleet_service *service = fleet_service(&m->fleet, "records");
 	GArray *holds = held_rows(s, b);
 	struct grant_owner owner;
+	GArray *rows;
+	uint32_t n_named;
 	int64_t now = sim_local(nd);
 
 	if (nd->life_known != b->life) {
@@ -85,8 +116,15 @@
 			 now);
 	g_array_unref(holds);
 	grant_owner_from(&owner, m);
-	return grant_beat_rows(&nd->grants, &owner, b->number, HOLD_MAX_MS, now,
+	rows = grant_beat_rows(&nd->grants, &owner, true, HOLD_MAX_MS, now,
 			       hold_ms);
+	if (!rows)
+		return NULL;
+	n_named = s->room ? MIN(s->room, rows->len) : rows->len;
+	grant_beat_given(&nd->grants, rows, n_named, b->number, *hold_ms, now);
+	g_array_set_size(rows, n_named);
+	check_granted(nd, rows);
+	return rows;
 }
 
 static void check_fence(struct sim_node *nd, uint32_t i, int64_t fence)
@@ -111,20 +149,6 @@
 	s->top_life[i] = nd->backend.life;
 }
 
-static const struct grant_row *row_of(const GArray *rows, int64_t key)
-{
-	uint32_t i;
-
-	for (i = 0; i < rows->len; i++) {
-		const struct grant_row *r =
-			&g_array_index(rows, struct grant_row, i);
-
-		if (r->from <= key && r->to >= key)
-			return r;
-	}
-	return NULL;
-}
-
 /* The answer to a heartbeat reaches the server. */
 static void take_answer(struct sim_node *nd)
 {
--- a/t/sim-faults.c
+++ b/t/sim-faults.c
@@ -153,6 +153,7 @@
 	uint32_t i;
 
 	s->loss = 0;
+	s->room = 0;
 	s->log_down_until = 0;
 	memset(s->cut_until, 0, sizeof(s->cut_until));
 	for (i = 0; i < SIM_NODES; i++) {
--- a/t/sim.h
+++ b/t/sim.h
@@ -102,6 +102,8 @@
 	uint32_t n_shards;
 	bool granted; /* backend servers hold shards by grants */
 	const struct grant_ops *way; /* how they are told */
+	uint32_t room; /* rows that an answer to a heartbeat has, 0 all */
+	uint64_t unnamed; /* shards taken for granted that none named */
 	uint32_t grant_rules; /* enum grant_rule, turned off */
 	uint32_t lives;
 	uint32_t *top_life; /* per shard, the life it was highest under */
--- a/t/test-grants.c
+++ b/t/test-grants.c
@@ -1,10 +1,13 @@
 #include <string.h>
 
+#include "gate/grant-beat.h"
 #include "gate/grant-call.h"
+#include "platform/announce.h"
 
 /*
  * Grants by call, one case at a time: what is called next, and what is known of
- * a shard while a call is on its way, unanswered or refused.
+ * a shard while a call is on its way, unanswered or refused. Then grants by
+ * heartbeat, where an answer has no room for all rows.
  */
 
 #define N_SHARDS 8
@@ -41,6 +44,7 @@
 	struct owned w;
 	struct grant_owner o;
 	int64_t now;
+	int64_t beat;
 };
 
 static void renew_lease(struct fixture *f)
@@ -477,6 +481,148 @@
 	grants_finish(&f.g);
 }
 
+/* A server told by the answers to its heartbeats: four shards, four rows. */
+static void set_up_beats(struct fixture *f)
+{
+	uint32_t i;
+
+	set_up(f);
+	grants_finish(&f->g);
+	grants_init(&f->g, &grant_by_heartbeat, 0);
+	grants_resize(&f->g, N_SHARDS, N_KEYS);
+	for (i = 0; i < N_SHARDS; i += 2)
+		own(f, i, i, 10 + i);
+}
+
+/* The rows of an answer of up to max_len bytes, as the server reads them. */
+static GArray *named(struct fixture *f, size_t max_len, int64_t *hold_ms,
+		     uint32_t *n_rows)
+{
+	GArray *rows = grant_beat_rows(&f->g, &f->o, true, HOLD_MAX_MS, f->now,
+				       hold_ms);
+	uint32_t n_left_out;
+
+	g_assert_nonnull(rows);
+	g_free(announce_answer(rows, *hold_ms, max_len, &n_left_out));
+	*n_rows = rows->len - n_left_out;
+	return rows;
+}
+
+/* A heartbeat of a server that holds the shards of the bits, and its answer. */
+static uint32_t beat(struct fixture *f, uint32_t held, size_t max_len)
+{
+	GArray *holds = g_array_new(FALSE, FALSE, sizeof(struct grant_row));
+	GArray *rows;
+	uint32_t n_named, i;
+	uint32_t bits = 0;
+	int64_t hold_ms;
+
+	f->now += 900;
+	f->beat++;
+	renew_lease(f);
+	for (i = 0; i < N_SHARDS; i++) {
+		struct grant_row r = { .from = grants_first_key(&f->g, i),
+				       .to = grants_last_key(&f->g, i),
+				       .fence = f->g.shards[i].fence };
+
+		if (held & 1 << i)
+			g_array_append_val(holds, r);
+	}
+	grant_beat_heard(&f->g, f->beat, holds, NULL, HOLD_MAX_MS, f->now);
+	g_array_unref(holds);
+	rows = named(f, max_len, &hold_ms, &n_named);
+	grant_beat_given(&f->g, rows, n_named, f->beat, hold_ms, f->now);
+	for (i = 0; i < n_named; i++)
+		bits |= 1 << g_array_index(rows, struct grant_row, i).from *
+				     N_SHARDS / N_KEYS;
+	g_array_unref(rows);
+	return bits;
+}
+
+/* The shards that requests are sent for. */
+static uint32_t served(const struct fixture *f)
+{
+	uint32_t bits = 0;
+	uint32_t i;
+
+	for (i = 0; i < N_SHARDS; i++)
+		if (f->w.fence[i] &&
+		    grants_granted(&f->g, i, f->w.fence[i], f->now))
+			bits |= 1 << i;
+	return bits;
+}
+
+/* Bytes of an answer with two rows of four. */
+#define ROOM_FOR_TWO 60
+
+/* Requests for rows left out were sent, and all turned away by the server. */
+static void test_left_out_is_not_granted(void)
+{
+	struct fixture f;
+	uint32_t was;
+
+	set_up_beats(&f);
+	was = beat(&f, 0, ROOM_FOR_TWO);
+	g_assert_cmphex(was, ==, 0x05);
+	g_assert_cmphex(served(&f), ==, was);
+	g_assert_false(grants_may_hold(&f.g, 6, f.now));
+	g_assert_true(grants_lacks_room(&f.g, 6));
+	g_assert_false(grants_lacks_room(&f.g, 1));
+	g_assert_cmphex(beat(&f, was, 4000), ==, 0x55);
+	g_assert_false(grants_lacks_room(&f.g, 6));
+	g_assert_cmphex(served(&f), ==, 0x55);
+	grants_finish(&f.g);
+}
+
+/* Let go for want of room, a key went to another server while still held. */
+static void test_left_out_counts_as_held(void)
+{
+	struct fixture f;
+	int64_t until;
+
+	set_up_beats(&f);
+	g_assert_cmphex(beat(&f, 0, 4000), ==, 0x55);
+	until = f.g.shards[6].until_ms;
+	g_assert_cmphex(beat(&f, 0x55, ROOM_FOR_TWO), ==, 0x05);
+	g_assert_cmphex(served(&f), ==, 0x05);
+	g_assert_true(grants_may_hold(&f.g, 6, until - 1));
+	g_assert_false(grants_may_hold(&f.g, 6, until));
+	beat(&f, 0x05, ROOM_FOR_TWO);
+	g_assert_false(grants_may_hold(&f.g, 6, f.now));
+	grants_finish(&f.g);
+}
+
+/* Rows of low keys took the place of held ones, which came back cold. */
+static void test_held_rows_come_first(void)
+{
+	struct fixture f;
+
+	set_up_beats(&f);
+	own(&f, 0, 3, 0);
+	g_assert_cmphex(beat(&f, 0, ROOM_FOR_TWO), ==, 0x50);
+	own(&f, 0, 0, 20);
+	own(&f, 2, 2, 22);
+	g_assert_cmphex(beat(&f, 0x50, ROOM_FOR_TWO), ==, 0x50);
+	g_assert_cmphex(served(&f), ==, 0x50);
+	own(&f, 4, 4, 0);
+	g_assert_cmphex(beat(&f, 0x50, ROOM_FOR_TWO), ==, 0x41);
+	grants_finish(&f.g);
+}
+
+/* Newcomers of low keys went before a row that had waited for long. */
+static void test_longest_wait_goes_first(void)
+{
+	struct fixture f;
+
+	set_up_beats(&f);
+	own(&f, 0, 0, 0);
+	g_assert_cmphex(beat(&f, 0, ROOM_FOR_TWO), ==, 0x14);
+	own(&f, 0, 0, 20);
+	own(&f, 4, 4, 0);
+	g_assert_cmphex(beat(&f, 0x14, ROOM_FOR_TWO), ==, 0x44);
+	grants_finish(&f.g);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -495,5 +641,9 @@
 	g_test_add_func("/grants/ended", test_ended_server_holds_nothing);
 	g_test_add_func("/grants/misdirected", test_misdirected_is_given_anew);
 	g_test_add_func("/grants/lapse", test_lapse_lets_nothing_go);
+	g_test_add_func("/grants/left-out", test_left_out_is_not_granted);
+	g_test_add_func("/grants/left-out-held", test_left_out_counts_as_held);
+	g_test_add_func("/grants/held-first", test_held_rows_come_first);
+	g_test_add_func("/grants/longest-wait", test_longest_wait_goes_first);
 	return g_test_run();
 }
--- a/t/test-member.c
+++ b/t/test-member.c
@@ -12,6 +12,7 @@
 enum sim_kind {
 	SIM_HASHED, /* by nodes alone */
 	SIM_GRANTED, /* by servers, told by the answers to their heartbeats */
+	SIM_CROWDED, /* the same, and the answers have room for one row */
 	SIM_CALLED, /* by servers, told by calls */
 };
 
@@ -22,7 +23,7 @@
 
 	if (kind == SIM_CALLED)
 		sim_init_called(s, seed, rules);
-	else if (kind == SIM_GRANTED)
+	else if (kind == SIM_GRANTED || kind == SIM_CROWDED)
 		sim_init_granted(s, seed, rules);
 	else
 		sim_init(s, seed, rules);
@@ -32,6 +33,7 @@
 	else
 		sim_converge(s, 20000);
 	s->loss = 0.02 * (seed % 5);
+	s->room = kind == SIM_CROWDED;
 	end = s->now + FAULTY_MS;
 	while (s->now < end && !s->breaches && (rules || !s->fence_breaches)) {
 		sim_run(s, g_rand_int_range(s->rand, 100, 3000));
@@ -66,6 +68,9 @@
 		if (s.breaches)
 			g_error("seed %u: two owners once healed",
 				first_seed + i);
+		if (s.unnamed)
+			g_error("seed %u: granted what no answer named",
+				first_seed + i);
 		if (s.fence_breaches)
 			g_error("seed %u: a fence that was another's",
 				first_seed + i);
@@ -158,6 +163,8 @@
 	g_test_add_data_func("/member/random-faults", NULL, test_random_faults);
 	g_test_add_data_func("/member/random-grants",
 			     GUINT_TO_POINTER(SIM_GRANTED), test_random_faults);
+	g_test_add_data_func("/member/random-crowded",
+			     GUINT_TO_POINTER(SIM_CROWDED), test_random_faults);
 	g_test_add_data_func("/member/random-calls",
 			     GUINT_TO_POINTER(SIM_CALLED), test_random_faults);
 	for (i = 0; i < G_N_ELEMENTS(rule_names); i++) {
