t: the backend server stand-in tells when it held which keys

Two servers' rows cannot be read at one moment, so a reader cannot tell a handover from two owners. GET /holdings tells from when until when each run of keys was held, by the machine's one clock.

--address names another address than it listens on, for a proxy between node and server. A new life (crash=1) no longer takes the answer to a heartbeat of the life before: a process that starts has no such answer to wait for.

--- a/t/platform-server.c
+++ b/t/platform-server.c
@@ -17,13 +17,16 @@
  * it, rows of keys held under fences for a limited time, refusal of keys that
  * it does not hold, ids echoed, and a ledger of all it ran. With --grants call
  * it is told what it holds by calls instead of by the answers to its
- * heartbeats. POST /control:
+ * heartbeats. With --address it names another address than it listens on, for
+ * a proxy between. POST /control:
  * work_ms=N, drain=1 (says that it leaves), crash=1 (starts again at once with
  * another id, holding nothing), mute=0|1 (no heartbeats), extra=N (sends a
  * second answer behind each of N), unsigned=N, lose=N (runs, then closes),
  * cold_ms=N (says that it is cold for so long), late=N (leaves N calls that
  * grant keys unanswered and carries them out 1 s later), refuse=N (refuses N
- * such calls as if it had seen a higher fence).
+ * such calls as if it had seen a higher fence). GET /holdings?from=N tells what
+ * it came to hold since the Nth line: from when, which keys, until when, in
+ * microseconds of CLOCK_BOOTTIME; an end of 0 is the moment of letting go.
  */
 
 #define MAX_BODY (8 * 1024 * 1024)
@@ -34,6 +37,7 @@
 #define STATUS_FENCED 409
 #define N_KEYS 65536
 #define LATE_S 1.0
+#define US_PER_MS 1000
 
 struct job {
 	struct httpd_request *r;
@@ -48,7 +52,7 @@
 static GString *beat_answer;
 static char *beat_body;
 static ev_timer beat_timer;
-static const char *node_address, *own_address;
+static const char *node_address, *listen_address, *own_address;
 static const char *service = "records", *data_centre = "hakata";
 static char id[32];
 static int64_t born_ms, number, beat_sent_ms;
@@ -63,9 +67,20 @@
 	int64_t fence;
 } keys[N_KEYS]; /* by call */
 static GString *released;
+static GPtrArray *holdings; /* lines, see above */
 static GHashTable *ledger;
 static uint64_t n_served, n_misdirected, n_cancelled, n_gave, n_lives;
 
+static void note_holding(int64_t from, int64_t to, int64_t until_ms)
+{
+	g_ptr_array_add(
+		holdings,
+		g_strdup_printf("%" G_GINT64_FORMAT " %" G_GINT64_FORMAT
+				" %" G_GINT64_FORMAT " %" G_GINT64_FORMAT "\n",
+				(gint64)clock_now_us(), (gint64)from,
+				(gint64)to, (gint64)until_ms * US_PER_MS));
+}
+
 static void start_life(void)
 {
 	g_snprintf(id, sizeof(id), "i-%08x", g_random_int());
@@ -75,6 +90,7 @@
 	g_array_set_size(held, 0);
 	g_string_set_size(released, 0);
 	memset(keys, 0, sizeof(keys));
+	note_holding(0, N_KEYS - 1, 0);
 }
 
 static bool holds(int64_t key)
@@ -201,6 +217,18 @@
 	return rows;
 }
 
+static void note_held(void)
+{
+	uint32_t i;
+
+	note_holding(0, N_KEYS - 1, 0);
+	for (i = 0; i < held->len; i++) {
+		struct grant_row *r = &g_array_index(held, struct grant_row, i);
+
+		note_holding(r->from, r->to, held_until_ms);
+	}
+}
+
 static void beat_in(int64_t ms)
 {
 	ev_timer_stop(loop, &beat_timer);
@@ -228,6 +256,7 @@
 			next = SOON_MS;
 		g_array_unref(held);
 		held = rows;
+		note_held();
 	}
 	json_decref(o);
 	g_free(beat_body);
@@ -386,6 +415,19 @@
 	json_decref(rows);
 }
 
+static void on_holdings(struct httpd_request *r)
+{
+	const char *from = httpd_argument(r, "from");
+	GString *out = g_string_new(NULL);
+	uint32_t i;
+
+	for (i = from ? g_ascii_strtoull(from, NULL, 10) : 0; i < holdings->len;
+	     i++)
+		g_string_append(out, g_ptr_array_index(holdings, i));
+	httpd_reply(r, 200, NULL, out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
 static void on_stats(struct httpd_request *r)
 {
 	int64_t n_keys = 0;
@@ -417,6 +459,17 @@
 	return s ? g_ascii_strtoll(s, NULL, 10) : fallback;
 }
 
+/* An answer to the life before is not for the next one. */
+static void drop_beat(void)
+{
+	if (!beating)
+		return;
+	fetch_cancel(&beat);
+	g_free(beat_body);
+	beat_body = NULL;
+	beating = false;
+}
+
 static void on_control(struct httpd_request *r)
 {
 	work_ms = argument(r, "work_ms", work_ms);
@@ -428,8 +481,10 @@
 	draining = argument(r, "drain", draining);
 	late = argument(r, "late", late);
 	refuse = argument(r, "refuse", refuse);
-	if (argument(r, "crash", 0))
+	if (argument(r, "crash", 0)) {
+		drop_beat();
 		start_life();
+	}
 	beat_in(0);
 	httpd_reply_text(r, 200, "done\n");
 }
@@ -466,6 +521,7 @@
 {
 	int64_t key;
 
+	note_holding(o->from, o->to, o->until_ms);
 	for (key = o->from; key <= o->to; key++) {
 		keys[key].fence = o->fence;
 		keys[key].until_ms = o->until_ms;
@@ -520,6 +576,8 @@
 			any = any || keys[key].until_ms > clock_now_ms();
 			keys[key].until_ms = 0;
 		}
+	if (any)
+		note_holding(o.from, o.to, 0);
 	n_gave += any;
 	if (any)
 		header_add(headers, "X-Mesh-Handover", token);
@@ -540,6 +598,8 @@
 		on_ledger(r);
 	else if (!strcmp(r->path, "/rows"))
 		on_rows(r);
+	else if (!strcmp(r->path, "/holdings"))
+		on_holdings(r);
 	else if (!strcmp(r->path, "/stats"))
 		on_stats(r);
 	else
@@ -567,6 +627,7 @@
 {
 	static const struct option options[] = {
 		{ "listen", required_argument, NULL, 'l' },
+		{ "address", required_argument, NULL, 'a' },
 		{ "node", required_argument, NULL, 'n' },
 		{ "service", required_argument, NULL, 's' },
 		{ "data-centre", required_argument, NULL, 'd' },
@@ -577,6 +638,8 @@
 
 	while ((c = getopt_long(argc, argv, "", options, NULL)) != -1) {
 		if (c == 'l')
+			listen_address = optarg;
+		else if (c == 'a')
 			own_address = optarg;
 		else if (c == 'n')
 			node_address = optarg;
@@ -589,15 +652,18 @@
 		else
 			return 2;
 	}
+	if (!own_address)
+		own_address = listen_address;
 	loop = ev_default_loop(0);
+	holdings = g_ptr_array_new();
 	held = g_array_new(FALSE, TRUE, sizeof(struct grant_row));
 	released = g_string_new(NULL);
 	beat_answer = g_string_new(NULL);
 	ledger = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	start_life();
 	fetcher_init(&fetcher, loop, 4);
-	if (httpd_init(&httpd, loop, own_address, MAX_BODY, &ops, NULL)) {
-		fprintf(stderr, "cannot listen on %s\n", own_address);
+	if (httpd_init(&httpd, loop, listen_address, MAX_BODY, &ops, NULL)) {
+		fprintf(stderr, "cannot listen on %s\n", listen_address);
 		return 1;
 	}
 	ev_init(&beat_timer, on_beat);
