t: a fault soak of real processes on loopback

make fault-soak SEED=N MINUTES=M runs eight nodes, their servers and the store, draws trouble from the seed (signals, store trouble, server trouble, peers cut off from each other, and connections delayed, reset, cut one way or silenced by a proxy of its own), and checks while it runs what callers were told against what the servers ran and held. Every other phase has only planned changes.

Links between nodes do not pass the proxy, as a node listens on the address that it names to others; the test hook cuts them, both ways at once.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 # make demo       build, start a whole fleet on loopback and show it at work
 # make bench      measure, print medians
 # make soak       randomised runs, SEEDS=N of them
+# make fault-soak real processes under faults, SEED=N for MINUTES=M
 # make check      format and lint
 
 CC ?= gcc
@@ -32,8 +33,9 @@
 PROGRAMS = briargrade log-standin backend-standin platform-store \
 	platform-server load slope
 TESTS = test-grants test-member test-schedules test-recovery test-start test-log-client test-state test-gate test-route test-settings test-net
-BINARIES = $(PROGRAMS:%=$(OUT)/bin/%) $(TESTS:%=$(OUT)/bin/%)
-SOURCES = $(wildcard *.c builtin/*.[ch] t/*.[ch] \
+BINARIES = $(PROGRAMS:%=$(OUT)/bin/%) $(TESTS:%=$(OUT)/bin/%) \
+	$(OUT)/bin/fault-soak
+SOURCES = $(wildcard *.c builtin/*.[ch] t/*.[ch] t/soak/*.[ch] \
 	$(foreach d,$(PURE) net node,$(d)/*.[ch]))
 
 all: $(OUT)/bin/briargrade
@@ -59,6 +61,11 @@
 	@mkdir -p $(@D)
 	@echo "  CC $@"; $(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
+SOAK_OBJ = $(patsubst %.c,$(OUT)/%.o,$(wildcard t/soak/*.c))
+$(OUT)/bin/fault-soak: $(SOAK_OBJ) $(LIB_OBJ)
+	@mkdir -p $(@D)
+	@echo "  CC $@"; $(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+
 $(OUT)/bin/%: $(OUT)/t/%.o $(LIB_OBJ)
 	@mkdir -p $(@D)
 	@echo "  CC $@"; $(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
@@ -91,6 +98,15 @@
 		-p /member/random-faults -p /member/random-grants \
 		-p /member/random-calls
 
+SEED ?= 1
+MINUTES ?= 2
+# Above the ports that the system gives out by itself.
+SOAK_PORT ?= 61000
+fault-soak: $(OUT)/bin/fault-soak $(OUT)/bin/briargrade \
+		$(OUT)/bin/platform-store $(OUT)/bin/platform-server
+	$(OUT)/bin/fault-soak --seed $(SEED) --minutes $(MINUTES) \
+		--port $(SOAK_PORT) --bin $(OUT)/bin
+
 check:
 	clang-format --dry-run --Werror $(SOURCES)
 	cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
@@ -108,6 +124,6 @@
 clean:
 	rm -rf build target
 
-.PHONY: unit packages all binaries test demo bench report soak check format clean
+.PHONY: unit packages all binaries test demo bench report soak fault-soak check format clean
 .SECONDARY:
 -include $(shell find $(OUT) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/t/soak/callers.c
@@ -0,0 +1,220 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "net/clock.h"
+#include "net/headers.h"
+#include "t/soak/callers.h"
+
+#define MAX_CONNECTIONS 256
+#define TICK_S 0.01
+#define STALL_MS 400
+#define DEADLINE "1500"
+#define GIVE_UP_MS 5000
+#define LEAVE_SHARE 0.04
+#define MAX_LEAVE_S 0.06
+#define NOT_RUN_STATUS 503
+#define NO_ROUTE_STATUS 404
+#define KEY_STEP 1021 /* spreads the keys that are looked up */
+
+const char *const call_outcome_names[N_CALL_OUTCOMES] = {
+	"open", "answered", "refused", "unknown", "failed", "left",
+};
+
+static const struct {
+	const char *method;
+	const char *path;
+} kinds[N_CALL_KINDS] = {
+	[CALL_LOOKUP] = { "GET", "/look/" },
+	[CALL_BOOKING] = { "POST", "/book/" },
+	[CALL_LIST] = { "GET", "/list/" },
+};
+
+static void end(struct call *c, enum call_outcome outcome)
+{
+	ev_timer_stop(c->callers->fleet->loop, &c->leave);
+	c->outcome = outcome;
+	c->ended_ms = clock_now_ms();
+	c->callers->n_open--;
+	c->callers->counts[outcome]++;
+	if (c->body)
+		g_string_free(c->body, TRUE);
+	c->body = NULL;
+}
+
+/* A backend server names the request in its answer and signs it. */
+static void check_whole(struct call *c)
+{
+	g_autofree char *expected =
+		g_strdup_printf("%s %s for ", kinds[c->kind].method, c->url);
+	GPtrArray *headers = c->fetch.answer_headers;
+
+	if (!g_str_has_prefix(c->body->str, expected) ||
+	    c->body->str[c->body->len - 1] != '\n')
+		broken(c->callers->fleet, "whole answer: %s got \"%s\"", c->id,
+		       c->body->str);
+	if (!header_find(headers, "X-Mesh-Stamp"))
+		broken(c->callers->fleet, "whole answer: %s has no signature",
+		       c->id);
+}
+
+static enum call_outcome outcome_of(struct call *c, int result)
+{
+	if (result)
+		return CALL_FAILED;
+	if (c->status == 200) {
+		check_whole(c);
+		return CALL_ANSWERED;
+	}
+	/* Every version of the configuration has the routes asked for. */
+	if (c->status == NO_ROUTE_STATUS)
+		broken(c->callers->fleet,
+		       "configuration: node %u has no route for %s", c->node,
+		       c->url);
+	return c->status == NOT_RUN_STATUS ? CALL_REFUSED : CALL_UNKNOWN;
+}
+
+static void on_done(struct fetch *f, int result)
+{
+	struct call *c = f->user;
+	enum call_outcome outcome;
+
+	c->status = f->status;
+	outcome = outcome_of(c, result);
+	if (outcome == CALL_ANSWERED && c->kind == CALL_LOOKUP)
+		c->callers->answered_ms[c->key] =
+			MAX(c->callers->answered_ms[c->key], c->sent_ms);
+	end(c, outcome);
+}
+
+static bool on_data(struct fetch *f, const void *data, size_t len)
+{
+	struct call *c = f->user;
+
+	g_string_append_len(c->body, data, len);
+	return true;
+}
+
+static const struct fetch_ops call_ops = { .on_data = on_data,
+					   .on_done = on_done };
+
+static void on_leave(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct call *c = w->data;
+
+	(void)loop;
+	(void)events;
+	fetch_cancel(&c->fetch);
+	end(c, CALL_LEFT);
+}
+
+static enum call_kind draw_kind(struct callers *cs)
+{
+	double x = g_rand_double(cs->rand);
+
+	return x < 0.65 ? CALL_LOOKUP : x < 0.9 ? CALL_BOOKING : CALL_LIST;
+}
+
+static void start(struct call *c)
+{
+	struct callers *cs = c->callers;
+	GPtrArray *headers = headers_new();
+	g_autofree char *url = NULL;
+
+	url = g_strdup_printf("http://%s%s", caller_address(cs->fleet, c->node),
+			      c->url);
+	header_add(headers, "Host", "a.example");
+	header_add(headers, "X-Mesh-Deadline-Ms", DEADLINE);
+	header_add(headers, "X-Mesh-Request-Id", c->id);
+	if (c->kind == CALL_LOOKUP)
+		header_add_int(headers, "X-Mesh-Shard-Key",
+			       (gint64)c->key * KEY_STEP);
+	fetch_start(&c->fetch, &cs->fetcher, kinds[c->kind].method, url,
+		    headers, "", 0, GIVE_UP_MS, false, &call_ops, c);
+	g_ptr_array_unref(headers);
+}
+
+static void send_one(struct callers *cs)
+{
+	struct call *c = g_new0(struct call, 1);
+
+	c->callers = cs;
+	c->kind = draw_kind(cs);
+	c->node = g_rand_int_range(cs->rand, 0, N_NODES);
+	if (c->kind == CALL_LOOKUP)
+		c->key = cs->n_lookups++ % N_LOOKUP_KEYS;
+	g_snprintf(c->id, sizeof(c->id), "c-%" G_GUINT64_FORMAT,
+		   (guint64)cs->n_sent++);
+	g_snprintf(c->url, sizeof(c->url), "%s%s", kinds[c->kind].path, c->id);
+	c->strict = cs->strict;
+	c->sent_ms = clock_now_ms();
+	c->body = g_string_new(NULL);
+	c->outcome = CALL_OPEN;
+	cs->n_open++;
+	g_ptr_array_add(cs->calls, c);
+	ev_init(&c->leave, on_leave);
+	c->leave.data = c;
+	if (g_rand_double(cs->rand) < LEAVE_SHARE) {
+		ev_timer_set(&c->leave,
+			     g_rand_double_range(cs->rand, 0, MAX_LEAVE_S), 0);
+		ev_timer_start(cs->fleet->loop, &c->leave);
+	}
+	start(c);
+}
+
+/*
+ * While this process did not run, neither did its callers and proxies: that was
+ * trouble for whatever was in progress.
+ */
+static void excuse_since(struct callers *cs, int64_t since_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < cs->calls->len; i++) {
+		struct call *c = g_ptr_array_index(cs->calls, i);
+
+		if (c->outcome == CALL_OPEN || c->ended_ms >= since_ms)
+			c->strict = false;
+	}
+}
+
+static void watch_own_stalls(struct callers *cs)
+{
+	int64_t now = clock_now_ms();
+
+	if (cs->ticked_ms && now - cs->ticked_ms > STALL_MS) {
+		printf("the soak stood still for %" G_GINT64_FORMAT " ms\n",
+		       (gint64)(now - cs->ticked_ms));
+		excuse_since(cs, cs->ticked_ms);
+	}
+	cs->ticked_ms = now;
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct callers *cs = w->data;
+
+	(void)loop;
+	(void)events;
+	watch_own_stalls(cs);
+	if (!cs->resting)
+		send_one(cs);
+}
+
+void callers_init(struct callers *cs, struct fleet *f, uint32_t seed)
+{
+	memset(cs, 0, sizeof(*cs));
+	cs->fleet = f;
+	cs->rand = g_rand_new_with_seed(seed);
+	cs->calls = g_ptr_array_new();
+	fetcher_init(&cs->fetcher, f->loop, MAX_CONNECTIONS);
+	ev_timer_init(&cs->tick, on_tick, 0, TICK_S);
+	cs->tick.data = cs;
+	ev_timer_start(f->loop, &cs->tick);
+}
+
+void callers_set_strict(struct callers *cs, bool strict)
+{
+	cs->strict = strict;
+	if (!strict)
+		excuse_since(cs, clock_now_ms());
+}
--- /dev/null
+++ b/t/soak/faults.c
@@ -0,0 +1,463 @@
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "net/clock.h"
+#include "t/soak/faults.h"
+
+#define MIN_FAULTS 3
+#define MAX_FAULTS 8
+#define MIN_LENGTH_MS 200
+#define MAX_LENGTH_MS 6000
+#define PLANNED_MS 2000
+
+/*
+ * begin returns false where it does not apply now; end returns false when it
+ * is to be called again. Without an end, a fault is over at once.
+ */
+struct fault_kind {
+	const char *name;
+	uint32_t weight;
+	bool (*begin)(struct fleet *f, struct fault *x);
+	bool (*end)(struct fleet *f, struct fault *x);
+};
+
+static struct node_host *host_of(struct fleet *f, const struct fault *x)
+{
+	return &f->hosts[x->node];
+}
+
+static bool stop_node(struct fleet *f, struct fault *x)
+{
+	struct process *p = &host_of(f, x)->node;
+
+	if (p->state != PROCESS_RUNNING)
+		return false;
+	process_signal(p, SIGTERM);
+	return true;
+}
+
+static bool kill_node(struct fleet *f, struct fault *x)
+{
+	struct process *p = &host_of(f, x)->node;
+
+	if (p->state != PROCESS_RUNNING)
+		return false;
+	process_kill(p);
+	return true;
+}
+
+static bool start_node_again(struct fleet *f, struct fault *x)
+{
+	struct node_host *h = host_of(f, x);
+
+	if (h->node.state != PROCESS_ENDED)
+		return false;
+	fleet_start_node(f, h);
+	return true;
+}
+
+static bool kill_all_nodes(struct fleet *f, struct fault *x)
+{
+	uint32_t i;
+
+	(void)x;
+	for (i = 0; i < N_NODES; i++)
+		if (f->hosts[i].node.state != PROCESS_RUNNING)
+			return false;
+	for (i = 0; i < N_NODES; i++)
+		process_kill(&f->hosts[i].node);
+	return true;
+}
+
+static bool start_all_nodes(struct fleet *f, struct fault *x)
+{
+	uint32_t i;
+
+	(void)x;
+	for (i = 0; i < N_NODES; i++)
+		if (f->hosts[i].node.state != PROCESS_ENDED)
+			return false;
+	for (i = 0; i < N_NODES; i++)
+		fleet_start_node(f, &f->hosts[i]);
+	return true;
+}
+
+static bool pause_process(struct process *p)
+{
+	if (p->state != PROCESS_RUNNING)
+		return false;
+	process_signal(p, SIGSTOP);
+	return true;
+}
+
+static bool pause_node(struct fleet *f, struct fault *x)
+{
+	return pause_process(&host_of(f, x)->node);
+}
+
+static bool resume_node(struct fleet *f, struct fault *x)
+{
+	process_signal(&host_of(f, x)->node, SIGCONT);
+	return true;
+}
+
+static bool pause_server(struct fleet *f, struct fault *x)
+{
+	return pause_process(&host_of(f, x)->server);
+}
+
+static bool resume_server(struct fleet *f, struct fault *x)
+{
+	process_signal(&host_of(f, x)->server, SIGCONT);
+	return true;
+}
+
+static bool pause_store(struct fleet *f, struct fault *x)
+{
+	(void)x;
+	return pause_process(&f->store);
+}
+
+static bool resume_store(struct fleet *f, struct fault *x)
+{
+	(void)x;
+	process_signal(&f->store, SIGCONT);
+	return true;
+}
+
+static bool reload_node(struct fleet *f, struct fault *x)
+{
+	struct process *p = &host_of(f, x)->node;
+
+	if (p->state != PROCESS_RUNNING)
+		return false;
+	process_signal(p, SIGHUP);
+	return true;
+}
+
+static bool publish(struct fleet *f, struct fault *x)
+{
+	(void)x;
+	if (f->store.state != PROCESS_RUNNING)
+		return false;
+	fleet_publish(f);
+	return true;
+}
+
+static bool control_server(struct fleet *f, struct fault *x, const char *what)
+{
+	if (host_of(f, x)->server.state != PROCESS_RUNNING)
+		return false;
+	fleet_control(f, server_address(f, x->node), what);
+	return true;
+}
+
+static bool crash_server(struct fleet *f, struct fault *x)
+{
+	return control_server(f, x, "crash=1");
+}
+
+static bool mute_server(struct fleet *f, struct fault *x)
+{
+	return control_server(f, x, "mute=1");
+}
+
+static bool unmute_server(struct fleet *f, struct fault *x)
+{
+	return control_server(f, x, "mute=0");
+}
+
+static bool drain_server(struct fleet *f, struct fault *x)
+{
+	return control_server(f, x, "drain=1");
+}
+
+static bool undrain_server(struct fleet *f, struct fault *x)
+{
+	return control_server(f, x, "drain=0");
+}
+
+static bool spoil_answers(struct fleet *f, struct fault *x)
+{
+	static const char *const ways[] = { "lose=3", "unsigned=3",
+					    "wrong_id=3", "late=3",
+					    "refuse=3" };
+	const char *way = ways[x->choice % G_N_ELEMENTS(ways)];
+
+	x->what = g_strdup_printf("server %u %s", x->node, way);
+	return control_server(f, x, way);
+}
+
+static bool trouble_store(struct fleet *f, struct fault *x)
+{
+	static const char *const ways[] = {
+		"down=1", "busy=1", "refuse=1", "trickle_ms=2000",
+		"hold=1", "lose=2", "deaf=1",	"lose=2&late_ms=700",
+	};
+	const char *way = ways[x->choice % G_N_ELEMENTS(ways)];
+
+	if (f->store.state != PROCESS_RUNNING)
+		return false;
+	x->what = g_strdup_printf("store %s", way);
+	fleet_control(f, store_address(f), way);
+	return true;
+}
+
+static bool mend_store(struct fleet *f, struct fault *x)
+{
+	(void)x;
+	if (f->store.state != PROCESS_RUNNING)
+		return false;
+	fleet_control(f, store_address(f),
+		      "down=0&busy=0&refuse=0&trickle_ms=0&hold=0&lose=0"
+		      "&late_ms=0");
+	return true;
+}
+
+enum line_trouble {
+	LINE_DELAYED,
+	LINE_RESET,
+	LINE_CUT_UP,
+	LINE_CUT_DOWN,
+	LINE_SILENT,
+	N_LINE_TROUBLES,
+};
+
+static bool trouble_line(struct fleet *f, struct fault *x)
+{
+	static const char *const names[N_LINE_TROUBLES] = {
+		"delay", "reset", "cut up", "cut down", "silence",
+	};
+	struct proxy *line = &host_of(f, x)->lines[x->line];
+	enum line_trouble way = x->choice % N_LINE_TROUBLES;
+
+	if (line->delay_ms || line->held[PROXY_UP] || line->held[PROXY_DOWN])
+		return false;
+	x->what = g_strdup_printf("%s %s of node %u", names[way],
+				  line_names[x->line], x->node);
+	if (way == LINE_DELAYED)
+		proxy_delay(line, 20 + x->choice % 400);
+	else if (way == LINE_RESET)
+		proxy_reset(line);
+	else
+		proxy_hold(line, way != LINE_CUT_DOWN, way != LINE_CUT_UP);
+	return true;
+}
+
+static bool mend_line(struct fleet *f, struct fault *x)
+{
+	struct proxy *line = &host_of(f, x)->lines[x->line];
+
+	proxy_delay(line, 0);
+	/* Some connections do not outlive what befell them. */
+	if (x->choice / N_LINE_TROUBLES % 2)
+		proxy_reset(line);
+	proxy_hold(line, false, false);
+	return true;
+}
+
+static bool set_cut(struct fleet *f, uint32_t i, uint32_t from, bool on)
+{
+	g_autofree char *path = g_strdup_printf("/test/cut?peer=%s&on=%d",
+						peer_address(f, from), on);
+	g_autofree char *done = NULL;
+
+	if (f->hosts[i].node.state != PROCESS_RUNNING)
+		return false;
+	done = fleet_ask(f, "POST", operator_address(f, i), path, NULL);
+	return done;
+}
+
+/* The bits of choice name the peers, or else all. */
+static bool cut_peers(struct fleet *f, struct fault *x)
+{
+	uint32_t i;
+
+	if (host_of(f, x)->node.state != PROCESS_RUNNING)
+		return false;
+	x->what = g_strdup_printf("cut node %u from peers %02x", x->node,
+				  x->choice & 0xff);
+	for (i = 0; i < N_NODES; i++)
+		if (i != x->node && x->choice >> i & 1) {
+			set_cut(f, i, x->node, true);
+			set_cut(f, x->node, i, true);
+		}
+	return true;
+}
+
+/*
+ * The process that was told to cut may have ended since; one that is paused is
+ * told when it goes on.
+ */
+static bool join_peers(struct fleet *f, struct fault *x)
+{
+	uint32_t i;
+
+	for (i = 0; i < N_NODES; i++)
+		if (f->hosts[i].node.state == PROCESS_PAUSED)
+			return false;
+	for (i = 0; i < N_NODES; i++)
+		if (i != x->node && x->choice >> i & 1) {
+			set_cut(f, i, x->node, false);
+			set_cut(f, x->node, i, false);
+		}
+	return true;
+}
+
+static const struct fault_kind stop_kind = { "stop node", 4, stop_node,
+					     start_node_again };
+static const struct fault_kind reload_kind = { "reload node", 2, reload_node,
+					       NULL };
+static const struct fault_kind publish_kind = { "publish", 2, publish, NULL };
+
+static const struct fault_kind other_kinds[] = {
+	{ "kill node", 4, kill_node, start_node_again },
+	{ "kill all nodes", 1, kill_all_nodes, start_all_nodes },
+	{ "pause node", 4, pause_node, resume_node },
+	{ "pause server", 2, pause_server, resume_server },
+	{ "pause store", 1, pause_store, resume_store },
+	{ "new life of server", 2, crash_server, NULL },
+	{ "mute server", 2, mute_server, unmute_server },
+	{ "drain server", 2, drain_server, undrain_server },
+	{ "spoil answers", 3, spoil_answers, NULL },
+	{ "store", 4, trouble_store, mend_store },
+	{ "line", 12, trouble_line, mend_line },
+	{ "cut peers", 4, cut_peers, join_peers },
+};
+
+void faults_init(struct faults *s, struct fleet *f, uint32_t seed)
+{
+	s->fleet = f;
+	s->rand = g_rand_new_with_seed(seed);
+	s->all = g_ptr_array_new();
+	s->started_ms = clock_now_ms();
+}
+
+void faults_clear(struct faults *s)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->all->len; i++) {
+		struct fault *x = g_ptr_array_index(s->all, i);
+
+		g_free(x->what);
+		g_free(x);
+	}
+	g_ptr_array_set_size(s->all, 0);
+	s->started_ms = clock_now_ms();
+}
+
+static void add(struct faults *s, const struct fault_kind *kind,
+		int64_t begin_ms, int64_t length_ms)
+{
+	struct fault *x = g_new0(struct fault, 1);
+
+	x->kind = kind;
+	x->node = g_rand_int_range(s->rand, 0, N_NODES);
+	x->line = g_rand_int_range(s->rand, 0, N_LINES);
+	x->choice = g_rand_int(s->rand) >> 1;
+	x->begin_ms = begin_ms;
+	x->end_ms = begin_ms + length_ms;
+	g_ptr_array_add(s->all, x);
+}
+
+static const struct fault_kind *draw_kind(struct faults *s)
+{
+	const struct fault_kind *planned[] = { &stop_kind, &reload_kind,
+					       &publish_kind };
+	uint32_t sum = 0;
+	uint32_t i;
+	int32_t at;
+
+	for (i = 0; i < G_N_ELEMENTS(planned); i++)
+		sum += planned[i]->weight;
+	for (i = 0; i < G_N_ELEMENTS(other_kinds); i++)
+		sum += other_kinds[i].weight;
+	at = g_rand_int_range(s->rand, 0, sum);
+	for (i = 0; i < G_N_ELEMENTS(planned); i++) {
+		at -= planned[i]->weight;
+		if (at < 0)
+			return planned[i];
+	}
+	for (i = 0; i < G_N_ELEMENTS(other_kinds) - 1; i++) {
+		at -= other_kinds[i].weight;
+		if (at < 0)
+			break;
+	}
+	return &other_kinds[i];
+}
+
+void faults_draw_planned(struct faults *s)
+{
+	const struct fault_kind *kinds[] = { &stop_kind, &stop_kind,
+					     &reload_kind, &publish_kind };
+	uint32_t n = g_rand_int_range(s->rand, 1, G_N_ELEMENTS(kinds) + 1);
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		add(s, kinds[i], g_rand_int_range(s->rand, 0, PLANNED_MS),
+		    g_rand_int_range(s->rand, MIN_LENGTH_MS, PLANNED_MS));
+}
+
+void faults_draw_trouble(struct faults *s, int64_t length_ms)
+{
+	uint32_t n = g_rand_int_range(s->rand, MIN_FAULTS, MAX_FAULTS + 1);
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		add(s, draw_kind(s), g_rand_int_range(s->rand, 0, length_ms),
+		    g_rand_int_range(s->rand, MIN_LENGTH_MS, MAX_LENGTH_MS));
+}
+
+static void begin(struct faults *s, struct fault *x)
+{
+	x->begun = x->kind->begin(s->fleet, x);
+	x->ended = !x->begun || !x->kind->end;
+}
+
+bool faults_step(struct faults *s)
+{
+	int64_t at_ms = clock_now_ms() - s->started_ms;
+	bool any = false;
+	uint32_t i;
+
+	for (i = 0; i < s->all->len; i++) {
+		struct fault *x = g_ptr_array_index(s->all, i);
+
+		if (!x->begun && !x->ended && x->begin_ms <= at_ms)
+			begin(s, x);
+		else if (x->begun && !x->ended && x->end_ms <= at_ms)
+			x->ended = x->kind->end(s->fleet, x);
+		any = any || !x->ended;
+	}
+	return any;
+}
+
+char *faults_text(const struct faults *s)
+{
+	GString *out = g_string_new(NULL);
+	uint32_t i;
+
+	for (i = 0; i < s->all->len; i++) {
+		struct fault *x = g_ptr_array_index(s->all, i);
+
+		if (!x->begun)
+			continue;
+		if (out->len)
+			g_string_append(out, ", ");
+		if (x->what)
+			g_string_append(out, x->what);
+		else
+			g_string_append_printf(out, "%s %u", x->kind->name,
+					       x->node);
+		g_string_append_printf(out, " at %.1f", x->begin_ms / 1000.0);
+		if (x->kind->end)
+			g_string_append_printf(out, " for %.1f s",
+					       (x->end_ms - x->begin_ms) /
+						       1000.0);
+		else
+			g_string_append(out, " s");
+	}
+	return g_string_free(out, FALSE);
+}
--- /dev/null
+++ b/t/soak/proxy.c
@@ -0,0 +1,279 @@
+#define _GNU_SOURCE /* accept4() */
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <netinet/tcp.h>
+
+#include "net/address.h"
+#include "net/clock.h"
+#include "t/soak/proxy.h"
+#include "util/result.h"
+
+#define BACKLOG 128
+#define READ_BYTES 65536
+#define MAX_QUEUED_BYTES (4 * 1024 * 1024)
+
+/* An empty one stands for the end of the stream. */
+struct chunk {
+	int64_t due_ms;
+	size_t sent;
+	GByteArray *bytes;
+};
+
+/* One direction of a connection. */
+struct pipe {
+	struct proxy_link *link;
+	enum proxy_direction direction;
+	int from, to;
+	ev_io in, out;
+	ev_timer due;
+	GQueue chunks;
+	size_t queued;
+	bool finished; /* its end was read */
+	bool ended; /* and passed on */
+};
+
+struct proxy_link {
+	struct proxy *proxy;
+	struct pipe pipes[PROXY_DIRECTIONS];
+};
+
+static void chunk_free(gpointer data)
+{
+	struct chunk *c = data;
+
+	g_byte_array_unref(c->bytes);
+	g_free(c);
+}
+
+static void link_close(struct proxy_link *l, bool reset)
+{
+	struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
+	uint32_t i;
+
+	for (i = 0; i < PROXY_DIRECTIONS; i++) {
+		struct pipe *p = &l->pipes[i];
+
+		ev_io_stop(l->proxy->loop, &p->in);
+		ev_io_stop(l->proxy->loop, &p->out);
+		ev_timer_stop(l->proxy->loop, &p->due);
+		g_queue_clear_full(&p->chunks, chunk_free);
+		if (reset)
+			setsockopt(p->from, SOL_SOCKET, SO_LINGER, &at_once,
+				   sizeof(at_once));
+		close(p->from);
+	}
+	g_ptr_array_remove_fast(l->proxy->links, l);
+	g_free(l);
+}
+
+static void wait_until(struct pipe *p, int64_t ms)
+{
+	struct ev_loop *loop = p->link->proxy->loop;
+
+	ev_timer_stop(loop, &p->due);
+	ev_timer_set(&p->due, ms / 1000.0, 0);
+	ev_timer_start(loop, &p->due);
+}
+
+/* False when the link was closed. */
+static bool send_chunk(struct pipe *p, struct chunk *c, bool *blocked)
+{
+	ssize_t n;
+
+	*blocked = false;
+	if (!c->bytes->len) {
+		shutdown(p->to, SHUT_WR);
+		p->ended = true;
+		if (p->link->pipes[!p->direction].ended) {
+			link_close(p->link, false);
+			return false;
+		}
+		return true;
+	}
+	n = send(p->to, c->bytes->data + c->sent, c->bytes->len - c->sent,
+		 MSG_NOSIGNAL);
+	if (n < 0 && errno != EAGAIN && errno != ENOTCONN) {
+		link_close(p->link, true);
+		return false;
+	}
+	if (n > 0)
+		c->sent += n;
+	*blocked = c->sent < c->bytes->len;
+	return true;
+}
+
+static void pump(struct pipe *p)
+{
+	struct proxy *x = p->link->proxy;
+	struct chunk *c;
+	bool blocked;
+
+	ev_io_stop(x->loop, &p->out);
+	while (!x->held[p->direction] && (c = g_queue_peek_head(&p->chunks))) {
+		int64_t now = clock_now_ms();
+
+		if (c->due_ms > now) {
+			wait_until(p, c->due_ms - now);
+			return;
+		}
+		if (!send_chunk(p, c, &blocked))
+			return;
+		if (blocked) {
+			ev_io_start(x->loop, &p->out);
+			return;
+		}
+		p->queued -= c->bytes->len;
+		chunk_free(g_queue_pop_head(&p->chunks));
+	}
+	if (!p->finished && p->queued < MAX_QUEUED_BYTES)
+		ev_io_start(x->loop, &p->in);
+}
+
+static void on_in(struct ev_loop *loop, ev_io *w, int events)
+{
+	struct pipe *p = w->data;
+	guint8 data[READ_BYTES];
+	ssize_t n = recv(p->from, data, sizeof(data), 0);
+	struct chunk *c;
+
+	(void)events;
+	if (n < 0 && errno == EAGAIN)
+		return;
+	if (n < 0) {
+		link_close(p->link, true);
+		return;
+	}
+	c = g_new0(struct chunk, 1);
+	c->due_ms = clock_now_ms() + p->link->proxy->delay_ms;
+	c->bytes = g_byte_array_new();
+	g_byte_array_append(c->bytes, data, n);
+	g_queue_push_tail(&p->chunks, c);
+	p->queued += n;
+	p->finished = !n;
+	if (!n || p->queued >= MAX_QUEUED_BYTES)
+		ev_io_stop(loop, w);
+	pump(p);
+}
+
+static void on_out(struct ev_loop *loop, ev_io *w, int events)
+{
+	(void)loop;
+	(void)events;
+	pump(w->data);
+}
+
+static void on_due(struct ev_loop *loop, ev_timer *w, int events)
+{
+	(void)loop;
+	(void)events;
+	pump(w->data);
+}
+
+static void pipe_init(struct proxy_link *l, enum proxy_direction direction,
+		      int from, int to)
+{
+	struct pipe *p = &l->pipes[direction];
+
+	p->link = l;
+	p->direction = direction;
+	p->from = from;
+	p->to = to;
+	g_queue_init(&p->chunks);
+	ev_io_init(&p->in, on_in, from, EV_READ);
+	ev_io_init(&p->out, on_out, to, EV_WRITE);
+	ev_init(&p->due, on_due);
+	p->in.data = p;
+	p->out.data = p;
+	p->due.data = p;
+	ev_io_start(l->proxy->loop, &p->in);
+}
+
+static int new_socket(void)
+{
+	return socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+}
+
+static void on_accept(struct ev_loop *loop, ev_io *w, int events)
+{
+	struct proxy *p = w->data;
+	int fd = accept4(w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	struct proxy_link *l;
+	int on = 1;
+	int to;
+
+	(void)loop;
+	(void)events;
+	if (fd < 0)
+		return;
+	to = new_socket();
+	if (to < 0 ||
+	    (connect(to, (struct sockaddr *)&p->to, sizeof(p->to)) < 0 &&
+	     errno != EINPROGRESS)) {
+		if (to >= 0)
+			close(to);
+		close(fd);
+		return;
+	}
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(to, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	l = g_new0(struct proxy_link, 1);
+	l->proxy = p;
+	pipe_init(l, PROXY_UP, fd, to);
+	pipe_init(l, PROXY_DOWN, to, fd);
+	g_ptr_array_add(p->links, l);
+}
+
+int proxy_init(struct proxy *p, struct ev_loop *loop, const char *listen_at,
+	       const char *to)
+{
+	struct sockaddr_in at;
+	int on = 1;
+	int fd;
+
+	memset(p, 0, sizeof(*p));
+	if (address_parse(listen_at, &at) || address_parse(to, &p->to))
+		return RESULT_INVALID;
+	fd = new_socket();
+	if (fd < 0)
+		return RESULT_IO;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)&at, sizeof(at)) ||
+	    listen(fd, BACKLOG)) {
+		close(fd);
+		return RESULT_IO;
+	}
+	p->loop = loop;
+	p->links = g_ptr_array_new();
+	ev_io_init(&p->accept, on_accept, fd, EV_READ);
+	p->accept.data = p;
+	ev_io_start(loop, &p->accept);
+	return RESULT_OK;
+}
+
+void proxy_reset(struct proxy *p)
+{
+	while (p->links->len)
+		link_close(g_ptr_array_index(p->links, 0), true);
+}
+
+void proxy_delay(struct proxy *p, int64_t delay_ms)
+{
+	p->delay_ms = delay_ms;
+}
+
+void proxy_hold(struct proxy *p, bool up, bool down)
+{
+	uint32_t i, d;
+
+	p->held[PROXY_UP] = up;
+	p->held[PROXY_DOWN] = down;
+	/* Backwards, for a link that closes makes way for the last one. */
+	for (i = p->links->len; i-- > 0;)
+		for (d = 0; d < PROXY_DIRECTIONS && i < p->links->len; d++) {
+			struct proxy_link *l = p->links->pdata[i];
+
+			pump(&l->pipes[d]);
+		}
+}
