node, member, net: the end of a stop and of the store's absence reach callers in time

From the code: records that follow the end by themselves win against one that must be read for first, and each conflict doubled its wait; both came with. An operators' change may follow now as well, only joins wait longer and longer, and those who bring news to the others look for the store's return every 500 ms at most (up to 2 s before).

--- a/member/member.h
+++ b/member/member.h
@@ -242,11 +242,11 @@
 			int result, int64_t now_ms);
 
 /*
- * Whether records of a kind tell of their writer alone, and so mean the same
- * after others that it has not read. Of the rest another may have appended one
- * that makes ours needless.
+ * Whether a record of a kind may come after others that its writer has not
+ * read: replay drops it where they made it needless. The rest are long, or
+ * would move for nothing.
  */
-bool member_append_is_own(enum append_kind kind);
+bool member_append_may_follow(enum append_kind kind);
 
 /* Ask to be a member, or to leave once what runs has ended. */
 void member_set_wanted(struct member_node *n, bool wanted, int64_t now_ms);
--- a/member/propose.c
+++ b/member/propose.c
@@ -20,8 +20,8 @@
 #define SNAPSHOT_RANK_SHARE 8
 #define LOG_WITNESSED_LAPSES 2
 /*
- * After another's append came first: read it, then decide again. Each further
- * time in a row may wait twice as long, so that many find their turns.
+ * After another's append came first: read it, then decide again. Whole fleets
+ * join at once: there each further time in a row may wait twice as long.
  */
 #define CONFLICT_MS 30
 #define CONFLICT_DOUBLINGS 5
@@ -48,10 +48,10 @@
 	return g_rand_int_range(n->rand, 0, MAX(range, 200));
 }
 
-bool member_append_is_own(enum append_kind kind)
+bool member_append_may_follow(enum append_kind kind)
 {
-	return kind == APPEND_JOIN || kind == APPEND_SETTLE ||
-	       kind == APPEND_WITNESSES || kind == APPEND_GIVE;
+	return kind != APPEND_SNAPSHOT && kind != APPEND_BALANCE &&
+	       kind != APPEND_PLACE;
 }
 
 static bool may_append(const struct member_node *n, enum append_kind kind)
@@ -63,6 +63,8 @@
 {
 	uint32_t doublings = MIN(n->conflicts[kind]++, CONFLICT_DOUBLINGS);
 
+	if (kind != APPEND_JOIN)
+		doublings = 0;
 	return g_rand_int_range(n->rand, 0, CONFLICT_MS << doublings);
 }
 
--- a/net/log-client.c
+++ b/net/log-client.c
@@ -10,7 +10,6 @@
 
 #define APPEND_TIMEOUT_MS 3000
 #define RETRY_MIN_MS 100
-#define RETRY_MAX_MS 2000
 #define DEFAULT_WAIT_MS 400
 #define LOG_CONNECTIONS 8
 #define MAX_APPENDS 64
@@ -77,6 +76,7 @@
 	c->user = user;
 	c->wait_ms = DEFAULT_WAIT_MS;
 	c->patience_ms = PATIENCE_MIN_MS;
+	c->retry_max_ms = RETRY_MAX_MS;
 	c->name = "log";
 	g_strlcpy(c->address, address, sizeof(c->address));
 	g_snprintf(c->writer, sizeof(c->writer), "%08x%08x", g_random_int(),
@@ -274,7 +274,7 @@
 			      c->name, result_name(b->result), c->next);
 		c->failures++;
 		c->retry_ms =
-			CLAMP(c->retry_ms * 2, RETRY_MIN_MS, RETRY_MAX_MS);
+			CLAMP(c->retry_ms * 2, RETRY_MIN_MS, c->retry_max_ms);
 		read_again(c, g_random_int_range(c->retry_ms / 2,
 						 c->retry_ms + 1));
 		return;
--- a/net/log-client.h
+++ b/net/log-client.h
@@ -13,6 +13,9 @@
  * JSON that the stand-in speaks.
  */
 
+/* How long to wait at most after a failed read, where nothing else is said. */
+#define RETRY_MAX_MS 2000
+
 struct log_client;
 struct log_append;
 
@@ -93,6 +96,7 @@
 	int64_t scan_from;
 	int64_t next; /* next offset to be read */
 	int64_t retry_ms;
+	int64_t retry_max_ms; /* how long to wait at most after a failure */
 	int64_t failures;
 	ev_timer timer;
 	GPtrArray *appends; /* struct log_append */
--- a/node/entry.c
+++ b/node/entry.c
@@ -483,6 +483,22 @@
 	httpd_close(&e->httpd);
 }
 
+void entry_answer_all(struct entry *e)
+{
+	uint32_t i;
+
+	for (i = e->requests->len; i-- > 0;) {
+		struct entry_request *r = g_ptr_array_index(e->requests, i);
+
+		if (r->done || r->streaming)
+			continue;
+		if (r->plan.open || r->plan.may_have_run)
+			entry_reply_unknown(r);
+		else
+			entry_reply_not_run(r, "this node is stopping\n");
+	}
+}
+
 bool entry_idle(const struct entry *e)
 {
 	return !e->requests->len &&
--- a/node/entry.h
+++ b/node/entry.h
@@ -55,6 +55,12 @@
 /* Ask callers to come by new connections, and so to look elsewhere. */
 void entry_drain(struct entry *e);
 
+/*
+ * The process ends in a moment: answer what is still in progress, as far as no
+ * answer has begun.
+ */
+void entry_answer_all(struct entry *e);
+
 /* Take no new connections; requests in progress end. */
 void entry_close(struct entry *e);
 bool entry_idle(const struct entry *e);
--- a/node/node.c
+++ b/node/node.c
@@ -10,6 +10,8 @@
 #include "util/histogram.h"
 #include "util/result.h"
 
+/* For the answers to go out before the process ends. */
+#define LAST_WORD_MS 300
 #define TICK_S 0.05
 #define SEED_EVERY_MS 500
 #define STAY_LIMIT_MS 10000
@@ -65,7 +67,7 @@
 {
 	struct node *n = user;
 
-	log_client_append(&n->log, kind, member_append_is_own(kind), NULL,
+	log_client_append(&n->log, kind, member_append_may_follow(kind), NULL,
 			  record);
 }
 
@@ -301,6 +303,13 @@
 	return n->settings.ready_address[0] ? NOTICE_MS : 0;
 }
 
+/* A connection that just ends tells its caller nothing. */
+static void answer_in_time(struct node *n, int64_t asked_ms)
+{
+	if (asked_ms >= n->settings.stop_limit_ms - LAST_WORD_MS)
+		entry_answer_all(&n->entry);
+}
+
 /* Stop beside a backend server that goes on: end what runs, then leave. */
 static void tick_pause(struct node *n)
 {
@@ -315,6 +324,7 @@
 	if (asked_ms < NOTICE_MS)
 		return;
 	entry_close(&n->entry);
+	answer_in_time(n, asked_ms);
 	idle = gate_idle(&n->gate) && entry_idle(&n->entry);
 	if (!idle && asked_ms < n->settings.stop_limit_ms)
 		return;
@@ -346,6 +356,7 @@
 		return;
 	}
 	shut_out_callers(n, now - n->stopping_ms);
+	answer_in_time(n, now - n->stopping_ms);
 	if (now - n->stopping_ms >= n->settings.stop_limit_ms) {
 		g_warning("stopped at the time limit");
 		ev_break(n->loop, EVBREAK_ALL);
--- a/node/streams.c
+++ b/node/streams.c
@@ -17,6 +17,8 @@
 /* One of four is heard of within a second on the mean; more cost more calls. */
 #define N_LOOKOUTS 4
 #define LOG_WAIT_LOOKOUT_MS 3000
+/* Who brings news to the others notices the store's return that soon. */
+#define READER_RETRY_MS 500
 /* Those whom others pass records on to look for themselves that often. */
 #define LOG_PAUSE_MS 10000
 /* News seldom comes alone: what follows it is fetched with one read. */
@@ -202,13 +204,12 @@
  * one of them ends. So a few nodes, whichever are first by rank, wait for less;
  * the others learn from their peers that they missed something.
  */
-static int64_t wait_ms(const struct node *n)
+static bool is_lookout(const struct node *n)
 {
 	const struct member_node *m = &n->member;
 
-	if (m->self && assign_rank(&m->fleet, "publish", m->self) < N_LOOKOUTS)
-		return LOG_WAIT_LOOKOUT_MS;
-	return LOG_WAIT_LONG_MS;
+	return m->self &&
+	       assign_rank(&m->fleet, "publish", m->self) < N_LOOKOUTS;
 }
 
 /* Adjust the waits, and begin reads anew that others know to have missed news. */
@@ -222,7 +223,12 @@
 	m->read_now = false;
 	if (now >= n->next_wait_ms) {
 		n->next_wait_ms = now + WAIT_EVERY_MS;
-		n->operators.wait_ms = wait_ms(n);
+		n->operators.wait_ms = LOG_WAIT_LONG_MS;
+		n->operators.retry_max_ms = RETRY_MAX_MS;
+		if (is_lookout(n)) {
+			n->operators.wait_ms = LOG_WAIT_LOOKOUT_MS;
+			n->operators.retry_max_ms = READER_RETRY_MS;
+		}
 	}
 	/* A node with its lease from peers need not keep asking the log. */
 	n->log.wait_ms = member_needs_log(m) ? LOG_WAIT_SHORT_MS
@@ -230,6 +236,7 @@
 	n->log.gather_ms = m->self ? GATHER_MS : GATHER_LONG_MS;
 	n->log.pause_ms = member_reads_log(m) ? 0 : LOG_PAUSE_MS;
 	n->operators.gather_ms = GATHER_MS;
+	n->log.retry_max_ms = m->is_reader ? READER_RETRY_MS : RETRY_MAX_MS;
 	if (n->log.pause_ms) {
 		n->log.wait_ms = 0;
 		n->operators.gather_ms = GATHER_OPERATORS_MS;
--- a/t/test-log-client.c
+++ b/t/test-log-client.c
@@ -2,6 +2,7 @@
 
 #include "net/clock.h"
 #include "net/log-client.h"
+#include "util/result.h"
 
 /* When the log's client reads, and when it begins anew. */
 
@@ -91,11 +92,30 @@
 	log_client_finish(&c);
 }
 
+/* Who brings news to the others looks for the store's return more often. */
+static void test_retries_are_bounded(void)
+{
+	struct log_batch away = { .result = RESULT_IO };
+	struct ev_loop *loop = ev_default_loop(0);
+	struct log_client c;
+	uint32_t i;
+
+	log_client_init(&c, loop, "127.0.0.1:1", &ops, &takers, &c);
+	c.retry_max_ms = 500;
+	ev_run(loop, EVRUN_ONCE);
+	for (i = 0; i < 12; i++)
+		log_client_read_done(&c, &away);
+	g_assert_cmpfloat(ev_timer_remaining(loop, &c.timer), <=, 0.51);
+	log_client_finish(&c);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/log-client/recovery-is-not-renewed",
 			test_recovery_is_not_renewed);
 	g_test_add_func("/log-client/news-is-gathered", test_news_is_gathered);
+	g_test_add_func("/log-client/retries-are-bounded",
+			test_retries_are_bounded);
 	return g_test_run();
 }
--- a/t/test-start.c
+++ b/t/test-start.c
@@ -234,6 +234,27 @@
 	sim_finish(&s);
 }
 
+/* After the store was away all append at once, and a configuration is urgent. */
+static void test_published_goes_at_once(void)
+{
+	struct member_node *n;
+	struct sim s;
+	uint32_t i;
+
+	sim_init_granted(&s, 14, 0);
+	g_assert_true(sim_converge(&s, 20000));
+	n = &s.nodes[0].member;
+	for (i = 0; i < 40; i++) {
+		member_append_done(n, APPEND_PUBLISHED, RESULT_CONFLICT,
+				   n->now_ms);
+		g_assert_cmpint(n->next_append_ms[APPEND_PUBLISHED] - n->now_ms,
+				<=, 30);
+	}
+	g_assert_true(member_append_may_follow(APPEND_PUBLISHED));
+	g_assert_false(member_append_may_follow(APPEND_SNAPSHOT));
+	sim_finish(&s);
+}
+
 /* Who is level needs no snapshot, and would have to read it for being long. */
 static void test_snapshot_is_not_passed_on(void)
 {
@@ -300,6 +321,8 @@
 			test_loaded_snapshot_counts);
 	g_test_add_func("/start/conflicts-wait-longer",
 			test_conflicts_wait_longer);
+	g_test_add_func("/start/published-goes-at-once",
+			test_published_goes_at_once);
 	g_test_add_func("/start/snapshot-is-not-passed-on",
 			test_snapshot_is_not_passed_on);
 	g_test_add_func("/start/long-record-is-passed-on",
