net, node: one stream's return holds for both; a full queue no longer aborts

CONFIG 5: the store went silent and came back at 24.1 s, a configuration was acknowledged at 25.4, and hosts read the operators' stream again at 27.8 to 28.3, though most had the fleet's own stream back by 26: each waited on a connection from before, up to its patience, or for its next retry. What one stream shows of the store holds for the other now (/log-client/return-holds-for-both; not there before).

A process ended with status 134 at 10.4 s: libzmq 4.3.4 asserts when a connection fails whose reading it has stopped because the receiving queue is full, on a host that ran at a fifth. The queue for receiving holds 50,000 messages instead of 2,000. No test: it takes the library's own timing.

--- a/net/log-client.c
+++ b/net/log-client.c
@@ -186,6 +186,15 @@
 	c->renewed = true;
 }
 
+void log_client_is_back(struct log_client *c)
+{
+	c->told_back = true;
+	if (c->reading)
+		log_client_renew(c);
+	else
+		log_client_read_now(c);
+}
+
 static void end_append(struct log_append *a, int result)
 {
 	struct log_client *c = a->client;
@@ -252,7 +261,7 @@
 void log_client_read_done(struct log_client *c, struct log_batch *b)
 {
 	int64_t reached;
-	bool news;
+	bool news, back;
 
 	c->reading = false;
 	if (b->result == RESULT_TRIMMED) {
@@ -279,13 +288,19 @@
 						 c->retry_ms + 1));
 		return;
 	}
+	/* Told by the other, it need not be told in turn. */
+	back = !c->told_back && (c->failures || c->renewed);
 	if (c->failures)
 		EVENT(store_regained, NULL,
 		      "\"stream\":\"%s\",\"failures\":%" PRId64
 		      ",\"end\":%" PRId64,
 		      c->name, c->failures, b->next);
 	c->failures = 0;
+	c->renewed = false;
+	c->told_back = false;
 	c->retry_ms = 0;
+	if (back && c->handlers->on_regained)
+		c->handlers->on_regained(c->user);
 	take_records(c, b);
 	if (c->trimmed && c->ops->recover)
 		c->scan_from = b->next;
--- a/net/log-client.h
+++ b/net/log-client.h
@@ -62,6 +62,11 @@
 			  const json_t *record);
 	/* A read that began at sent_ms reached the end. */
 	void (*on_tail)(void *user, int64_t sent_ms);
+	/*
+	 * The log answers again, after a failure or after a read that heard
+	 * nothing. May be NULL.
+	 */
+	void (*on_regained)(void *user);
 	/* The log no longer holds what we need; first is the oldest it has. */
 	void (*on_trimmed)(void *user, int64_t first);
 	/* An append ended. */
@@ -89,6 +94,7 @@
 	int64_t patience_ms; /* how long beyond that for its answer */
 	bool reading;
 	bool renewed; /* the read under way replaced one that heard nothing */
+	bool told_back; /* it was begun since another stream is back */
 	json_t *newest; /* during recover */
 	int64_t newest_end;
 	uint32_t n_pages;
@@ -132,6 +138,12 @@
 /* End a pause between reads. */
 void log_client_read_now(struct log_client *c);
 
+/*
+ * Another stream of the same log answers again: do not wait for a retry, nor on
+ * a connection from before.
+ */
+void log_client_is_back(struct log_client *c);
+
 /*
  * Append a record, which is stolen. anywhere: it means the same after records
  * that have not been read yet. Where others come first, RESULT_CONFLICT tells
--- a/net/peer.c
+++ b/net/peer.c
@@ -14,6 +14,11 @@
 #define RECONNECT_MS 50
 #define RECONNECT_MAX_MS 1000
 #define QUEUE_MESSAGES 2000
+/*
+ * The library aborts the process when a connection fails whose reading it had
+ * stopped for a full queue, so that queue is made not to fill.
+ */
+#define RECEIVE_QUEUE_MESSAGES 50000
 #define IDLE_CLOSE_MS 30000
 #define SWEEP_S 1.0
 
@@ -38,7 +43,7 @@
 
 	set_int(socket, ZMQ_LINGER, 0);
 	set_int(socket, ZMQ_SNDHWM, QUEUE_MESSAGES);
-	set_int(socket, ZMQ_RCVHWM, QUEUE_MESSAGES);
+	set_int(socket, ZMQ_RCVHWM, RECEIVE_QUEUE_MESSAGES);
 	/*
 	 * A connection can go silent for good when something between the two
 	 * ends has lost track of it: sends go on to succeed and nothing comes
--- a/node/streams.c
+++ b/node/streams.c
@@ -185,13 +185,30 @@
 	log_client_scan(&n->operators, first);
 }
 
+static void on_fleet_regained(void *user)
+{
+	struct node *n = user;
+
+	if (n->operators.ops)
+		log_client_is_back(&n->operators);
+}
+
+static void on_operators_regained(void *user)
+{
+	struct node *n = user;
+
+	log_client_is_back(&n->log);
+}
+
 static const struct log_handlers operator_handlers = {
+	.on_regained = on_operators_regained,
 	.on_record = on_published,
 	.on_tail = on_published_tail,
 	.on_trimmed = on_published_trimmed,
 };
 
 static const struct log_handlers log_handlers = {
+	.on_regained = on_fleet_regained,
 	.on_record = on_record,
 	.on_tail = on_tail,
 	.on_trimmed = on_trimmed,
--- a/t/test-log-client.c
+++ b/t/test-log-client.c
@@ -7,9 +7,12 @@
 /* When the log's client reads, and when it begins anew. */
 
 static uint32_t n_recovers;
+static uint32_t n_reads;
+static uint32_t n_regained;
 
 static void fake_read(struct log_client *c, int64_t from, int64_t wait_ms)
 {
+	n_reads++;
 	(void)c;
 	(void)from;
 	(void)wait_ms;
@@ -57,8 +60,15 @@
 	(void)sent_ms;
 }
 
+static void take_regained(void *user)
+{
+	(void)user;
+	n_regained++;
+}
+
 static const struct log_handlers takers = { .on_record = take_record,
-					    .on_tail = take_tail };
+					    .on_tail = take_tail,
+					    .on_regained = take_regained };
 
 static void read_brings(struct log_client *c, uint32_t n_records)
 {
@@ -109,6 +119,30 @@
 	log_client_finish(&c);
 }
 
+/* One stream hears of the store's return; the other still waits in the dark. */
+static void test_return_holds_for_both(void)
+{
+	struct log_batch away = { .result = RESULT_IO };
+	struct ev_loop *loop = ev_default_loop(0);
+	struct log_client c;
+	uint32_t before;
+
+	log_client_init(&c, loop, "127.0.0.1:1", &ops, &takers, &c);
+	ev_run(loop, EVRUN_ONCE);
+	log_client_read_done(&c, &away);
+	before = n_reads;
+	log_client_is_back(&c);
+	g_assert_cmpuint(n_reads, ==, before + 1);
+	n_regained = 0;
+	read_brings(&c, 0);
+	g_assert_cmpuint(n_regained, ==, 0);
+	log_client_read_done(&c, &away);
+	read_brings(&c, 0);
+	read_brings(&c, 0);
+	g_assert_cmpuint(n_regained, ==, 1);
+	log_client_finish(&c);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -117,5 +151,7 @@
 	g_test_add_func("/log-client/news-is-gathered", test_news_is_gathered);
 	g_test_add_func("/log-client/retries-are-bounded",
 			test_retries_are_bounded);
+	g_test_add_func("/log-client/return-holds-for-both",
+			test_return_holds_for_both);
 	return g_test_run();
 }
