--- a/node/gate-request.h
+++ b/node/gate-request.h
@@ -75,6 +75,14 @@
 /* node/gate-answer.c */
 extern const struct fetch_ops gate_fetch_ops;
 
+/* node/gate-take-back.c */
+
+/* The entry takes a request back; its word was late_ms on the way. */
+void gate_take_back(struct gate_request *r, int64_t late_ms);
+/* A cancel came before its request; and whether that was so. */
+void gate_note_taken_back(struct gate *g, const struct request_msg *m);
+bool gate_was_taken_back(const struct gate *g, const struct request_msg *m);
+
 /* node/gate-give.c */
 void gate_give_away(struct gate *g, int64_t now);
 
--- a/node/gate.c
+++ b/node/gate.c
@@ -18,7 +18,6 @@
 #define WATCH_S 0.003
 #define MAX_ENTRIES 2048
 #define MAX_ORIGINS 4096
-#define MAX_TAKEN_BACK 1024
 /*
  * What takes a request back comes the same way, and just as late: of one that
  * was on its way for longer than this the caller may long have left.
@@ -589,25 +588,6 @@
 	gate_pump(g);
 }
 
-/*
- * A link that was replaced can deliver a request after the new one has brought
- * what takes it back.
- */
-static void note_taken_back(struct gate *g, const struct request_msg *m)
-{
-	if (g_hash_table_size(g->taken_back) >= MAX_TAKEN_BACK)
-		g_hash_table_remove_all(g->taken_back);
-	g_hash_table_insert(g->taken_back, g_memdup2(&m->id, sizeof(m->id)),
-			    g_memdup2(&m->origin, sizeof(m->origin)));
-}
-
-static bool was_taken_back(struct gate *g, const struct request_msg *m)
-{
-	const uint64_t *origin = g_hash_table_lookup(g->taken_back, &m->id);
-
-	return origin && *origin == m->origin;
-}
-
 static void on_ask(struct gate *g, const void *identity, size_t len,
 		   const struct request_msg *m)
 {
@@ -630,7 +610,7 @@
 		return;
 	}
 	remember_entry(g, identity, len);
-	if (was_taken_back(g, m))
+	if (gate_was_taken_back(g, m))
 		return;
 	r = request_new(g, identity, len, m);
 	if (r->deadline_ms <= r->arrived_ms)
@@ -644,58 +624,6 @@
 		gate_enqueue(r);
 }
 
-static const char *state_name(enum gate_state state)
-{
-	static const char *const names[] = {
-		[GATE_WAITING] = "waiting",
-		[GATE_PARKED] = "parked",
-		[GATE_RUNNING] = "running",
-	};
-
-	return names[state];
-}
-
-static void cancel(struct gate_request *r, int64_t late_ms)
-{
-	struct gate *g = r->gate;
-
-	/*
-	 * Work that may not be repeated is worth its result even when its
-	 * caller has left: cut off halfway it helps nobody, and nobody may
-	 * send it again.
-	 */
-	if (r->state == GATE_RUNNING && !r->repeatable && r->fetch.sent) {
-		r->unwanted = true;
-		link_withdraw(&g->load.link, r->promised_bytes);
-		r->promised_bytes = 0;
-		fetch_resume(&r->fetch);
-		return;
-	}
-	COUNT(gate_cancelled);
-	EVENT(gate_cancelled, r->attempt_id,
-	      "\"member\":%" PRId64 ",\"state\":\"%s\",\"repeatable\":%s"
-	      ",\"age_ms\":%" PRId64 ",\"late_ms\":%" PRId64
-	      ",\"sent_ms\":%" PRId64 ",\"arrived_ms\":%" PRId64,
-	      g->node->member.self, state_name(r->state),
-	      r->repeatable ? "true" : "false", clock_now_ms() - r->arrived_ms,
-	      late_ms, r->sent_ms, r->arrived_ms);
-	if (r->state == GATE_PARKED) {
-		gate_unpark(r);
-	} else if (r->state == GATE_WAITING) {
-		queue_remove(&g->load.queue, r);
-	} else {
-		fetch_cancel(&r->fetch);
-		admission_cancelled(&g->load);
-		if (r->seen_hash && !r->fetch.sent)
-			ids_forget(&g->ids, r->seen_hash);
-		else if (r->seen_hash)
-			ids_end(&g->ids, r->seen_hash, SEEN_UNKNOWN, 0, NULL,
-				NULL, 0);
-	}
-	gate_request_free(r);
-	gate_pump(g);
-}
-
 void gate_on_message(struct gate *g, const void *identity, size_t len,
 		     const struct request_msg *m)
 {
@@ -709,14 +637,14 @@
 	}
 	if (!r) {
 		if (m->type == REQ_CANCEL)
-			note_taken_back(g, m);
+			gate_note_taken_back(g, m);
 		return;
 	}
 	if (m->type == REQ_CANCEL) {
 		int64_t late_ms = delay_ms(g, m);
 
 		MEASURE(cancel_ms, late_ms);
-		cancel(r, late_ms);
+		gate_take_back(r, late_ms);
 		return;
 	}
 	if (m->type == REQ_CREDIT) {
@@ -727,38 +655,6 @@
 	}
 }
 
-static bool came_from(const struct gate_request *r, const char *address)
-{
-	size_t len = strlen(address);
-	gsize n;
-	const char *identity;
-
-	if (!r->identity)
-		return false;
-	identity = g_bytes_get_data(r->identity, &n);
-	return n > len && identity[len] == '/' &&
-	       !memcmp(identity, address, len);
-}
-
-void gate_entry_gone(struct gate *g, const char *address)
-{
-	GList *all = g_hash_table_get_keys(g->requests);
-	GList *l;
-
-	for (l = all; l; l = l->next) {
-		struct gate_request *r = l->data;
-
-		if (r->state == GATE_RUNNING || !came_from(r, address))
-			continue;
-		if (r->state == GATE_PARKED)
-			gate_unpark(r);
-		else
-			queue_remove(&g->load.queue, r);
-		gate_refuse(r, RESULT_UNREACHABLE);
-	}
-	g_list_free(all);
-}
-
 void gate_check_reached(struct gate *g)
 {
 	if (g->connect_failures < MAX_CONNECT_FAILURES ||
