node, state, audit: a configuration that is refused says why, and its way has times

On-call engineers could not tell from logs or metrics whether a change of the operators was refused, late or stale: a dropped record named neither its fault nor what it held, and only the end of a change's way was written down.

published, configuration_proposed and configuration_refused are events now, configured names its number of classes and how long ago this process read the change itself; configurations_refused counts, and metrics tell how far the operators' stream was read (published_source) and put in force (configuration_source). No decision changes.

--- a/audit/audit.c
+++ b/audit/audit.c
@@ -162,6 +162,10 @@
 				    "offset %" G_GINT64_FORMAT
 				    ": configuration in force, by %s: %s",
 				    (gint64)ev->offset, ev->by, ev->reason));
+	else if (ev->type == FLEET_CONFIGURATION_REFUSED)
+		add_line(a, g_strdup_printf("offset %" G_GINT64_FORMAT
+					    ": configuration refused: %s",
+					    (gint64)ev->offset, ev->reason));
 	else if (ev->result != RESULT_DUPLICATE)
 		add_line(a, g_strdup_printf("offset %" G_GINT64_FORMAT
 					    ": %s record dropped: %s%s%s",
--- a/node/node.c
+++ b/node/node.c
@@ -67,6 +67,9 @@
 {
 	struct node *n = user;
 
+	if (kind == APPEND_PUBLISHED)
+		EVENT(configuration_proposed, NULL, "\"source\":%" PRId64,
+		      n->member.published_source);
 	log_client_append(&n->log, kind, member_append_may_follow(kind), NULL,
 			  record);
 }
@@ -178,18 +181,35 @@
 	old->id = 0;
 }
 
+static void tell_configured(const struct node *n, const struct fleet_event *ev)
+{
+	const struct member_node *m = &n->member;
+	int64_t since = m->published_since_ms;
+
+	EVENT(configured, NULL,
+	      "\"version\":%" PRId64 ",\"source\":%" PRId64
+	      ",\"operators_version\":%" PRId64
+	      ",\"classes\":%u,\"read_ago_ms\":%" PRId64,
+	      ev->offset, m->fleet.source,
+	      (int64_t)json_integer_value(
+		      json_object_get(m->fleet.document, "source")),
+	      m->fleet.configuration.n_classes,
+	      since ? clock_now_ms() - since : -1);
+}
+
 static void on_event(void *user, const struct fleet_event *ev)
 {
 	struct node *n = user;
 
 	audit_event(&n->audit, ev);
 	if (ev->type == FLEET_CONFIGURED)
-		EVENT(configured, NULL,
-		      "\"version\":%" PRId64 ",\"source\":%" PRId64
-		      ",\"operators_version\":%" PRId64,
-		      ev->offset, n->member.fleet.source,
-		      (int64_t)json_integer_value(json_object_get(
-			      n->member.fleet.document, "source")));
+		tell_configured(n, ev);
+	if (ev->type == FLEET_CONFIGURATION_REFUSED) {
+		COUNT(configurations_refused);
+		EVENT(configuration_refused, NULL,
+		      "\"offset\":%" PRId64 ",\"problem\":%s", ev->offset,
+		      event_text(ev->reason));
+	}
 	if (ev->type == FLEET_MEMBER_GONE &&
 	    (!strcmp(ev->reason, FLEET_REASON_RESTARTED) ||
 	     !strcmp(ev->reason, FLEET_REASON_ENDED)))
--- a/node/operator.c
+++ b/node/operator.c
@@ -133,12 +133,16 @@
 		text,
 		"applied_offset %" PRId64 "\n"
 		"configuration_version %" PRId64 "\n"
+		"configuration_classes %u\n"
+		"configuration_source %" PRId64 "\n"
+		"published_source %" PRId64 "\n"
 		"members %u\nshards_held %u\nlease %d\n"
 		"in_flight %u\nwaiting %u\nlimit %.1f\n"
 		"backend_latency_us %.0f\n",
 		n->member.fleet.applied, n->member.fleet.configuration_version,
-		fleet_n_members(&n->member.fleet), held(n),
-		member_lease_end_ms(&n->member) > clock_now_ms(),
+		n->member.fleet.configuration.n_classes, n->member.fleet.source,
+		n->member.published_source, fleet_n_members(&n->member.fleet),
+		held(n), member_lease_end_ms(&n->member) > clock_now_ms(),
 		n->gate.load.n_running, n->gate.load.queue.heap->len,
 		n->gate.load.limit.now, n->gate.load.limit.recent_ms * 1000);
 	httpd_reply(r, 200, NULL, text->str, text->len);
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -532,6 +532,17 @@
 	}
 }
 
+static void emit_refused(struct fleet *f, int64_t offset, const json_t *record,
+			 const char *errors)
+{
+	g_autofree char *first = g_strndup(errors, strcspn(errors, "\n"));
+	struct fleet_event ev = { .type = FLEET_CONFIGURATION_REFUSED,
+				  .offset = offset,
+				  .reason = first };
+
+	emit(f, &ev, record);
+}
+
 static int apply_configuration(struct fleet *f, int64_t offset, const json_t *r)
 {
 	json_t *doc = json_object_get(r, "document");
@@ -547,6 +558,8 @@
 	cfg = g_new0(struct configuration, 1);
 	json_check_init(&c, "record");
 	err = configuration_read(cfg, doc, &c);
+	if (err)
+		emit_refused(f, offset, r, c.errors->str);
 	json_check_finish(&c);
 	if (!err) {
 		struct fleet_event ev = { .type = FLEET_CONFIGURED,
--- a/state/fleet.h
+++ b/state/fleet.h
@@ -107,6 +107,7 @@
 	FLEET_SHARD_MOVED,
 	FLEET_SUCCESSOR_GONE,
 	FLEET_CONFIGURED,
+	FLEET_CONFIGURATION_REFUSED,
 	FLEET_WITNESSES_CHANGED,
 	FLEET_SETTLED,
 	FLEET_DROPPED,
@@ -123,7 +124,7 @@
 	int64_t to; /* moved: owner now */
 	int64_t fence_before; /* moved: the fence of the owner before */
 	const char *by; /* who wrote the record */
-	const char *reason;
+	const char *reason; /* configuration refused: what is wrong with it */
 	int result; /* dropped: why */
 };
 
--- a/util/counters.h
+++ b/util/counters.h
@@ -58,6 +58,7 @@
 	X(records_dropped)         \
 	X(records_from_peers)      \
 	X(snapshots_loaded)        \
+	X(configurations_refused)  \
 	X(log_appends)             \
 	X(log_append_answers_lost) \
 	X(requests_begun_ahead)    \
--- a/util/event.h
+++ b/util/event.h
@@ -20,7 +20,10 @@
 	X(stopping, 10, 10)                  \
 	X(stopped, 10, 10)                   \
 	X(reloaded, 10, 10)                  \
+	X(published, 10, 20)                 \
+	X(configuration_proposed, 10, 20)    \
 	X(configured, 10, 20)                \
+	X(configuration_refused, 10, 20)     \
 	X(store_lost, 2, 10)                 \
 	X(store_read_renewed, 2, 10)         \
 	X(store_regained, 2, 10)             \
