settings, platform, state: no number of routes refuses what operators publish

Callers of routes in force were told 404 by every host, for good (DENIED, 522 to 526 requests). The third addition of 1,400 routes made 4,200 and more, our own reader took 4,096 at most and refused the whole document; the change after it was refused with it. The operators' store had accepted both.

Ruled out: lateness (20 s later nothing has changed; t0053 fails on an idle machine), a stale record (the log's order is that of the operators).

The cause is of a class: a bound of ours, tighter than what the store accepts, that one entry can break for all.

--- a/node/entry-classify.c
+++ b/node/entry-classify.c
@@ -45,13 +45,13 @@
 pick_target(const struct configuration *cfg, const struct class_settings *k,
 	    GRand *rand)
 {
-	uint32_t total = 0;
-	uint32_t draw;
+	uint64_t total = 0;
+	uint64_t draw;
 	uint32_t i;
 
 	for (i = 0; i < k->n_targets; i++)
 		total += k->targets[i].weight;
-	draw = total > 1 ? g_rand_int_range(rand, 0, total) : 0;
+	draw = total > 1 ? g_rand_double_range(rand, 0, total) : 0;
 	for (i = 0; i + 1 < k->n_targets; i++) {
 		if (draw < k->targets[i].weight)
 			break;
@@ -81,7 +81,8 @@
 	const struct settings *s = &r->entry->node->settings;
 	struct plan *p = &r->plan;
 
-	g_strlcpy(r->class_name, k->name, sizeof(r->class_name));
+	g_free(r->class_name);
+	r->class_name = g_strdup(k->name);
 	r->target_ms = k->target_ms;
 	r->priority = k->priority;
 	r->resend_window_ms = k->resend_window_ms;
--- a/node/entry-request.h
+++ b/node/entry-request.h
@@ -40,7 +40,7 @@
 	const char *attempt_id; /* as the caller sent it, or NULL */
 	struct httpd_request *http;
 	struct plan plan;
-	char class_name[NAME_MAX_LEN + 1];
+	char *class_name; /* "" until it is matched */
 	char service[NAME_MAX_LEN + 1];
 	int64_t version; /* configuration that it was matched by */
 	bool streaming;
--- a/node/entry.c
+++ b/node/entry.c
@@ -349,6 +349,7 @@
 
 	COUNT(requests_received);
 	r->entry = e;
+	r->class_name = g_strdup("");
 	r->http = http;
 	r->plan.received_ms = clock_now_ms();
 	r->plan.deadline_ms = r->plan.received_ms;
@@ -408,6 +409,7 @@
 	if (r->headers)
 		g_ptr_array_unref(r->headers);
 	g_free(r->key);
+	g_free(r->class_name);
 	g_free(r);
 }
 
--- a/settings/configuration.h
+++ b/settings/configuration.h
@@ -8,12 +8,22 @@
 #include "settings/json-check.h"
 
 #define NAME_MAX_LEN 31
-#define CONFIGURATION_MAX_SERVICES 64
-#define CONFIGURATION_MAX_CLASSES 4096
-#define CONFIGURATION_MAX_DATA_CENTRES 64
-#define CLASS_MAX_TARGETS 8
-#define PATH_MAX_LEN 127
-#define HOST_NAME_MAX_LEN 127
+#define NAME_NOT_ALLOWED " \t\r\n/\"\\"
+/*
+ * How many services, classes and data centres there may be is bounded only by
+ * the record that carries them.
+ */
+#define CLASS_TEXT_MAX_LEN 8192
+#define METHOD_MAX_LEN 15
+#define CLASS_MAX_TARGETS 1000
+#define CLASS_MAX_WEIGHT INT32_MAX
+#define CLASS_MAX_ATTEMPTS 1000
+#define CLASS_MAX_PRIORITY 1000
+#define SERVICE_MAX_CONNECTIONS 100000
+#define SERVICE_MAX_COLD_PER_S 1e6
+#define CLASS_MIN_DEADLINE_MS 10
+#define CLASS_MAX_DEADLINE_MS 600000
+#define CALLER_MAX_IDLE_MS (10 * CLASS_MAX_DEADLINE_MS)
 #define ANY_METHOD "*"
 
 enum key_place {
@@ -48,12 +58,12 @@
 };
 
 struct class_settings {
-	char name[NAME_MAX_LEN + 1];
-	struct class_target targets[CLASS_MAX_TARGETS];
+	char *name;
+	struct class_target *targets;
 	uint32_t n_targets;
-	char method[16]; /* ANY_METHOD: all */
-	char host[HOST_NAME_MAX_LEN + 1]; /* of the Host header, "" any */
-	char path[PATH_MAX_LEN + 1]; /* prefix */
+	char method[METHOD_MAX_LEN + 1]; /* ANY_METHOD: all */
+	char *host; /* of the Host header, "" any */
+	char *path; /* prefix */
 	int64_t target_ms;
 	double percentile;
 	double refused_share;
@@ -79,11 +89,11 @@
 
 /* A whole configuration document, checked. */
 struct configuration {
-	struct service_settings services[CONFIGURATION_MAX_SERVICES];
+	struct service_settings *services;
 	uint32_t n_services;
 	struct class_settings *classes;
 	uint32_t n_classes;
-	struct data_centre_settings data_centres[CONFIGURATION_MAX_DATA_CENTRES];
+	struct data_centre_settings *data_centres;
 	uint32_t n_data_centres;
 	struct caller_limits limits;
 };
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -25,6 +25,7 @@
 
 	for (i = 0; i < f->n_services; i++)
 		g_free(f->services[i].shards);
+	g_free(f->services);
 	g_array_unref(f->members);
 	json_decref(f->document);
 	configuration_finish(&f->configuration);
@@ -474,6 +475,18 @@
 	return RESULT_OK;
 }
 
+/* Room for one more service, all zero. */
+struct fleet_service *fleet_add_service(struct fleet *f)
+{
+	struct fleet_service *s;
+
+	f->services =
+		g_renew(struct fleet_service, f->services, f->n_services + 1);
+	s = &f->services[f->n_services++];
+	memset(s, 0, sizeof(*s));
+	return s;
+}
+
 static void add_services(struct fleet *f)
 {
 	const struct configuration *cfg = &f->configuration;
@@ -483,9 +496,9 @@
 		const struct service_settings *ss = &cfg->services[i];
 		struct fleet_service *s = fleet_service(f, ss->name);
 
-		if (s || f->n_services == CONFIGURATION_MAX_SERVICES)
+		if (s)
 			continue;
-		s = &f->services[f->n_services++];
+		s = fleet_add_service(f);
 		g_strlcpy(s->name, ss->name, sizeof(s->name));
 		s->n_shards = ss->n_shards;
 		s->key_numbers = ss->key_numbers;
--- a/state/fleet.h
+++ b/state/fleet.h
@@ -133,7 +133,7 @@
 struct fleet {
 	int64_t applied; /* offset of the last record applied, -1 none */
 	GArray *members; /* struct member, by rising id */
-	struct fleet_service services[CONFIGURATION_MAX_SERVICES];
+	struct fleet_service *services; /* moves as more are added */
 	uint32_t n_services;
 	json_t *document; /* configuration in force, NULL none */
 	struct configuration configuration;
--- a/state/internal.h
+++ b/state/internal.h
@@ -14,6 +14,8 @@
 		     const char *reason);
 void fleet_name_heir(struct shard *sh, int64_t heir, int64_t offset);
 
+struct fleet_service *fleet_add_service(struct fleet *f);
+
 /* state/rejoin.c */
 bool rejoin_supersedes(const struct member *m, const struct member *old);
 bool rejoin_ended(const struct member *m, const struct member *old);
--- a/state/snapshot.c
+++ b/state/snapshot.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "state/fleet.h"
+#include "state/internal.h"
 #include "state/records.h"
 #include "util/result.h"
 
@@ -127,15 +127,14 @@
 
 static int load_service(struct fleet *f, const json_t *o)
 {
-	struct fleet_service *s = &f->services[f->n_services];
+	struct fleet_service *s;
 	json_t *list = json_object_get(o, "shards");
 	int64_t n = json_integer_value(json_object_get(o, "n_shards"));
 	uint32_t i;
 
 	if (n <= 0 || json_array_size(list) != (size_t)n * SHARD_NUMBERS)
 		return RESULT_INVALID;
-	if (f->n_services == CONFIGURATION_MAX_SERVICES)
-		return RESULT_INVALID;
+	s = fleet_add_service(f);
 	copy_text(s->name, sizeof(s->name), o, "name");
 	s->n_shards = n;
 	s->key_numbers = json_integer_value(json_object_get(o, "key_numbers"));
@@ -156,7 +155,6 @@
 			*field[j] = json_integer_value(
 				json_array_get(list, i * SHARD_NUMBERS + j));
 	}
-	f->n_services++;
 	return RESULT_OK;
 }
 
