node, member: no 404 while a newer configuration is known and not in force

A caller of a route that operators have added was told 404, for good as its client understands it, by hosts that had read of the change and did not have it in force yet: the log does not take it, or a peer is ahead. Such a host knows that what it goes by is old. It now says 503, which is true (not run) and names a time to come back; what matches is served as before.

t0054 failed before (404 for the new route while the log refused appends).

--- a/member/member.c
+++ b/member/member.c
@@ -261,6 +261,12 @@
 	return n->published_in_force || n->peer_caught_up;
 }
 
+bool member_has_news(const struct member_node *n)
+{
+	return (n->published && n->published_source > n->fleet.source) ||
+	       n->ahead_applied > n->fleet.applied;
+}
+
 /*
  * A change that operators published may not be a record of the log yet, and
  * those who would have brought it in may all have ended.
--- a/member/member.h
+++ b/member/member.h
@@ -295,6 +295,12 @@
  */
 bool member_is_current(const struct member_node *n);
 
+/*
+ * Whether there is something newer than what is applied here, by the operators'
+ * stream or by what peers say: a class that none matches may be in it.
+ */
+bool member_has_news(const struct member_node *n);
+
 /*
  * Whether this node must wait for news at the log itself. Most need not: a few
  * do, and pass records on.
--- a/node/entry-classify.c
+++ b/node/entry-classify.c
@@ -155,6 +155,10 @@
 	}
 	r->version = f->configuration_version;
 	k = match(e, r->http);
+	if (!k && member_has_news(&e->node->member)) {
+		entry_reply_not_run(r, "a newer configuration is on its way\n");
+		return false;
+	}
 	if (!k) {
 		entry_reject(r, 404, "no class matches this method and path\n");
 		return false;
