settings: the class of a request is found in log time

A request was compared with every class: 43 us at 4,096 routes on a whole core, ten times that on a tenth of one, for each request of each host. Classes are now ordered by host and path; the one found by halving and the paths that begin its own are all that can match. Of equal paths the one that names its host goes first, then the one that names its method, whatever their order in the document: so an order that changes cannot change where requests go.

--- a/settings/configuration.c
+++ b/settings/configuration.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "settings/configuration.h"
+#include "settings/internal.h"
 #include "util/result.h"
 
 #define DEFAULT_SHARDS 64
@@ -184,7 +184,13 @@
 					  CLASS_TEXT_MAX_LEN));
 }
 
-static void class_finish(struct class_settings *k)
+static void lower(char *s)
+{
+	for (; *s; s++)
+		*s = g_ascii_tolower(*s);
+}
+
+void class_finish(struct class_settings *k)
 {
 	g_free(k->name);
 	g_free(k->host);
@@ -192,13 +198,14 @@
 	g_free(k->targets);
 }
 
-static void read_class(struct configuration *cfg, const json_t *obj,
-		       const char *path, struct json_check *c)
+void class_read(struct class_settings *k, const struct configuration *cfg,
+		const json_t *obj, const char *path, struct json_check *c)
 {
-	struct class_settings *k = &cfg->classes[cfg->n_classes];
 	json_t *split = json_object_get(obj, "split");
 
 	memset(k, 0, sizeof(*k));
+	if (!json_is_object(obj))
+		json_check_fail(c, path, "must be an object");
 	json_check_fields(c, obj, path, class_fields);
 	k->name = read_text(obj, path, "name", JSON_REQUIRED_STRING, c);
 	check_name(c, path, k->name);
@@ -213,6 +220,7 @@
 	k->priority = json_check_int(c, obj, path, "priority", 0, 0,
 				     CLASS_MAX_PRIORITY);
 	k->host = read_text(obj, path, "host", "", c);
+	lower(k->host);
 	g_strlcpy(k->method,
 		  json_check_string(c, obj, path, "method",
 				    JSON_REQUIRED_STRING, METHOD_MAX_LEN),
@@ -234,7 +242,12 @@
 	k->resend_window_ms = json_check_int(c, obj, path, "resend_window_ms",
 					     DEFAULT_RESEND_WINDOW_MS, 0,
 					     3600000);
-	cfg->n_classes++;
+}
+
+static void read_class(struct configuration *cfg, const json_t *obj,
+		       const char *path, struct json_check *c)
+{
+	class_read(&cfg->classes[cfg->n_classes++], cfg, obj, path, c);
 }
 
 static void read_data_centre(struct configuration *cfg, const json_t *obj,
@@ -305,6 +318,7 @@
 
 	for (i = 0; i < cfg->n_classes; i++)
 		class_finish(&cfg->classes[i]);
+	match_index_finish(&cfg->index);
 	g_free(cfg->classes);
 	g_free(cfg->services);
 	g_free(cfg->data_centres);
@@ -334,6 +348,7 @@
 	read_list(cfg, doc, "services", read_service, c);
 	read_list(cfg, doc, "classes", read_class, c);
 	read_list(cfg, doc, "data_centres", read_data_centre, c);
+	match_index_init(&cfg->index, cfg->classes, cfg->n_classes);
 	return c->n_errors ? RESULT_INVALID : RESULT_OK;
 }
 
@@ -349,43 +364,11 @@
 	return true;
 }
 
-/* Whether a Host header names a host; its port does not count. */
-static bool host_matches(const char *host, const char *header)
-{
-	size_t len = strlen(host);
-
-	if (!len)
-		return true;
-	return header && !g_ascii_strncasecmp(host, header, len) &&
-	       (!header[len] || header[len] == ':');
-}
-
-/*
- * Find the class with the longest matching path, among those of the request's
- * host and those of any; NULL when none matches.
- */
 const struct class_settings *
 configuration_match(const struct configuration *cfg, const char *method,
 		    const char *host, const char *path)
 {
-	const struct class_settings *best = NULL;
-	size_t best_len = 0;
-	uint32_t i;
-
-	for (i = 0; i < cfg->n_classes; i++) {
-		const struct class_settings *k = &cfg->classes[i];
-		size_t len = strlen(k->path);
-
-		if (len < best_len || strncmp(path, k->path, len))
-			continue;
-		if (strcmp(k->method, ANY_METHOD) && strcmp(k->method, method))
-			continue;
-		if (!host_matches(k->host, host))
-			continue;
-		best = k;
-		best_len = len;
-	}
-	return best;
+	return match_index_find(&cfg->index, cfg->classes, method, host, path);
 }
 
 /* Find a service by name, NULL when the configuration has none of it. */
--- a/settings/configuration.h
+++ b/settings/configuration.h
@@ -6,6 +6,7 @@
 #include <jansson.h>
 
 #include "settings/json-check.h"
+#include "settings/match.h"
 
 #define NAME_MAX_LEN 31
 #define NAME_NOT_ALLOWED " \t\r\n/\"\\"
@@ -93,6 +94,7 @@
 	uint32_t n_services;
 	struct class_settings *classes;
 	uint32_t n_classes;
+	struct match_index index; /* of the classes */
 	struct data_centre_settings *data_centres;
 	uint32_t n_data_centres;
 	struct caller_limits limits;
@@ -108,7 +110,10 @@
 bool configuration_in_service(const struct configuration *cfg,
 			      const char *data_centre);
 
-/* host: the Host header as it came, NULL when there is none. */
+/*
+ * The class of a request, or NULL. host: the Host header as it came, NULL when
+ * there is none.
+ */
 const struct class_settings *
 configuration_match(const struct configuration *cfg, const char *method,
 		    const char *host, const char *path);
