settings: paths of fields are written only for a problem

Every whole number that was read from a document had its path printed first, ten times for each class.

--- a/settings/json-check.c
+++ b/settings/json-check.c
@@ -83,20 +83,21 @@
 		       int64_t min, int64_t max)
 {
 	json_t *v = json_object_get(obj, name);
-	g_autofree char *full = g_strdup_printf("%s.%s", path, name);
+	g_autofree char *what = NULL;
 
 	if (!v) {
 		if (fallback == JSON_REQUIRED_INT)
-			json_check_fail(c, full, "missing");
+			fail_field(c, path, name, "missing");
 		return fallback == JSON_REQUIRED_INT ? min : fallback;
 	}
 	if (!json_is_integer(v)) {
-		json_check_fail(c, full, "must be a whole number");
+		fail_field(c, path, name, "must be a whole number");
 		return min;
 	}
 	if (json_integer_value(v) < min || json_integer_value(v) > max) {
-		json_check_fail(c, full, "must be from %" PRId64 " to %" PRId64,
-				min, max);
+		what = g_strdup_printf("must be from %" PRId64 " to %" PRId64,
+				       min, max);
+		fail_field(c, path, name, what);
 		return min;
 	}
 	return json_integer_value(v);
