state, member, platform: what operators publish travels as differences

Each parsed the operators' document (some 450 kB at 4,200 routes), worked ours out of it, parsed ours again from the fleet's record, checked all of it and wrote it out once more, for each change, also for one of two weights.

Now the operators' text is kept as it comes, and only who proposes parses it: it appends what is new, different or gone. Others read only these classes. The next change is proposed as soon as the one before is applied, and who comes after the first by rank waits longer where there is more to work out.

Ruled out: few readers of the operators' stream. With all of them gone a change would wait for those who look every ten seconds, and the bound is two.

/published/small-change-is-short failed with whole documents by construction; /published/changes-lead-to-the-same plays 400 random documents in parts of random size. /schedules/published-in-a-storm keeps its bound, /state/unusable-change too.

--- a/member/member.c
+++ b/member/member.c
@@ -30,6 +30,8 @@
 	n->ops_user = ops_user;
 	n->now_ms = now_ms;
 	n->ahead_applied = -1;
+	n->published_source = -1;
+	n->changes_source = -1;
 	n->needs_source = n->fleet.source;
 	n->rand = g_rand_new_with_seed(seed);
 	/* We cannot know how long ago a record read at the start was made. */
@@ -64,7 +66,7 @@
 	g_ptr_array_unref(n->snapshot_parts);
 	g_queue_free_full(n->cache, cached_record_free);
 	g_free(n->holds);
-	json_decref(n->published);
+	json_decref(n->changes);
 	memset(n, 0, sizeof(*n));
 }
 
@@ -201,6 +203,9 @@
 	COUNT(records_applied);
 	if (err)
 		COUNT(records_dropped);
+	/* The next change follows from this one, and need not wait. */
+	if (n->fleet.configuration_version != version)
+		n->next_append_ms[APPEND_PUBLISHED] = n->now_ms;
 	sync_remember(n, offset, append_id, record);
 	if (n->fleet.snapshot_offset != snapshot)
 		n->snapshot_seen_ms = n->now_ms;
@@ -221,15 +226,14 @@
 	return RESULT_OK;
 }
 
-void member_set_published(struct member_node *n, int64_t source, json_t *doc,
+void member_set_published(struct member_node *n, int64_t source, uint32_t bytes,
 			  int64_t now_ms)
 {
-	bool pending = n->published && n->published_source > n->fleet.source;
+	bool pending = n->published_source > n->fleet.source;
 
 	n->now_ms = MAX(n->now_ms, now_ms);
-	json_decref(n->published);
-	n->published = json_incref(doc);
 	n->published_source = source;
+	n->published_bytes = bytes;
 	/*
 	 * Changes in quick succession would put the wait of those who act
 	 * after the first node off again and again, should that one be gone.
@@ -263,7 +267,7 @@
 
 bool member_has_news(const struct member_node *n)
 {
-	return (n->published && n->published_source > n->fleet.source) ||
+	return n->published_source > n->fleet.source ||
 	       n->ahead_applied > n->fleet.applied;
 }
 
@@ -291,8 +295,7 @@
 	if (!n->awaits_published)
 		return;
 	n->awaits_published = false;
-	if (n->published)
-		n->needs_source = n->published_source;
+	n->needs_source = MAX(n->needs_source, n->published_source);
 	look_at_published(n);
 }
 
--- a/member/member.h
+++ b/member/member.h
@@ -136,6 +136,11 @@
 	/* Ids seen on a shard: four numbers an entry. */
 	void (*export_ids)(void *user, uint32_t shard, GArray *out);
 	void (*import_ids)(void *user, const int64_t *entry);
+	/*
+	 * What operators published elsewhere, whole, as a new reference to a
+	 * configuration document; NULL when it cannot be read.
+	 */
+	json_t *(*published)(void *user);
 	/* A change of state worth a log line. */
 	void (*note)(void *user, const char *what, int64_t subject);
 };
@@ -184,9 +189,14 @@
 	int64_t snapshot_seen_ms;
 	int64_t last_join_ms; /* somebody of our service joined */
 	int64_t unplaced_since_ms; /* our service has shards of nobody; 0 not */
-	json_t *published; /* what operators published elsewhere, or NULL */
-	int64_t published_source;
+	int64_t published_source; /* -1: operators published nothing */
 	int64_t published_since_ms;
+	uint32_t published_bytes;
+	/* What leads there from the configuration of version changes_base. */
+	json_t *changes;
+	int64_t changes_base;
+	int64_t changes_source;
+	bool changes_whole;
 	int64_t next_append_ms[N_APPEND_KINDS];
 	uint32_t conflicts[N_APPEND_KINDS]; /* in a row */
 	bool append_pending[N_APPEND_KINDS];
@@ -252,10 +262,11 @@
 void member_set_wanted(struct member_node *n, bool wanted, int64_t now_ms);
 
 /*
- * What operators published in a stream of their own, read up to source, as a
- * configuration document; members bring it into the log in turn.
+ * Operators published something in a stream of their own, read up to source and
+ * that long; members bring it into the log in turn, and only who does need look
+ * at it.
  */
-void member_set_published(struct member_node *n, int64_t source, json_t *doc,
+void member_set_published(struct member_node *n, int64_t source, uint32_t bytes,
 			  int64_t now_ms);
 
 /*
--- a/member/propose.c
+++ b/member/propose.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "member/internal.h"
+#include "settings/changes.h"
 #include "state/records.h"
 #include "util/counters.h"
 #include "util/hash.h"
@@ -19,6 +20,8 @@
 /* Of the records between snapshots: how much longer the next by rank waits. */
 #define SNAPSHOT_RANK_SHARE 8
 #define LOG_WITNESSED_LAPSES 2
+/* What a record carries, before it is compressed; the store bounds it. */
+#define CHANGES_MAX_BYTES (192 * 1024)
 /*
  * After another's append came first: read it, then decide again. Whole fleets
  * join at once: there each further time in a row may wait twice as long.
@@ -27,6 +30,8 @@
 #define CONFLICT_DOUBLINGS 5
 /* Whom operators' changes wait for, one after the other: they are urgent. */
 #define PUBLISH_STEP_MS 150
+#define PUBLISH_BYTES_PER_MS 1024
+#define PUBLISH_STEP_MORE_MS 450
 #define PUBLISH_STRANGER_MS 400
 /* Those that are no members have no rank, and may be many. */
 #define PUBLISH_SPREAD_MS 1000
@@ -547,6 +552,44 @@
 		member_append(n, APPEND_PLACE, record_place(s->name, n->self));
 }
 
+static json_int_t operators_version(const json_t *doc)
+{
+	return json_integer_value(json_object_get(doc, "source"));
+}
+
+/*
+ * Work out what leads from the configuration in force to what operators
+ * published. What cannot be read, or is older, changes nothing.
+ */
+static void find_changes(struct member_node *n)
+{
+	json_t *from = n->fleet.document;
+	json_t *doc;
+
+	if (n->changes_source == n->published_source &&
+	    n->changes_base == n->fleet.configuration_version)
+		return;
+	json_decref(n->changes);
+	doc = n->ops->published(n->ops_user);
+	if (!doc || operators_version(doc) < operators_version(from)) {
+		json_decref(doc);
+		doc = json_incref(from);
+	}
+	n->changes = doc ? changes_between(from, doc, CHANGES_MAX_BYTES,
+					   &n->changes_whole)
+			 : NULL;
+	n->changes_base = n->fleet.configuration_version;
+	n->changes_source = n->published_source;
+	json_decref(doc);
+}
+
+/* A host with a tenth of a core needs longer to work out what is longer. */
+static int64_t publish_step_ms(const struct member_node *n)
+{
+	return PUBLISH_STEP_MS + MIN(n->published_bytes / PUBLISH_BYTES_PER_MS,
+				     PUBLISH_STEP_MORE_MS);
+}
+
 /*
  * Bring what operators published into the log. Any node may; the first by rank
  * does, and the others wait for it in turn, in case it is gone.
@@ -556,18 +599,24 @@
 	int64_t wait =
 		PUBLISH_STRANGER_MS +
 		hash_pair(n->me.host, n->published_source) % PUBLISH_SPREAD_MS;
+	json_t *record;
 
-	if (!n->published || n->published_source <= n->fleet.source ||
-	    !n->log_caught_up || !may_append(n, APPEND_PUBLISHED))
+	if (n->published_source <= n->fleet.source || !n->log_caught_up ||
+	    !may_append(n, APPEND_PUBLISHED))
 		return;
 	if (n->self)
 		wait = assign_rank(&n->fleet, "publish", n->self) *
-		       PUBLISH_STEP_MS;
+		       publish_step_ms(n);
 	if (n->now_ms - n->published_since_ms < wait)
 		return;
-	member_append(n, APPEND_PUBLISHED,
-		      record_published(n->published_source, n->published,
-				       n->self));
+	find_changes(n);
+	if (!n->changes)
+		return;
+	record = record_changes(n->fleet.configuration_version,
+				json_incref(n->changes), n->self);
+	if (n->changes_whole)
+		record_changes_source(record, n->published_source);
+	member_append(n, APPEND_PUBLISHED, record);
 }
 
 /* Append what this node, by its rank and its state, should append. */
--- a/node/node.c
+++ b/node/node.c
@@ -63,13 +63,34 @@
 	g_byte_array_unref(out);
 }
 
+static void tell_proposed(const struct node *n)
+{
+	const json_t *changes = n->member.changes;
+
+	EVENT(configuration_proposed, NULL,
+	      "\"source\":%" PRId64 ",\"base\":%" PRId64
+	      ",\"classes\":%zu,\"removed\":%zu,\"whole\":%s"
+	      ",\"read_ago_ms\":%" PRId64,
+	      n->member.changes_source, n->member.changes_base,
+	      json_array_size(json_object_get(changes, "classes")),
+	      json_array_size(json_object_get(changes, "removed")),
+	      n->member.changes_whole ? "true" : "false",
+	      clock_now_ms() - n->member.published_since_ms);
+}
+
+static json_t *op_published(void *user)
+{
+	struct node *n = user;
+
+	return published_document(&n->published);
+}
+
 static void op_append(void *user, enum append_kind kind, json_t *record)
 {
 	struct node *n = user;
 
 	if (kind == APPEND_PUBLISHED)
-		EVENT(configuration_proposed, NULL, "\"source\":%" PRId64,
-		      n->member.published_source);
+		tell_proposed(n);
 	log_client_append(&n->log, kind, member_append_may_follow(kind), NULL,
 			  record);
 }
@@ -155,6 +176,7 @@
 	.in_flight = op_in_flight,
 	.export_ids = op_export_ids,
 	.import_ids = op_import_ids,
+	.published = op_published,
 	.note = op_note,
 };
 
--- a/node/streams.c
+++ b/node/streams.c
@@ -162,30 +162,17 @@
 static void on_published_tail(void *user, int64_t sent_ms)
 {
 	struct node *n = user;
-	json_t *doc;
-	int64_t began;
 
 	(void)sent_ms;
 	if (n->operators.trimmed)
 		log_client_seek(&n->operators, n->operators.scan_from);
-	if (n->published_changed) {
+	if (n->published_changed && n->published.config) {
 		n->published_changed = false;
-		began = clock_now_ms();
-		doc = published_document(&n->published);
-		if (doc) {
-			member_set_published(&n->member, n->operators.next, doc,
-					     clock_now_ms());
-			EVENT(published, NULL,
-			      "\"operators_version\":%" PRId64
-			      ",\"source\":%" PRId64
-			      ",\"classes\":%zu,\"ms\":%" PRId64,
-			      (int64_t)json_integer_value(
-				      json_object_get(doc, "source")),
-			      n->operators.next,
-			      json_array_size(json_object_get(doc, "classes")),
-			      clock_now_ms() - began);
-		}
-		json_decref(doc);
+		member_set_published(&n->member, n->operators.next,
+				     published_bytes(&n->published),
+				     clock_now_ms());
+		EVENT(published, NULL, "\"source\":%" PRId64 ",\"bytes\":%u",
+		      n->operators.next, published_bytes(&n->published));
 	}
 	member_published_read(&n->member, clock_now_ms());
 }
@@ -272,7 +259,7 @@
 	}
 	/* What operators changed is in force elsewhere by now, or nobody reads.
 	 */
-	if (m->published && m->published_source > m->fleet.source &&
+	if (m->published_source > m->fleet.source &&
 	    now - m->published_since_ms > DEAF_MS &&
 	    now - n->log.read_sent_ms > DEAF_MS)
 		log_client_renew(&n->log);
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "state/fleet.h"
+#include "settings/changes.h"
 #include "state/internal.h"
 #include "state/records.h"
 #include "util/hash.h"
@@ -556,48 +557,70 @@
 	emit(f, &ev, record);
 }
 
+/* What follows from the configuration that is in force now. */
+static void on_configured(struct fleet *f, int64_t offset, const json_t *r)
+{
+	struct fleet_event ev = { .type = FLEET_CONFIGURED, .offset = offset };
+	uint32_t i;
+
+	f->configuration_version = offset;
+	add_services(f);
+	for (i = 0; i < f->n_services; i++) {
+		on_more_members(f, &f->services[i], offset, r);
+		move_out_of_service(f, &f->services[i], offset, r);
+	}
+	emit(f, &ev, r);
+}
+
+/* A whole configuration in place of the one that it was based on. */
 static int apply_configuration(struct fleet *f, int64_t offset, const json_t *r)
 {
 	json_t *doc = json_object_get(r, "document");
-	json_t *source = json_object_get(r, "source");
 	struct configuration *cfg;
 	struct json_check c;
 	int err;
-	uint32_t i;
 
-	if (source ? json_integer_value(source) <= f->source
-		   : number(r, "base") != f->configuration_version)
+	if (number(r, "base") != f->configuration_version)
 		return RESULT_STALE;
 	cfg = g_new0(struct configuration, 1);
 	json_check_init(&c, "record");
 	err = configuration_read(cfg, doc, &c);
-	if (err)
-		emit_refused(f, offset, r, c.errors->str);
-	json_check_finish(&c);
 	if (!err) {
-		struct fleet_event ev = { .type = FLEET_CONFIGURED,
-					  .offset = offset };
-
 		configuration_finish(&f->configuration);
 		f->configuration = *cfg;
-		memset(cfg, 0, sizeof(*cfg));
 		json_decref(f->document);
 		f->document = json_incref(doc);
-		f->configuration_version = offset;
-		if (source)
-			f->source = json_integer_value(source);
-		add_services(f);
-		for (i = 0; i < f->n_services; i++) {
-			on_more_members(f, &f->services[i], offset, r);
-			move_out_of_service(f, &f->services[i], offset, r);
-		}
-		emit(f, &ev, r);
+		on_configured(f, offset, r);
+	} else {
+		emit_refused(f, offset, r, c.errors->str);
+		configuration_finish(cfg);
 	}
+	json_check_finish(&c);
+	g_free(cfg);
+	return err;
+}
+
+/* What operators published elsewhere, as changes of the one it is based on. */
+static int apply_changes(struct fleet *f, int64_t offset, const json_t *r)
+{
+	json_t *source = json_object_get(r, "source");
+	struct json_check c;
+	int err;
+
+	if (number(r, "base") != f->configuration_version ||
+	    (source && json_integer_value(source) <= f->source))
+		return RESULT_STALE;
+	json_check_init(&c, "record");
+	err = changes_apply(&f->configuration, &f->document,
+			    json_object_get(r, "changes"), &c);
+	if (err)
+		emit_refused(f, offset, r, c.errors->str);
+	json_check_finish(&c);
 	/* One that cannot be used has been looked at, or it comes for ever. */
-	if (err && source)
+	if (source)
 		f->source = json_integer_value(source);
-	configuration_finish(cfg);
-	g_free(cfg);
+	if (!err)
+		on_configured(f, offset, r);
 	return err;
 }
 
@@ -631,6 +654,7 @@
 	{ "settle", apply_settle },
 	{ "witnesses", apply_witnesses },
 	{ "configuration", apply_configuration },
+	{ "changes", apply_changes },
 	{ "snapshot", apply_snapshot },
 };
 
--- a/t/sim.c
+++ b/t/sim.c
@@ -140,6 +140,13 @@
 	(void)entry;
 }
 
+static json_t *op_published(void *user)
+{
+	struct sim_node *nd = user;
+
+	return json_incref(nd->sim->published);
+}
+
 static void op_note(void *user, const char *what, int64_t subject)
 {
 	struct sim_node *nd = user;
@@ -157,6 +164,7 @@
 	.in_flight = op_in_flight,
 	.export_ids = op_export,
 	.import_ids = op_import,
+	.published = op_published,
 	.note = op_note,
 };
 
--- a/t/sim.h
+++ b/t/sim.h
@@ -114,6 +114,7 @@
 	uint32_t *top_slot; /* by whom */
 	uint64_t appends;
 	bool verbose;
+	json_t *published; /* what operators published, NULL nothing */
 };
 
 void sim_init(struct sim *s, uint32_t seed, uint32_t disabled_rules);
--- a/t/slope.c
+++ b/t/slope.c
@@ -5,7 +5,10 @@
 
 #include "member/internal.h"
 #include "net/clock.h"
+#include "platform/operator.h"
+#include "settings/changes.h"
 #include "state/records.h"
+#include "util/deflate.h"
 
 /*
  * What the state costs by the number of nodes and shards: memory, the size of
@@ -60,8 +63,15 @@
 	(void)subject;
 }
 
+static json_t *op_published(void *user)
+{
+	(void)user;
+	return NULL;
+}
+
 static const struct member_ops ops = { op_send,	  op_append, op_in_flight,
-				       op_export, op_import, op_note };
+				       op_export, op_import, op_published,
+				       op_note };
 
 static double apply(json_t *r)
 {
@@ -129,6 +139,102 @@
 	return apply(r);
 }
 
+static char *routes_text(int n, int version)
+{
+	json_t *rules = json_array();
+	json_t *o;
+	char *text;
+	int i;
+
+	for (i = 0; i < n; i++)
+		json_array_append_new(
+			rules,
+			json_pack("{s:o,s:s,s:i,s:i,s:{s:o},s:{s:s,s:i,s:i}}",
+				  "name", json_sprintf("r-%07d", i), "kind",
+				  "safe", "goal_ms", i ? 400 : 400 + version,
+				  "priority", 2, "match", "path_prefix",
+				  json_sprintf("/abcd123/lo%d/", i), "action",
+				  "service", "s0", "timeout_ms", 1500,
+				  "attempts", 2));
+	o = json_pack("{s:i,s:[{s:s,s:o}],s:[{s:s,s:i}]}", "version", version,
+		      "listeners", "hostname", "abcd12.example", "rules", rules,
+		      "clusters", "name", "s0", "max_conns", 130);
+	text = json_dumps(o, JSON_COMPACT);
+	json_decref(o);
+	return text;
+}
+
+static double ms_since(int64_t us)
+{
+	return (clock_now_us() - us) / 1000.0;
+}
+
+/* One change of the operators: what its proposer and what each host spends. */
+static void change_routes(const char *what, int n, int version)
+{
+	char *text = routes_text(n, version);
+	json_t *key = json_string(text);
+	struct published p;
+	double proposer, host = 0;
+	size_t bytes = 0;
+	bool whole = false;
+	json_t *doc;
+	int64_t t;
+
+	published_init(&p);
+	published_take(&p, "config", key);
+	t = clock_now_us();
+	doc = published_document(&p);
+	proposer = ms_since(t);
+	while (!whole) {
+		json_t *changes, *r;
+		char *line;
+		GString *packed;
+
+		t = clock_now_us();
+		changes = changes_between(node.fleet.document, doc, 192 * 1024,
+					  &whole);
+		r = record_changes(node.fleet.configuration_version, changes,
+				   1);
+		line = json_dumps(r, JSON_COMPACT);
+		packed = deflate_bytes(line, strlen(line));
+		proposer += ms_since(t);
+		bytes += packed->len;
+		json_decref(r);
+		g_string_free(packed, TRUE);
+		t = clock_now_us();
+		r = json_loads(line, 0, NULL);
+		host += ms_since(t) + apply(r);
+		free(line);
+	}
+	printf("%s: proposer %.1f ms, record %zu bytes, each host %.2f ms; ",
+	       what, proposer, bytes, host);
+	free(text);
+	json_decref(key);
+	json_decref(doc);
+	published_finish(&p);
+}
+
+/* What a configuration of n routes costs. */
+static void routes(int n)
+{
+	struct mallinfo2 before = mallinfo2();
+	int64_t t;
+	int i;
+
+	printf("routes %d: ", n);
+	change_routes("all", n, 1);
+	change_routes("one differs", n, 2);
+	change_routes("1,400 more", n + 1400, 3);
+	t = clock_now_us();
+	for (i = 0; i < TICKS; i++)
+		configuration_match(&node.fleet.configuration, "GET",
+				    "abcd12.example", "/abcd123/lo9/x");
+	printf("a match %.2f us; heap %.1f MB\n", ms_since(t) * 1000 / TICKS,
+	       (mallinfo2().uordblks + mallinfo2().hblkhd - before.uordblks) /
+		       1e6);
+}
+
 int main(int argc, char **argv)
 {
 	struct member_timing timing = MEMBER_TIMING_DEFAULT;
@@ -147,6 +253,10 @@
 	g_strlcpy(me.service, "s0", sizeof(me.service));
 	g_strlcpy(me.nonce, "me", sizeof(me.nonce));
 	member_init(&node, &me, &timing, &ops, NULL, 1000, 1);
+	if (argc > 3) {
+		routes(atoi(argv[3]));
+		return 0;
+	}
 	for (i = 0; i < n; i++)
 		joins += apply(join(i));
 	configured = apply(configuration(shards, -1));
--- a/t/test-published.c
+++ b/t/test-published.c
@@ -1,8 +1,10 @@
+#include <stdlib.h>
 #include <string.h>
 #include <glib.h>
 #include <jansson.h>
 
 #include "platform/operator.h"
+#include "settings/changes.h"
 #include "settings/configuration.h"
 #include "state/fleet.h"
 #include "state/records.h"
@@ -11,6 +13,7 @@
 /* What operators publish comes into force, whatever its size and figures. */
 
 #define N_ROUTES 6000
+#define MAX_BYTES (192 * 1024)
 
 static json_t *rule(const char *name, const char *path, const char *service)
 {
@@ -46,15 +49,29 @@
 static void publish(struct fleet *f, json_t *record)
 {
 	struct published p;
-	json_t *doc, *r;
+	json_t *doc, *text, *r;
+	char *dump = json_dumps(record, 0);
+	bool whole = false;
 
 	published_init(&p);
-	g_assert_true(published_take(&p, "config", record));
+	text = json_string(dump);
+	g_assert_true(published_take(&p, "config", text));
 	doc = published_document(&p);
 	g_assert_nonnull(doc);
-	r = record_published(1, doc, 0);
-	g_assert_cmpint(fleet_apply(f, f->applied + 1, "", r), ==, RESULT_OK);
-	json_decref(r);
+	while (!whole) {
+		r = record_changes(f->configuration_version,
+				   changes_between(f->document, doc, MAX_BYTES,
+						   &whole),
+				   0);
+		if (whole)
+			record_changes_source(r, f->source + 1);
+		g_assert_cmpint(fleet_apply(f, f->applied + 1, "", r), ==,
+				RESULT_OK);
+		json_decref(r);
+	}
+	g_assert_true(json_equal(f->document, doc));
+	free(dump);
+	json_decref(text);
 	json_decref(doc);
 	json_decref(record);
 	published_finish(&p);
@@ -130,6 +147,190 @@
 	fleet_finish(&f);
 }
 
+#define N_ROUNDS 400
+
+/* A document like those that operators publish, of few names, at random. */
+static json_t *random_document(GRand *rand, int source)
+{
+	static const char *const services[] = { "records", "bookings", "x" };
+	static const char *const hosts[] = { "", "a.example", "b.example" };
+	static const char *const methods[] = { "*", "GET", "POST" };
+	uint32_t n_services = g_rand_int_range(rand, 2, 4);
+	uint32_t n = g_rand_int_range(rand, 0, 30);
+	json_t *classes = json_array();
+	json_t *list = json_array();
+	uint32_t i;
+
+	for (i = 0; i < n_services; i++)
+		json_array_append_new(list,
+				      json_pack("{s:s,s:i}", "name",
+						services[i], "shards", 8));
+	for (i = 0; i < n; i++) {
+		GString *path = g_string_new("/");
+		uint32_t parts = g_rand_int_range(rand, 0, 4);
+
+		while (parts--)
+			g_string_append_printf(path, "%c%s",
+					       'a' + g_rand_int_range(rand, 0,
+								      2),
+					       g_rand_boolean(rand) ? "/" : "");
+		json_array_append_new(
+			classes,
+			json_pack(
+				"{s:o,s:s,s:s,s:s,s:s,s:i}", "name",
+				json_sprintf("k%d", i), "service",
+				services[g_rand_int_range(rand, 0, n_services)],
+				"method", methods[g_rand_int_range(rand, 0, 3)],
+				"host", hosts[g_rand_int_range(rand, 0, 3)],
+				"path", path->str, "target_ms",
+				g_rand_int_range(rand, 1, 4)));
+		g_string_free(path, TRUE);
+	}
+	return json_pack("{s:i,s:o,s:o,s:[]}", "source", source, "services",
+			 list, "classes", classes, "data_centres");
+}
+
+/* The longest path of the request's host or of any, looked for among all. */
+static const char *plain_match(const json_t *doc, const char *method,
+			       const char *host, const char *path)
+{
+	const char *best = NULL;
+	size_t best_rank = 0;
+	json_t *k;
+	size_t i;
+
+	json_array_foreach(json_object_get(doc, "classes"), i, k)
+	{
+		const char *m = json_string_value(json_object_get(k, "method"));
+		const char *h = json_string_value(json_object_get(k, "host"));
+		const char *p = json_string_value(json_object_get(k, "path"));
+		size_t rank = 4 * strlen(p) + (h[0] ? 2 : 0) + (m[0] != '*');
+
+		if (rank < best_rank || !g_str_has_prefix(path, p) ||
+		    (strcmp(m, "*") && strcmp(m, method)) ||
+		    (h[0] && strcmp(h, host)))
+			continue;
+		best = json_string_value(json_object_get(k, "name"));
+		best_rank = rank;
+	}
+	return best;
+}
+
+static void assert_same_matches(const struct configuration *cfg,
+				const json_t *doc, GRand *rand)
+{
+	static const char *const hosts[] = { "a.example", "b.example", "c" };
+	uint32_t i;
+
+	for (i = 0; i < 60; i++) {
+		const char *host = hosts[g_rand_int_range(rand, 0, 3)];
+		const char *method = g_rand_boolean(rand) ? "GET" : "PUT";
+		const struct class_settings *k;
+		char path[8] = "/";
+		uint32_t j;
+
+		for (j = 1; j < 7; j++)
+			path[j] = "ab/"[g_rand_int_range(rand, 0, 3)];
+		k = configuration_match(cfg, method, host, path);
+		g_assert_cmpstr(k ? k->name : NULL, ==,
+				plain_match(doc, method, host, path));
+	}
+}
+
+/* One after the other, in parts of any size, changes lead to what was meant. */
+static void test_changes_lead_to_the_same(void)
+{
+	GRand *rand = g_rand_new_with_seed(28);
+	struct fleet f;
+	int i;
+
+	fleet_init(&f);
+	for (i = 1; i <= N_ROUNDS; i++) {
+		json_t *doc = random_document(rand, i);
+		size_t max = g_rand_int_range(rand, 1, 4000);
+		bool whole = false;
+
+		while (!whole) {
+			json_t *changes =
+				changes_between(f.document, doc, max, &whole);
+			json_t *r = record_changes(f.configuration_version,
+						   changes, 0);
+
+			g_assert_cmpint(fleet_apply(&f, f.applied + 1, "", r),
+					==, RESULT_OK);
+			json_decref(r);
+			assert_same_matches(&f.configuration, f.document, rand);
+		}
+		assert_same_matches(&f.configuration, doc, rand);
+		json_decref(doc);
+	}
+	fleet_finish(&f);
+	g_rand_free(rand);
+}
+
+/* A change of one of thousands of routes is short, whoever has to hear of it. */
+static void test_small_change_is_short(void)
+{
+	json_t *before = json_pack("{s:i,s:[{s:s}],s:o,s:[]}", "source", 1,
+				   "services", "name", "records", "classes",
+				   json_array(), "data_centres");
+	json_t *after, *changes;
+	bool whole;
+	int i;
+
+	for (i = 0; i < N_ROUTES; i++)
+		json_array_append_new(
+			json_object_get(before, "classes"),
+			json_pack("{s:o,s:s,s:s,s:o,s:i}", "name",
+				  json_sprintf("k%d", i), "service", "records",
+				  "method", "*", "path",
+				  json_sprintf("/k%d/", i), "target_ms", 5));
+	after = json_deep_copy(before);
+	json_object_set_new(json_array_get(json_object_get(after, "classes"),
+					   77),
+			    "target_ms", json_integer(6));
+	json_object_set_new(after, "source", json_integer(2));
+	changes = changes_between(before, after, MAX_BYTES, &whole);
+	g_assert_true(whole);
+	g_assert_cmpuint(json_dumpb(changes, NULL, 0, JSON_COMPACT), <, 300);
+	json_decref(changes);
+	json_decref(before);
+	json_decref(after);
+}
+
+/* A change that is broken leaves what was in force whole. */
+static void test_broken_changes(void)
+{
+	static const char *const texts[] = {
+		"{}",
+		"{\"set\":[]}",
+		"{\"set\":{},\"classes\":[7]}",
+		"{\"set\":{},\"classes\":[{\"name\":\"k\"}]}",
+		"{\"set\":{},\"removed\":[[\"*\",\"\"]]}",
+		"{\"set\":{\"services\":[]},\"classes\":[]}",
+		"{\"set\":{\"classes\":7,\"services\":7}}",
+	};
+	struct fleet f;
+	uint32_t i;
+
+	fleet_init(&f);
+	publish(&f, operators_record(4, many_rules(3)));
+	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+		json_t *r = record_changes(f.configuration_version,
+					   json_loads(texts[i], 0, NULL), 0);
+
+		g_assert_cmpint(fleet_apply(&f, f.applied + 1, "", r), ==,
+				RESULT_INVALID);
+		json_decref(r);
+		g_assert_cmpuint(f.configuration.n_classes, ==, 3);
+		g_assert_cmpstr(match(&f, "/route-2/x"), ==, "route-2");
+		g_assert_cmpuint(
+			json_array_size(json_object_get(f.document, "classes")),
+			==, 3);
+	}
+	fleet_finish(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -138,5 +339,10 @@
 	g_test_add_func("/published/long-names", test_long_names);
 	g_test_add_func("/published/figures-beyond-bounds",
 			test_figures_beyond_bounds);
+	g_test_add_func("/published/changes-lead-to-the-same",
+			test_changes_lead_to_the_same);
+	g_test_add_func("/published/small-change-is-short",
+			test_small_change_is_short);
+	g_test_add_func("/published/broken-changes", test_broken_changes);
 	return g_test_run();
 }
--- a/t/test-schedules.c
+++ b/t/test-schedules.c
@@ -500,6 +500,8 @@
 	start_quietly(&s, 5, 0);
 	f = sim_newest(&s);
 	doc = json_deep_copy(f->document);
+	json_object_set_new(doc, "source", json_integer(1));
+	s.published = doc;
 	for (i = 0; i < SIM_NODES; i++) {
 		rank = assign_rank(f, "publish", s.nodes[i].member.self);
 		if (rank < 3)
@@ -509,7 +511,7 @@
 		for (i = 0; i < SIM_NODES; i++)
 			if (s.nodes[i].up)
 				member_set_published(&s.nodes[i].member, source,
-						     doc,
+						     100,
 						     s.nodes[i].member.now_ms);
 		sim_run(&s, 100);
 	}
--- a/t/test-state.c
+++ b/t/test-state.c
@@ -360,11 +360,14 @@
 /* A change that cannot be used must not hold up who waits for it. */
 static void test_unusable_change(void)
 {
-	json_t *doc = json_pack("{s:s}", "services", "none");
-	json_t *r = record_published(7, doc, 1);
+	json_t *changes = json_pack("{s:{s:s},s:[],s:[]}", "set", "services",
+				    "none", "classes", "removed");
 	struct fleet f;
+	json_t *r;
 
 	set_up(&f);
+	r = record_changes(f.configuration_version, changes, 1);
+	record_changes_source(r, 7);
 	g_assert_cmpint(f.source, <, 7);
 	g_assert_cmpint(fleet_apply(&f, applied_next++, "", r), ==,
 			RESULT_INVALID);
@@ -372,7 +375,6 @@
 	g_assert_nonnull(f.document);
 	g_assert_cmpuint(f.configuration.n_services, ==, 1);
 	json_decref(r);
-	json_decref(doc);
 	fleet_finish(&f);
 }
 
