t: an unusable configuration keeps evacuations out

Fails: what cannot be read, or is older, now takes the place of the configuration before, so published_document() has none and an evacuation published later is not seen, nor one that is taken back.

--- a/t/test-published.c
+++ b/t/test-published.c
@@ -331,6 +331,62 @@
 	fleet_finish(&f);
 }
 
+static void take_text(struct published *p, const char *key, const char *text)
+{
+	json_t *value = text ? json_string(text) : json_null();
+
+	published_take(p, key, value);
+	json_decref(value);
+}
+
+static json_int_t version_of_document(const struct published *p)
+{
+	json_t *doc = published_document(p);
+	json_int_t version = json_integer_value(json_object_get(doc, "source"));
+
+	json_decref(doc);
+	return version;
+}
+
+static uint32_t n_evacuated(const struct published *p)
+{
+	json_t *doc = published_document(p);
+	uint32_t n = json_array_size(json_object_get(doc, "data_centres"));
+
+	json_decref(doc);
+	return n;
+}
+
+/* A configuration that cannot be used must not keep evacuations out. */
+static void test_evacuation_after_unusable(void)
+{
+	static const char *const unusable[] = { "{\"version\":", "7",
+						"{\"version\":4}" };
+	json_t *record = operators_record(5, many_rules(3));
+	char *text = json_dumps(record, 0);
+	GLogLevelFlags fatal;
+	uint32_t i;
+
+	/* What cannot be used may be warned of. */
+	fatal = g_log_set_always_fatal(G_LOG_FATAL_MASK | G_LOG_LEVEL_CRITICAL);
+	for (i = 0; i < G_N_ELEMENTS(unusable); i++) {
+		struct published p;
+
+		published_init(&p);
+		take_text(&p, "config", text);
+		take_text(&p, "config", unusable[i]);
+		take_text(&p, "evacuate/hakata", "{}");
+		g_assert_cmpint(version_of_document(&p), ==, 5);
+		g_assert_cmpuint(n_evacuated(&p), ==, 1);
+		take_text(&p, "evacuate/hakata", NULL);
+		g_assert_cmpuint(n_evacuated(&p), ==, 0);
+		published_finish(&p);
+	}
+	g_log_set_always_fatal(fatal);
+	free(text);
+	json_decref(record);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -344,5 +400,7 @@
 	g_test_add_func("/published/small-change-is-short",
 			test_small_change_is_short);
 	g_test_add_func("/published/broken-changes", test_broken_changes);
+	g_test_add_func("/published/evacuation-after-unusable",
+			test_evacuation_after_unusable);
 	return g_test_run();
 }
