--- a/t/test-published.c
+++ b/t/test-published.c
@@ -8,12 +8,14 @@
 #include "settings/configuration.h"
 #include "state/fleet.h"
 #include "state/records.h"
+#include "util/deflate.h"
 #include "util/result.h"
 
 /* What operators publish comes into force, whatever its size and figures. */
 
 #define N_ROUTES 6000
 #define MAX_BYTES (192 * 1024)
+#define RECORD_BYTES (256 * 1024) /* of the store */
 
 static json_t *rule(const char *name, const char *path, const char *service)
 {
@@ -387,6 +389,44 @@
 	json_decref(record);
 }
 
+static json_t *random_routes(GRand *rand, uint32_t n)
+{
+	json_t *classes = json_array();
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		json_array_append_new(
+			classes,
+			json_pack("{s:s,s:s,s:s,s:o,s:i}", "name", "k",
+				  "service", "records", "method", "*", "path",
+				  json_sprintf("/%08x%08x/lo%u/",
+					       g_rand_int(rand),
+					       g_rand_int(rand), i),
+				  "target_ms", 5));
+	return json_pack("{s:i,s:[{s:s}],s:o,s:[]}", "source", 1, "services",
+			 "name", "records", "classes", classes, "data_centres");
+}
+
+/* No number of routes that go makes a record that the store refuses. */
+static void test_removal_within_a_record(void)
+{
+	GRand *rand = g_rand_new_with_seed(28);
+	json_t *before = random_routes(rand, 40000);
+	json_t *after = random_routes(rand, 1);
+	bool whole;
+	json_t *changes = changes_between(before, after, MAX_BYTES, &whole);
+	char *text = json_dumps(changes, JSON_COMPACT);
+	GString *packed = deflate_bytes(text, strlen(text));
+
+	g_assert_cmpuint(packed->len, <, RECORD_BYTES);
+	g_string_free(packed, TRUE);
+	free(text);
+	json_decref(changes);
+	json_decref(before);
+	json_decref(after);
+	g_rand_free(rand);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -402,5 +442,7 @@
 	g_test_add_func("/published/broken-changes", test_broken_changes);
 	g_test_add_func("/published/evacuation-after-unusable",
 			test_evacuation_after_unusable);
+	g_test_add_func("/published/removal-within-a-record",
+			test_removal_within_a_record);
 	return g_test_run();
 }
--- a/t/test-schedules.c
+++ b/t/test-schedules.c
@@ -1,8 +1,10 @@
 #include <string.h>
 
+#include "settings/changes.h"
 #include "state/records.h"
 #include "t/sim.h"
 #include "util/counters.h"
+#include "util/result.h"
 
 /*
  * Schedules that the randomised runs meet rarely, driven one by one: each shows
@@ -520,6 +522,90 @@
 	sim_finish(&s);
 }
 
+/* What is in force and n routes more, as operators' version n. */
+static json_t *more_routes(const struct fleet *f, int version, uint32_t n)
+{
+	json_t *doc = json_deep_copy(f->document);
+	json_t *classes = json_object_get(doc, "classes");
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		json_array_append_new(
+			classes,
+			json_pack("{s:s,s:s,s:s,s:o,s:i}", "name", "k",
+				  "service", "archive", "method", "*", "path",
+				  json_sprintf("/a-route-with-a-name-%u/", i),
+				  "target_ms", 500));
+	json_object_set_new(doc, "source", json_integer(version));
+	return doc;
+}
+
+static void publish(struct sim *s, uint32_t slot, int64_t source, json_t *doc)
+{
+	struct member_node *n = &s->nodes[slot].member;
+
+	s->published = doc;
+	member_set_published(n, source, 400000, n->now_ms);
+	n->published_since_ms = n->now_ms - 10000;
+}
+
+/*
+ * Who proposes part of a change dies, and the next in turn has read less of
+ * what operators published: the part that is in force must not go back.
+ */
+static void test_part_is_not_reverted(void)
+{
+	struct sim s;
+	json_t *older, *newer;
+	struct fleet *f;
+	uint32_t n;
+
+	start_quietly(&s, 5, 0);
+	f = sim_newest(&s);
+	older = more_routes(f, 1, 0);
+	newer = more_routes(f, 2, 4000);
+	publish(&s, 1, 11, newer);
+	member_tick(&s.nodes[1].member, sim_local(&s.nodes[1]));
+	sim_kill(&s, 1);
+	sim_run(&s, 200);
+	n = sim_newest(&s)->configuration.n_classes;
+	g_assert_cmpuint(n, >, 0);
+	g_assert_cmpuint(n, <, 4000);
+	publish(&s, 2, 10, older);
+	sim_run(&s, 200);
+	g_assert_cmpuint(sim_newest(&s)->configuration.n_classes, >=, n);
+	json_decref(older);
+	json_decref(newer);
+	sim_finish(&s);
+}
+
+/* A writer may read its record before it has the answer to its append. */
+static void test_next_part_does_not_wait(void)
+{
+	struct sim s;
+	struct member_node *n;
+	struct fleet *f;
+	json_t *changes, *doc;
+	json_t *r;
+	bool whole;
+
+	start_quietly(&s, 5, 0);
+	n = &s.nodes[1].member;
+	f = &n->fleet;
+	doc = more_routes(f, 2, 4000);
+	publish(&s, 1, 11, doc);
+	changes = changes_between(f->document, doc, 192 * 1024, &whole);
+	g_assert_false(whole);
+	r = record_changes(f->configuration_version, changes, n->self);
+	member_append(n, APPEND_PUBLISHED, json_incref(r));
+	member_on_record(n, f->applied + 1, "1-x", r, n->now_ms);
+	member_append_done(n, APPEND_PUBLISHED, RESULT_OK, n->now_ms);
+	g_assert_cmpint(n->next_append_ms[APPEND_PUBLISHED], <=, n->now_ms);
+	json_decref(r);
+	json_decref(doc);
+	sim_finish(&s);
+}
+
 /*
  * A member's witnesses are changed to the log, and it has not read of that: it
  * serves on by the three that it had, and says nothing to the log. Others who
@@ -556,6 +642,10 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/schedule/published-in-a-storm",
 			test_published_in_a_storm);
+	g_test_add_func("/schedule/part-is-not-reverted",
+			test_part_is_not_reverted);
+	g_test_add_func("/schedule/next-part-does-not-wait",
+			test_next_part_does_not_wait);
 	g_test_add_func("/schedule/gives-at-once", test_gives_at_once);
 	g_test_add_func("/schedule/stale-successor", test_stale_successor);
 	g_test_add_func("/schedule/shard-comes-and-goes",
