t: the next part of a change waits for half a second

Fails: a writer that reads its own part before it has the answer to its append has the time of the next one set back by RETRY_MS. found_in_log() ends the append after on_record(), so this is the order whenever the read comes first.

--- a/t/test-schedules.c
+++ b/t/test-schedules.c
@@ -1,8 +1,10 @@
 #include <string.h>
 
+#include "settings/changes.h"
 #include "state/records.h"
 #include "t/sim.h"
 #include "util/counters.h"
+#include "util/result.h"
 
 /*
  * Schedules that the randomised runs meet rarely, driven one by one: each shows
@@ -577,6 +579,33 @@
 	sim_finish(&s);
 }
 
+/* A writer may read its record before it has the answer to its append. */
+static void test_next_part_does_not_wait(void)
+{
+	struct sim s;
+	struct member_node *n;
+	struct fleet *f;
+	json_t *changes, *doc;
+	json_t *r;
+	bool whole;
+
+	start_quietly(&s, 5, 0);
+	n = &s.nodes[1].member;
+	f = &n->fleet;
+	doc = more_routes(f, 2, 4000);
+	publish(&s, 1, 11, doc);
+	changes = changes_between(f->document, doc, 192 * 1024, &whole);
+	g_assert_false(whole);
+	r = record_changes(f->configuration_version, changes, n->self);
+	n->append_pending[APPEND_PUBLISHED] = true;
+	member_on_record(n, f->applied + 1, "1-x", r, n->now_ms);
+	member_append_done(n, APPEND_PUBLISHED, RESULT_OK, n->now_ms);
+	g_assert_cmpint(n->next_append_ms[APPEND_PUBLISHED], <=, n->now_ms);
+	json_decref(r);
+	json_decref(doc);
+	sim_finish(&s);
+}
+
 /*
  * A member's witnesses are changed to the log, and it has not read of that: it
  * serves on by the three that it had, and says nothing to the log. Others who
@@ -615,6 +644,8 @@
 			test_published_in_a_storm);
 	g_test_add_func("/schedule/part-is-not-reverted",
 			test_part_is_not_reverted);
+	g_test_add_func("/schedule/next-part-does-not-wait",
+			test_next_part_does_not_wait);
 	g_test_add_func("/schedule/gives-at-once", test_gives_at_once);
 	g_test_add_func("/schedule/stale-successor", test_stale_successor);
 	g_test_add_func("/schedule/shard-comes-and-goes",
