settings: what a change removes is bounded like what it adds

A configuration that drops tens of thousands of routes was one record longer than the store takes, so it, and all that came later, was never in force.

--- a/settings/changes.c
+++ b/settings/changes.c
@@ -100,13 +100,28 @@
 	json_object_set_new(set, "services", both);
 }
 
-/* New and different classes, up to a length; tells whether that is all. */
-static bool add_classes(json_t *out, const json_t *to, GHashTable *have,
-			GHashTable *wanted, size_t max_bytes)
+/* Room for what a record carries. Something always fits, so that it goes on. */
+struct room {
+	size_t bytes;
+	size_t max_bytes;
+	bool full;
+};
+
+static bool fits(struct room *r, const json_t *item)
+{
+	size_t bytes = json_dumpb(item, NULL, 0, JSON_COMPACT);
+
+	r->full = r->full || (r->bytes && r->bytes + bytes > r->max_bytes);
+	if (!r->full)
+		r->bytes += bytes;
+	return !r->full;
+}
+
+/* New and different classes. */
+static void add_classes(json_t *out, const json_t *to, GHashTable *have,
+			GHashTable *wanted, struct room *room)
 {
 	GString *key = g_string_new(NULL);
-	size_t bytes = 0;
-	bool all = true;
 	json_t *class;
 	size_t i;
 
@@ -116,17 +131,15 @@
 		if (g_hash_table_lookup(wanted, key->str) != class ||
 		    json_equal(g_hash_table_lookup(have, key->str), class))
 			continue;
-		bytes += json_dumpb(class, NULL, 0, JSON_COMPACT);
-		all = bytes <= max_bytes || !json_array_size(out);
-		if (!all)
+		if (!fits(room, class))
 			break;
 		json_array_append(out, class);
 	}
 	g_string_free(key, TRUE);
-	return all;
 }
 
-static void add_removed(json_t *out, const json_t *from, GHashTable *wanted)
+static void add_removed(json_t *out, const json_t *from, GHashTable *wanted,
+			struct room *room)
 {
 	GString *key = g_string_new(NULL);
 	json_t *class;
@@ -134,13 +147,21 @@
 
 	json_array_foreach(classes_of(from), i, class)
 	{
+		json_t *item;
+		bool fitted;
+
 		key_of_class(key, class);
-		if (!g_hash_table_contains(wanted, key->str))
-			json_array_append_new(
-				out, json_pack("[s,s,s]",
-					       member_text(class, "method"),
-					       member_text(class, "host"),
-					       member_text(class, "path")));
+		if (g_hash_table_contains(wanted, key->str))
+			continue;
+		item = json_pack("[s,s,s]", member_text(class, "method"),
+				 member_text(class, "host"),
+				 member_text(class, "path"));
+		fitted = fits(room, item);
+		if (fitted)
+			json_array_append(out, item);
+		json_decref(item);
+		if (!fitted)
+			break;
 	}
 	g_string_free(key, TRUE);
 }
@@ -153,11 +174,13 @@
 	json_t *set = set_between(from, to);
 	json_t *classes = json_array();
 	json_t *removed = json_array();
+	struct room room = { .max_bytes = max_bytes };
 
-	*whole = add_classes(classes, to, have, wanted, max_bytes);
-	if (*whole) {
-		add_removed(removed, from, wanted);
-	} else {
+	add_classes(classes, to, have, wanted, &room);
+	if (!room.full)
+		add_removed(removed, from, wanted, &room);
+	*whole = !room.full;
+	if (room.full) {
 		keep_services(set, from);
 		/* It names what operators published whole. */
 		json_object_del(set, "source");
--- a/settings/changes.h
+++ b/settings/changes.h
@@ -16,8 +16,9 @@
 
 /*
  * What leads from a document (NULL: none yet) to another, a new object. When
- * the classes take more than max_bytes, only as many as do not, and *whole is
- * false: applied, they leave a document from which the next ones lead on.
+ * the classes that differ or are gone take more than max_bytes, only as many as
+ * do not, and *whole is false: applied, they leave a document from which the
+ * next ones lead on.
  */
 json_t *changes_between(const json_t *from, const json_t *to, size_t max_bytes,
 			bool *whole);
