member: the next part of a change goes at once also when it was read first

A writer that read its own record before the answer to its append waited half a second for the next one: at six parts three seconds, of the two in which a change has to be in force. /schedule/next-part-does-not-wait failed before.

--- a/member/propose.c
+++ b/member/propose.c
@@ -89,6 +89,10 @@
 		n->conflicts[kind] = 0;
 	if (result == RESULT_OK) {
 		n->next_append_ms[kind] = n->now_ms + RETRY_MS;
+		/* It may have been read already: what is next follows from it. */
+		if (kind == APPEND_PUBLISHED &&
+		    n->changes_base != n->fleet.configuration_version)
+			n->next_append_ms[kind] = n->now_ms;
 		/* The parts of a snapshot belong close together. */
 		if (kind == APPEND_SNAPSHOT && n->snapshot_parts->len)
 			n->next_append_ms[kind] = n->now_ms;
