platform, member: a configuration that cannot be used keeps no evacuation out

What could not be read, or was older, took the place of the usable configuration before it, so a data centre that operators took out afterwards stayed in service (EVAC), and one that came back stayed out. Evacuations are now applied to the document in force where the newest configuration cannot be used. /published/evacuation-after-unusable failed before; it passes the document in force, which the caller has, as its checks did with the text before.

--- a/member/member.h
+++ b/member/member.h
@@ -138,9 +138,10 @@
 	void (*import_ids)(void *user, const int64_t *entry);
 	/*
 	 * What operators published elsewhere, whole, as a new reference to a
-	 * configuration document; NULL when it cannot be read.
+	 * configuration document. Where its configuration cannot be used, or is
+	 * older, that of the one in force; NULL when there is none.
 	 */
-	json_t *(*published)(void *user);
+	json_t *(*published)(void *user, const json_t *in_force);
 	/* A change of state worth a log line. */
 	void (*note)(void *user, const char *what, int64_t subject);
 };
--- a/member/propose.c
+++ b/member/propose.c
@@ -556,15 +556,7 @@
 		member_append(n, APPEND_PLACE, record_place(s->name, n->self));
 }
 
-static json_int_t operators_version(const json_t *doc)
-{
-	return json_integer_value(json_object_get(doc, "source"));
-}
-
-/*
- * Work out what leads from the configuration in force to what operators
- * published. What cannot be read, or is older, changes nothing.
- */
+/* Work out what leads from the configuration in force to what is published. */
 static void find_changes(struct member_node *n)
 {
 	json_t *from = n->fleet.document;
@@ -574,11 +566,7 @@
 	    n->changes_base == n->fleet.configuration_version)
 		return;
 	json_decref(n->changes);
-	doc = n->ops->published(n->ops_user);
-	if (!doc || operators_version(doc) < operators_version(from)) {
-		json_decref(doc);
-		doc = json_incref(from);
-	}
+	doc = n->ops->published(n->ops_user, from);
 	n->changes = doc ? changes_between(from, doc, CHANGES_MAX_BYTES,
 					   &n->changes_whole)
 			 : NULL;
--- a/node/node.c
+++ b/node/node.c
@@ -78,11 +78,11 @@
 	      clock_now_ms() - n->member.published_since_ms);
 }
 
-static json_t *op_published(void *user)
+static json_t *op_published(void *user, const json_t *in_force)
 {
 	struct node *n = user;
 
-	return published_document(&n->published);
+	return published_document(&n->published, in_force);
 }
 
 static void op_append(void *user, enum append_kind kind, json_t *record)
--- a/t/sim.c
+++ b/t/sim.c
@@ -140,10 +140,11 @@
 	(void)entry;
 }
 
-static json_t *op_published(void *user)
+static json_t *op_published(void *user, const json_t *in_force)
 {
 	struct sim_node *nd = user;
 
+	(void)in_force;
 	return json_incref(nd->sim->published);
 }
 
--- a/t/slope.c
+++ b/t/slope.c
@@ -63,9 +63,10 @@
 	(void)subject;
 }
 
-static json_t *op_published(void *user)
+static json_t *op_published(void *user, const json_t *in_force)
 {
 	(void)user;
+	(void)in_force;
 	return NULL;
 }
 
@@ -184,7 +185,7 @@
 	published_init(&p);
 	published_take(&p, "config", key);
 	t = clock_now_us();
-	doc = published_document(&p);
+	doc = published_document(&p, node.fleet.document);
 	proposer = ms_since(t);
 	while (!whole) {
 		json_t *changes, *r;
--- a/t/test-published.c
+++ b/t/test-published.c
@@ -58,7 +58,7 @@
 	published_init(&p);
 	text = json_string(dump);
 	g_assert_true(published_take(&p, "config", text));
-	doc = published_document(&p);
+	doc = published_document(&p, f->document);
 	g_assert_nonnull(doc);
 	while (!whole) {
 		r = record_changes(f->configuration_version,
@@ -341,18 +341,19 @@
 	json_decref(value);
 }
 
-static json_int_t version_of_document(const struct published *p)
+static json_int_t version_of_document(const struct published *p,
+				      const json_t *in_force)
 {
-	json_t *doc = published_document(p);
+	json_t *doc = published_document(p, in_force);
 	json_int_t version = json_integer_value(json_object_get(doc, "source"));
 
 	json_decref(doc);
 	return version;
 }
 
-static uint32_t n_evacuated(const struct published *p)
+static uint32_t n_evacuated(const struct published *p, const json_t *in_force)
 {
-	json_t *doc = published_document(p);
+	json_t *doc = published_document(p, in_force);
 	uint32_t n = json_array_size(json_object_get(doc, "data_centres"));
 
 	json_decref(doc);
@@ -373,15 +374,18 @@
 	fatal = g_log_set_always_fatal(G_LOG_FATAL_MASK | G_LOG_LEVEL_CRITICAL);
 	for (i = 0; i < G_N_ELEMENTS(unusable); i++) {
 		struct published p;
+		json_t *in_force;
 
 		published_init(&p);
 		take_text(&p, "config", text);
+		in_force = published_document(&p, NULL);
 		take_text(&p, "config", unusable[i]);
 		take_text(&p, "evacuate/hakata", "{}");
-		g_assert_cmpint(version_of_document(&p), ==, 5);
-		g_assert_cmpuint(n_evacuated(&p), ==, 1);
+		g_assert_cmpint(version_of_document(&p, in_force), ==, 5);
+		g_assert_cmpuint(n_evacuated(&p, in_force), ==, 1);
 		take_text(&p, "evacuate/hakata", NULL);
-		g_assert_cmpuint(n_evacuated(&p), ==, 0);
+		g_assert_cmpuint(n_evacuated(&p, in_force), ==, 0);
+		json_decref(in_force);
 		published_finish(&p);
 	}
 	g_log_set_always_fatal(fatal);
