state: part of a change is not taken back by who has read less

A part named no source, so a member that had read an earlier record of the operators could propose what leads back from it: 2,038 routes that were in force were gone until another proposed them again. Each part now names the source that it was worked out from; one of a lower source than a part in force is stale.

--- a/member/propose.c
+++ b/member/propose.c
@@ -591,7 +591,6 @@
 	int64_t wait =
 		PUBLISH_STRANGER_MS +
 		hash_pair(n->me.host, n->published_source) % PUBLISH_SPREAD_MS;
-	json_t *record;
 
 	if (n->published_source <= n->fleet.source || !n->log_caught_up ||
 	    !may_append(n, APPEND_PUBLISHED))
@@ -604,11 +603,11 @@
 	find_changes(n);
 	if (!n->changes)
 		return;
-	record = record_changes(n->fleet.configuration_version,
-				json_incref(n->changes), n->self);
-	if (n->changes_whole)
-		record_changes_source(record, n->published_source);
-	member_append(n, APPEND_PUBLISHED, record);
+	member_append(n, APPEND_PUBLISHED,
+		      record_changes(n->fleet.configuration_version,
+				     json_incref(n->changes),
+				     n->published_source, n->changes_whole,
+				     n->self));
 }
 
 /* Append what this node, by its rank and its state, should append. */
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -14,6 +14,7 @@
 	f->applied = -1;
 	f->configuration_version = -1;
 	f->source = -1;
+	f->source_begun = -1;
 	f->snapshot_offset = -1;
 	f->snapshot_upto = -1;
 	f->members = g_array_new(FALSE, TRUE, sizeof(struct member));
@@ -600,15 +601,18 @@
 	return err;
 }
 
-/* What operators published elsewhere, as changes of the one it is based on. */
+/*
+ * What operators published elsewhere, as changes of the one it is based on. Who
+ * has read less of it than a part in force was worked out from is too late.
+ */
 static int apply_changes(struct fleet *f, int64_t offset, const json_t *r)
 {
-	json_t *source = json_object_get(r, "source");
+	int64_t source = number(r, "source");
 	struct json_check c;
 	int err;
 
 	if (number(r, "base") != f->configuration_version ||
-	    (source && json_integer_value(source) <= f->source))
+	    source <= f->source || source < f->source_begun)
 		return RESULT_STALE;
 	json_check_init(&c, "record");
 	err = changes_apply(&f->configuration, &f->document,
@@ -616,9 +620,10 @@
 	if (err)
 		emit_refused(f, offset, r, c.errors->str);
 	json_check_finish(&c);
+	f->source_begun = source;
 	/* One that cannot be used has been looked at, or it comes for ever. */
-	if (source)
-		f->source = json_integer_value(source);
+	if (err || json_is_true(json_object_get(r, "whole")))
+		f->source = source;
 	if (!err)
 		on_configured(f, offset, r);
 	return err;
--- a/state/fleet.h
+++ b/state/fleet.h
@@ -143,6 +143,8 @@
 	 * that is another stream; -1 none.
 	 */
 	int64_t source;
+	/* The same of changes that are in force in part, or source. */
+	int64_t source_begun;
 	/*
 	 * Whether a member whose witness was the log has ever gone: it may have
 	 * served for a lease after its last read. See member/holds.c.
--- a/state/records.c
+++ b/state/records.c
@@ -163,25 +163,22 @@
 
 /*
  * Changes, as changes_between() has them, to the configuration of version base,
- * worked out from what operators published; takes them over.
+ * worked out from what operators published up to source; takes them over.
  */
-json_t *record_changes(int64_t base, json_t *changes, int64_t by)
+json_t *record_changes(int64_t base, json_t *changes, int64_t source,
+		       bool whole, int64_t by)
 {
 	json_t *r = make("changes");
 
 	set_number(r, "base", base);
 	json_object_set_new(r, "changes", changes);
+	set_number(r, "source", source);
+	json_object_set_new(r, "whole", json_boolean(whole));
 	set_number(r, "by", by);
 	set_text(r, "reason", "published");
 	return r;
 }
 
-/* After these changes all is in force that was published up to source. */
-void record_changes_source(json_t *record, int64_t source)
-{
-	set_number(record, "source", source);
-}
-
 /* One part of the state as it stood after the record at upto. */
 json_t *record_snapshot(int64_t upto, uint32_t part, uint32_t parts,
 			const char *data, size_t len)
--- a/t/slope.c
+++ b/t/slope.c
@@ -196,7 +196,7 @@
 		changes = changes_between(node.fleet.document, doc, 192 * 1024,
 					  &whole);
 		r = record_changes(node.fleet.configuration_version, changes,
-				   1);
+				   version, whole, 1);
 		line = json_dumps(r, JSON_COMPACT);
 		packed = deflate_bytes(line, strlen(line));
 		proposer += ms_since(t);
--- a/t/test-published.c
+++ b/t/test-published.c
@@ -61,12 +61,11 @@
 	doc = published_document(&p, f->document);
 	g_assert_nonnull(doc);
 	while (!whole) {
-		r = record_changes(f->configuration_version,
-				   changes_between(f->document, doc, MAX_BYTES,
-						   &whole),
-				   0);
-		if (whole)
-			record_changes_source(r, f->source + 1);
+		json_t *changes =
+			changes_between(f->document, doc, MAX_BYTES, &whole);
+
+		r = record_changes(f->configuration_version, changes,
+				   f->source + 1, whole, 0);
 		g_assert_cmpint(fleet_apply(f, f->applied + 1, "", r), ==,
 				RESULT_OK);
 		json_decref(r);
@@ -256,7 +255,7 @@
 			json_t *changes =
 				changes_between(f.document, doc, max, &whole);
 			json_t *r = record_changes(f.configuration_version,
-						   changes, 0);
+						   changes, i, whole, 0);
 
 			g_assert_cmpint(fleet_apply(&f, f.applied + 1, "", r),
 					==, RESULT_OK);
@@ -319,7 +318,8 @@
 	publish(&f, operators_record(4, many_rules(3)));
 	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
 		json_t *r = record_changes(f.configuration_version,
-					   json_loads(texts[i], 0, NULL), 0);
+					   json_loads(texts[i], 0, NULL),
+					   f.source + 1, false, 0);
 
 		g_assert_cmpint(fleet_apply(&f, f.applied + 1, "", r), ==,
 				RESULT_INVALID);
--- a/t/test-schedules.c
+++ b/t/test-schedules.c
@@ -596,7 +596,8 @@
 	publish(&s, 1, 11, doc);
 	changes = changes_between(f->document, doc, 192 * 1024, &whole);
 	g_assert_false(whole);
-	r = record_changes(f->configuration_version, changes, n->self);
+	r = record_changes(f->configuration_version, changes, 11, whole,
+			   n->self);
 	n->append_pending[APPEND_PUBLISHED] = true;
 	member_on_record(n, f->applied + 1, "1-x", r, n->now_ms);
 	member_append_done(n, APPEND_PUBLISHED, RESULT_OK, n->now_ms);
--- a/t/test-state.c
+++ b/t/test-state.c
@@ -366,8 +366,7 @@
 	json_t *r;
 
 	set_up(&f);
-	r = record_changes(f.configuration_version, changes, 1);
-	record_changes_source(r, 7);
+	r = record_changes(f.configuration_version, changes, 7, true, 1);
 	g_assert_cmpint(f.source, <, 7);
 	g_assert_cmpint(fleet_apply(&f, applied_next++, "", r), ==,
 			RESULT_INVALID);
