t: an unusable configuration takes a usable one with it

Fails, and passed on by reading: a configuration that is not in force yet is lost when one that cannot be read follows, as its text is not kept.

--- a/t/test-published.c
+++ b/t/test-published.c
@@ -393,6 +393,25 @@
 	json_decref(record);
 }
 
+/* A usable configuration that is not in force yet outlives an unusable one. */
+static void test_unusable_before_in_force(void)
+{
+	json_t *record = operators_record(5, many_rules(3));
+	char *text = json_dumps(record, 0);
+	GLogLevelFlags fatal;
+	struct published p;
+
+	fatal = g_log_set_always_fatal(G_LOG_FATAL_MASK | G_LOG_LEVEL_CRITICAL);
+	published_init(&p);
+	take_text(&p, "config", text);
+	take_text(&p, "config", "{\"version\":");
+	g_assert_cmpint(version_of_document(&p, NULL), ==, 5);
+	published_finish(&p);
+	g_log_set_always_fatal(fatal);
+	free(text);
+	json_decref(record);
+}
+
 static json_t *random_routes(GRand *rand, uint32_t n)
 {
 	json_t *classes = json_array();
@@ -446,6 +465,8 @@
 	g_test_add_func("/published/broken-changes", test_broken_changes);
 	g_test_add_func("/published/evacuation-after-unusable",
 			test_evacuation_after_unusable);
+	g_test_add_func("/published/unusable-before-in-force",
+			test_unusable_before_in_force);
 	g_test_add_func("/published/removal-within-a-record",
 			test_removal_within_a_record);
 	return g_test_run();
