gate: what was learned of a class outlives a change of the configuration

Each change made every gate forget how long each class takes and how long its answers are, and what waited kept an index that after a removal named another class: for a moment all were admitted as if nothing were known. A class keeps its index by its name now. /queue/classes-stay-known failed before (0 known).

--- a/gate/queue.c
+++ b/gate/queue.c
@@ -24,9 +24,16 @@
 
 void queue_set_classes(struct queue *q, uint32_t n)
 {
-	g_free(q->classes);
-	q->classes = g_new0(struct class_load, n);
+	uint32_t before = q->n_classes;
+	uint32_t i;
+
+	q->classes = g_renew(struct class_load, q->classes, n);
 	q->n_classes = n;
+	if (n > before)
+		memset(q->classes + before, 0,
+		       (n - before) * sizeof(q->classes[0]));
+	for (i = 0; i < n; i++)
+		q->classes[i].refused_share = 0;
 	q->has_shares = false;
 }
 
--- a/gate/queue.h
+++ b/gate/queue.h
@@ -41,7 +41,10 @@
 void queue_init(struct queue *q, uint32_t max);
 void queue_finish(struct queue *q);
 
-/* Follow a new configuration: n classes, counters begin anew. */
+/*
+ * There are n classes, none to be refused by a share. What is known of those
+ * that were there stays.
+ */
 void queue_set_classes(struct queue *q, uint32_t n);
 void queue_set_share(struct queue *q, uint32_t class_index, double share);
 
--- a/node/gate.c
+++ b/node/gate.c
@@ -18,6 +18,7 @@
 #define WATCH_S 0.003
 #define MAX_ENTRIES 2048
 #define MAX_ORIGINS 4096
+#define MAX_CLASSES_GONE 1024
 /*
  * What takes a request back comes the same way, and just as late: of one that
  * was on its way for longer than this the caller may long have left.
@@ -455,26 +456,43 @@
 	g->in_service = in;
 }
 
+/* A class keeps its index, and so what was learned of it, by its name. */
+static void index_classes(struct gate *g, const struct configuration *cfg)
+{
+	struct queue *q = &g->load.queue;
+	GHashTable *t = g->class_indexes;
+	uint32_t i;
+
+	if (g_hash_table_size(t) > 2 * cfg->n_classes + MAX_CLASSES_GONE) {
+		g_hash_table_remove_all(t);
+		queue_set_classes(q, 0);
+	}
+	for (i = 0; i < cfg->n_classes; i++)
+		if (!g_hash_table_contains(t, cfg->classes[i].name))
+			g_hash_table_insert(
+				t, g_strdup(cfg->classes[i].name),
+				GUINT_TO_POINTER(g_hash_table_size(t) + 1));
+	queue_set_classes(q, g_hash_table_size(t));
+	for (i = 0; i < cfg->n_classes; i++) {
+		const struct class_settings *k = &cfg->classes[i];
+		gpointer index = g_hash_table_lookup(t, k->name);
+
+		queue_set_share(q, GPOINTER_TO_UINT(index) - 1,
+				k->refused_share);
+	}
+}
+
 void gate_follow_configuration(struct gate *g)
 {
 	const struct fleet *f = &g->node->member.fleet;
 	const struct service_settings *ss;
 	struct fleet_service *s;
-	uint32_t i;
 
 	if (g->version == f->configuration_version)
 		return;
 	follow_service(g, g->version >= 0);
 	g->version = f->configuration_version;
-	queue_set_classes(&g->load.queue, f->configuration.n_classes);
-	g_hash_table_remove_all(g->class_indexes);
-	for (i = 0; i < f->configuration.n_classes; i++) {
-		const struct class_settings *k = &f->configuration.classes[i];
-
-		queue_set_share(&g->load.queue, i, k->refused_share);
-		g_hash_table_insert(g->class_indexes, g_strdup(k->name),
-				    GUINT_TO_POINTER(i + 1));
-	}
+	index_classes(g, &f->configuration);
 	ss = configuration_service(&f->configuration,
 				   g->node->settings.service);
 	if (ss)
--- a/t/test-gate.c
+++ b/t/test-gate.c
@@ -486,6 +486,22 @@
 			400);
 }
 
+/* Operators change a route; what was learned of the others is not forgotten. */
+static void test_classes_stay_known(void)
+{
+	struct queue q;
+
+	queue_init(&q, 10);
+	queue_set_classes(&q, 1);
+	queue_set_share(&q, 0, 0.5);
+	queue_learn(&q, 0, 40);
+	queue_set_classes(&q, 3);
+	g_assert_cmpfloat(q.classes[0].service_ms, >, 0);
+	g_assert_cmpfloat(q.classes[2].service_ms, ==, 0);
+	g_assert_false(q.has_shares);
+	queue_finish(&q);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -493,6 +509,7 @@
 	g_test_add_func("/limit/cold-again", test_limit_notices_cold);
 	g_test_add_func("/limit/stall", test_limit_forgives_a_stall);
 	g_test_add_func("/limit/shed", test_limit_follows_shedding);
+	g_test_add_func("/queue/classes-stay-known", test_classes_stay_known);
 	g_test_add_func("/cold/before-configuration",
 			test_cold_before_configuration);
 	g_test_add_func("/cold/sliding", test_cold_sliding);
