settings: changes are bounded by what they take once compressed

1,400 routes of usual length took two records, by the length of their text, and each record a round of the log. The bound now counts names, hosts and paths, which may not compress, and little for the rest. Hosts that differ by case only are one.

--- a/settings/changes.c
+++ b/settings/changes.c
@@ -16,9 +16,11 @@
 static void key_of(GString *out, const char *method, const char *host,
 		   const char *path)
 {
+	g_autofree char *name = g_ascii_strdown(host, -1);
+
 	g_string_assign(out, method);
 	g_string_append_c(out, '\n');
-	g_string_append(out, host);
+	g_string_append(out, name);
 	g_string_append_c(out, '\n');
 	g_string_append(out, path);
 }
@@ -100,6 +102,9 @@
 	json_object_set_new(set, "services", both);
 }
 
+/* Names of fields and figures, which compress well whatever they are. */
+#define CLASS_OVERHEAD_BYTES 48
+
 /* Room for what a record carries. Something always fits, so that it goes on. */
 struct room {
 	size_t bytes;
@@ -107,16 +112,29 @@
 	bool full;
 };
 
-static bool fits(struct room *r, const json_t *item)
+static bool fits(struct room *r, size_t bytes)
 {
-	size_t bytes = json_dumpb(item, NULL, 0, JSON_COMPACT);
-
 	r->full = r->full || (r->bytes && r->bytes + bytes > r->max_bytes);
 	if (!r->full)
 		r->bytes += bytes;
 	return !r->full;
 }
 
+/* What a class takes in a record at most, once that is compressed. */
+static size_t class_bytes(const json_t *class)
+{
+	const json_t *split = json_object_get(class, "split");
+	size_t bytes = CLASS_OVERHEAD_BYTES +
+		       strlen(member_text(class, "name")) +
+		       strlen(member_text(class, "host")) +
+		       strlen(member_text(class, "path"));
+	json_t *part;
+	size_t i;
+
+	json_array_foreach(split, i, part) bytes += CLASS_OVERHEAD_BYTES;
+	return bytes;
+}
+
 /* New and different classes. */
 static void add_classes(json_t *out, const json_t *to, GHashTable *have,
 			GHashTable *wanted, struct room *room)
@@ -131,7 +149,7 @@
 		if (g_hash_table_lookup(wanted, key->str) != class ||
 		    json_equal(g_hash_table_lookup(have, key->str), class))
 			continue;
-		if (!fits(room, class))
+		if (!fits(room, class_bytes(class)))
 			break;
 		json_array_append(out, class);
 	}
@@ -147,21 +165,15 @@
 
 	json_array_foreach(classes_of(from), i, class)
 	{
-		json_t *item;
-		bool fitted;
-
 		key_of_class(key, class);
 		if (g_hash_table_contains(wanted, key->str))
 			continue;
-		item = json_pack("[s,s,s]", member_text(class, "method"),
-				 member_text(class, "host"),
-				 member_text(class, "path"));
-		fitted = fits(room, item);
-		if (fitted)
-			json_array_append(out, item);
-		json_decref(item);
-		if (!fitted)
+		if (!fits(room, key->len + CLASS_OVERHEAD_BYTES))
 			break;
+		json_array_append_new(
+			out, json_pack("[s,s,s]", member_text(class, "method"),
+				       member_text(class, "host"),
+				       member_text(class, "path")));
 	}
 	g_string_free(key, TRUE);
 }
@@ -187,8 +199,9 @@
 	}
 	g_hash_table_unref(have);
 	g_hash_table_unref(wanted);
-	return json_pack("{s:o,s:o,s:o}", "set", set, "classes", classes,
-			 "removed", removed);
+	return json_pack("{s:I,s:o,s:o,s:o}", "version",
+			 json_integer_value(json_object_get(to, "source")),
+			 "set", set, "classes", classes, "removed", removed);
 }
 
 /* What is done with one class that there is. */
--- a/settings/changes.h
+++ b/settings/changes.h
@@ -7,6 +7,7 @@
  * The difference between two configuration documents, so that a change costs
  * each host what it changes and not what there is:
  *
+ *   version  the operators' version that they lead to
  *   set      the members of the document that differ, but for the classes
  *   classes  the classes that are new or differ
  *   removed  [method, host, path] of those that are gone
@@ -16,9 +17,9 @@
 
 /*
  * What leads from a document (NULL: none yet) to another, a new object. When
- * the classes that differ or are gone take more than max_bytes, only as many as
- * do not, and *whole is false: applied, they leave a document from which the
- * next ones lead on.
+ * the classes that differ or are gone could take more than max_bytes, once
+ * compressed, only as many as cannot, and *whole is false: applied, they leave
+ * a document from which the next ones lead on.
  */
 json_t *changes_between(const json_t *from, const json_t *to, size_t max_bytes,
 			bool *whole);
