member, net: few hosts of a large fleet read what operators publish

It goes to the first twelve by rank in a fleet of more than 24; the others hear of what changes.

Ruled out before, on the ground that a change would then wait for those who look every ten seconds; with twelve of them, and their successors reading at once, what is left of that is smaller than what the document costs everyone.

--- a/member/member.h
+++ b/member/member.h
@@ -198,6 +198,9 @@
 	int64_t changes_base;
 	int64_t changes_source;
 	bool changes_whole;
+	/* What operators published, worked out once for all parts; or NULL. */
+	json_t *wanted;
+	int64_t wanted_source;
 	int64_t next_append_ms[N_APPEND_KINDS];
 	uint32_t conflicts[N_APPEND_KINDS]; /* in a row */
 	bool append_pending[N_APPEND_KINDS];
@@ -319,6 +322,13 @@
  */
 bool member_reads_log(const struct member_node *n);
 
+/*
+ * Whether this node waits for what operators publish. Each change is as long as
+ * all there is, and would go to every host of a large fleet over its link;
+ * those that are first to propose it do, and the others hear of what changes.
+ */
+bool member_reads_operators(const struct member_node *n);
+
 /* Records from an offset on were read from the log: pass them on. */
 void member_pass_on(struct member_node *n, int64_t offset);
 
--- a/member/sync.c
+++ b/member/sync.c
@@ -30,6 +30,10 @@
 #define READERS_EVERY_MS 500
 /* So few wait at the log all of them. */
 #define FEW_MEMBERS 4
+/* Fewer read what operators publish in fleets larger than this. */
+#define ALL_READ_MEMBERS 24
+/* Rarely are all of them gone or cut off from the store at once. */
+#define N_OPERATOR_READERS 12
 
 /* Release one cached record. */
 void cached_record_free(gpointer p)
@@ -160,6 +164,13 @@
 	       fleet_n_members(&n->fleet) <= FEW_MEMBERS;
 }
 
+bool member_reads_operators(const struct member_node *n)
+{
+	return !n->self || !member_is_current(n) ||
+	       fleet_n_members(&n->fleet) <= ALL_READ_MEMBERS ||
+	       assign_rank(&n->fleet, "publish", n->self) < N_OPERATOR_READERS;
+}
+
 static void shorten(GString *text)
 {
 	GString *packed;
--- a/net/log-client.c
+++ b/net/log-client.c
@@ -195,6 +195,16 @@
 		log_client_read_now(c);
 }
 
+void log_client_rest(struct log_client *c)
+{
+	if (c->trimmed || has_doubts(c))
+		return;
+	if (c->reading)
+		fetch_cancel(&c->read_fetch);
+	c->reading = false;
+	read_again(c, c->pause_ms);
+}
+
 static void end_append(struct log_append *a, int result)
 {
 	struct log_client *c = a->client;
--- a/net/log-client.h
+++ b/net/log-client.h
@@ -144,6 +144,9 @@
  */
 void log_client_is_back(struct log_client *c);
 
+/* End a read that only waits for news; the next one begins after the pause. */
+void log_client_rest(struct log_client *c);
+
 /*
  * Append a record, which is stolen. anywhere: it means the same after records
  * that have not been read yet. Where others come first, RESULT_CONFLICT tells
--- a/t/test-start.c
+++ b/t/test-start.c
@@ -306,6 +306,44 @@
 	sim_finish(&s);
 }
 
+/* Few hosts of a large fleet fetch what operators publish, however long it is. */
+static void test_few_read_operators(void)
+{
+	struct member_node *n;
+	uint32_t readers = 0;
+	struct member *m;
+	struct sim s;
+	uint32_t i;
+
+	sim_init_granted(&s, 12, 0);
+	g_assert_true(sim_converge(&s, 20000));
+	n = &s.nodes[0].member;
+	g_assert_true(member_reads_operators(n));
+	for (i = 0; i < 100; i++) {
+		struct member joins = {
+			.witnesses = { .n = 1, .id = { LOG_WITNESS } }
+		};
+		json_t *r;
+
+		g_snprintf(joins.host, sizeof(joins.host), "more-%u", i);
+		g_snprintf(joins.peer, sizeof(joins.peer), "peer-%u", i);
+		g_strlcpy(joins.service, "archive", sizeof(joins.service));
+		g_strlcpy(joins.boot_id, "b", sizeof(joins.boot_id));
+		r = record_join(&joins);
+		member_on_record(n, n->fleet.applied + 1, "", r, n->now_ms);
+		json_decref(r);
+	}
+	g_assert_cmpuint(fleet_n_members(&n->fleet), >, 100);
+	for_each_member (&n->fleet, m, i) {
+		n->self = m->id;
+		readers += member_reads_operators(n);
+	}
+	g_assert_cmpuint(readers, ==, 12);
+	n->self = 0;
+	g_assert_true(member_reads_operators(n));
+	sim_finish(&s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -327,5 +365,6 @@
 			test_snapshot_is_not_passed_on);
 	g_test_add_func("/start/long-record-is-passed-on",
 			test_long_record_is_passed_on);
+	g_test_add_func("/start/few-read-operators", test_few_read_operators);
 	return g_test_run();
 }
