--- a/member/member.c
+++ b/member/member.c
@@ -67,6 +67,7 @@
 	g_queue_free_full(n->cache, cached_record_free);
 	g_free(n->holds);
 	json_decref(n->changes);
+	json_decref(n->wanted);
 	memset(n, 0, sizeof(*n));
 }
 
@@ -204,8 +205,11 @@
 	if (err)
 		COUNT(records_dropped);
 	/* The next change follows from this one, and need not wait. */
-	if (n->fleet.configuration_version != version)
+	if (n->fleet.configuration_version != version) {
 		n->next_append_ms[APPEND_PUBLISHED] = n->now_ms;
+		/* Whoever wrote it goes on; the others wait anew. */
+		n->published_since_ms = n->now_ms;
+	}
 	sync_remember(n, offset, append_id, record);
 	if (n->fleet.snapshot_offset != snapshot)
 		n->snapshot_seen_ms = n->now_ms;
--- a/member/propose.c
+++ b/member/propose.c
@@ -560,19 +560,30 @@
 static void find_changes(struct member_node *n)
 {
 	json_t *from = n->fleet.document;
-	json_t *doc;
 
 	if (n->changes_source == n->published_source &&
 	    n->changes_base == n->fleet.configuration_version)
 		return;
 	json_decref(n->changes);
-	doc = n->ops->published(n->ops_user, from);
-	n->changes = doc ? changes_between(from, doc, CHANGES_MAX_BYTES,
-					   &n->changes_whole)
-			 : NULL;
+	if (!n->wanted || n->wanted_source != n->published_source) {
+		json_decref(n->wanted);
+		n->wanted = n->ops->published(n->ops_user, from);
+		n->wanted_source = n->published_source;
+	}
+	n->changes = n->wanted ? changes_between(from, n->wanted,
+						 CHANGES_MAX_BYTES,
+						 &n->changes_whole)
+			       : NULL;
 	n->changes_base = n->fleet.configuration_version;
 	n->changes_source = n->published_source;
-	json_decref(doc);
+}
+
+/* It is long, and needed no more once it is in force. */
+static void drop_wanted(struct member_node *n)
+{
+	g_clear_pointer(&n->wanted, json_decref);
+	g_clear_pointer(&n->changes, json_decref);
+	n->changes_source = -1;
 }
 
 /* A host with a tenth of a core needs longer to work out what is longer. */
@@ -592,8 +603,11 @@
 		PUBLISH_STRANGER_MS +
 		hash_pair(n->me.host, n->published_source) % PUBLISH_SPREAD_MS;
 
-	if (n->published_source <= n->fleet.source || !n->log_caught_up ||
-	    !may_append(n, APPEND_PUBLISHED))
+	if (n->published_source <= n->fleet.source) {
+		drop_wanted(n);
+		return;
+	}
+	if (!n->log_caught_up || !may_append(n, APPEND_PUBLISHED))
 		return;
 	if (n->self)
 		wait = assign_rank(&n->fleet, "publish", n->self) *
--- a/node/node.h
+++ b/node/node.h
@@ -57,7 +57,10 @@
 	bool backend_left;
 	struct log_client operators; /* what operators publish, elsewhere */
 	struct published published;
-	bool published_changed;
+	int64_t published_until; /* the last record that changed it, -1 none */
+	struct published published_newest; /* as read anew, not in use yet */
+	int64_t newest_until;
+	bool reads_operators;
 	bool pass_on; /* records were read that others wait for, from here on: */
 	int64_t pass_from;
 	int64_t source_ahead_ms; /* others read further since; 0 not */
--- a/node/streams.c
+++ b/node/streams.c
@@ -26,6 +26,8 @@
 /* The same for those who do not serve yet, or whom others pass it on to. */
 #define GATHER_LONG_MS 500
 #define GATHER_OPERATORS_MS 1000
+/* One of the others may come back to the stream late; it reads it whole then. */
+#define OPERATORS_PAUSE_MS (10 * 60 * 1000)
 /* Ranks change with the members, and are worked out anew that often. */
 #define WAIT_EVERY_MS 1000
 
@@ -155,8 +157,13 @@
 	struct node *n = user;
 
 	n->operators.next = offset + 1;
+	if (n->operators.trimmed) {
+		if (published_take(&n->published_newest, id, record))
+			n->newest_until = offset;
+		return;
+	}
 	if (published_take(&n->published, id, record))
-		n->published_changed = true;
+		n->published_until = offset;
 }
 
 static void on_published_tail(void *user, int64_t sent_ms)
@@ -164,15 +171,21 @@
 	struct node *n = user;
 
 	(void)sent_ms;
-	if (n->operators.trimmed)
+	if (n->operators.trimmed) {
+		/* Of what was removed meanwhile, the newest records tell
+		 * nothing but that it is not among them. */
+		if (published_replace(&n->published, &n->published_newest))
+			n->newest_until = n->operators.scan_from - 1;
+		n->published_until = MAX(n->published_until, n->newest_until);
 		log_client_seek(&n->operators, n->operators.scan_from);
-	if (n->published_changed && n->published.config) {
-		n->published_changed = false;
-		member_set_published(&n->member, n->operators.next,
+	}
+	if (n->published_until > n->member.published_source &&
+	    n->published.config) {
+		member_set_published(&n->member, n->published_until,
 				     published_bytes(&n->published),
 				     clock_now_ms());
 		EVENT(published, NULL, "\"source\":%" PRId64 ",\"bytes\":%u",
-		      n->operators.next, published_bytes(&n->published));
+		      n->published_until, published_bytes(&n->published));
 	}
 	member_published_read(&n->member, clock_now_ms());
 }
@@ -181,6 +194,7 @@
 {
 	struct node *n = user;
 
+	published_clear(&n->published_newest);
 	log_client_scan(&n->operators, first);
 }
 
@@ -188,7 +202,7 @@
 {
 	struct node *n = user;
 
-	if (n->operators.ops)
+	if (n->operators.ops && n->reads_operators)
 		log_client_is_back(&n->operators);
 }
 
@@ -228,6 +242,20 @@
 	       assign_rank(&m->fleet, "publish", m->self) < N_LOOKOUTS;
 }
 
+static void follow_operators(struct node *n)
+{
+	bool reads = member_reads_operators(&n->member);
+
+	if (!n->operators.ops || reads == n->reads_operators)
+		return;
+	n->reads_operators = reads;
+	n->operators.pause_ms = reads ? 0 : OPERATORS_PAUSE_MS;
+	if (reads)
+		log_client_read_now(&n->operators);
+	else
+		log_client_rest(&n->operators);
+}
+
 /* Adjust the waits, and begin reads anew that others know to have missed news. */
 void streams_tick(struct node *n, int64_t now)
 {
@@ -239,6 +267,7 @@
 	m->read_now = false;
 	if (now >= n->next_wait_ms) {
 		n->next_wait_ms = now + WAIT_EVERY_MS;
+		follow_operators(n);
 		n->operators.wait_ms = LOG_WAIT_LONG_MS;
 		n->operators.retry_max_ms = RETRY_MAX_MS;
 		if (is_lookout(n)) {
@@ -265,7 +294,7 @@
 		log_client_renew(&n->log);
 	if (!n->operators.ops)
 		return;
-	if (m->fleet.source <= n->operators.next)
+	if (m->fleet.source < n->operators.next || !n->reads_operators)
 		n->source_ahead_ms = 0;
 	else if (!n->source_ahead_ms)
 		n->source_ahead_ms = now;
@@ -280,6 +309,10 @@
 
 	log_scan_init(&n->scan);
 	published_init(&n->published);
+	published_init(&n->published_newest);
+	n->published_until = -1;
+	n->newest_until = -1;
+	n->reads_operators = true;
 	if (n->settings.interface == INTERFACE_OWN) {
 		log_client_init(&n->log, n->loop, address, &log_http_ops,
 				&log_handlers, n);
@@ -304,5 +337,6 @@
 	if (n->operators.ops)
 		log_client_finish(&n->operators);
 	published_finish(&n->published);
+	published_finish(&n->published_newest);
 	log_scan_finish(&n->scan);
 }
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -15,6 +15,7 @@
 	f->configuration_version = -1;
 	f->source = -1;
 	f->source_begun = -1;
+	f->version_begun = -1;
 	f->snapshot_offset = -1;
 	f->snapshot_upto = -1;
 	f->members = g_array_new(FALSE, TRUE, sizeof(struct member));
@@ -601,26 +602,41 @@
 	return err;
 }
 
+/* Who has read less may not know which data centres have gone out since. */
+static void keep_data_centres(json_t *changes)
+{
+	json_t *set = json_copy(json_object_get(changes, "set"));
+
+	json_object_del(set, "data_centres");
+	json_object_set_new(changes, "set", set);
+}
+
 /*
- * What operators published elsewhere, as changes of the one it is based on. Who
- * has read less of it than a part in force was worked out from is too late.
+ * What operators published elsewhere, as changes of the one it is based on. Any
+ * member may finish what is in force in part, but none may lead back from it.
  */
 static int apply_changes(struct fleet *f, int64_t offset, const json_t *r)
 {
 	int64_t source = number(r, "source");
+	json_t *changes = json_object_get(r, "changes");
+	int64_t version = number(changes, "version");
 	struct json_check c;
 	int err;
 
 	if (number(r, "base") != f->configuration_version ||
-	    source <= f->source || source < f->source_begun)
+	    source <= f->source || version < f->version_begun)
 		return RESULT_STALE;
+	changes = json_copy(changes);
+	if (source < f->source_begun)
+		keep_data_centres(changes);
 	json_check_init(&c, "record");
-	err = changes_apply(&f->configuration, &f->document,
-			    json_object_get(r, "changes"), &c);
+	err = changes_apply(&f->configuration, &f->document, changes, &c);
 	if (err)
 		emit_refused(f, offset, r, c.errors->str);
 	json_check_finish(&c);
-	f->source_begun = source;
+	json_decref(changes);
+	f->source_begun = MAX(f->source_begun, source);
+	f->version_begun = version;
 	/* One that cannot be used has been looked at, or it comes for ever. */
 	if (err || json_is_true(json_object_get(r, "whole")))
 		f->source = source;
--- a/state/fleet.h
+++ b/state/fleet.h
@@ -143,8 +143,10 @@
 	 * that is another stream; -1 none.
 	 */
 	int64_t source;
-	/* The same of changes that are in force in part, or source. */
+	/* The same of changes that are in force in part, or source; and the
+	 * operators' version that these lead to. */
 	int64_t source_begun;
+	int64_t version_begun;
 	/*
 	 * Whether a member whose witness was the log has ever gone: it may have
 	 * served for a lease after its last read. See member/holds.c.
--- a/state/snapshot.c
+++ b/state/snapshot.c
@@ -85,6 +85,8 @@
 			    json_integer(f->configuration_version));
 	json_object_set_new(out, "source", json_integer(f->source));
 	json_object_set_new(out, "source_begun", json_integer(f->source_begun));
+	json_object_set_new(out, "version_begun",
+			    json_integer(f->version_begun));
 	json_object_set_new(out, "snapshot_upto",
 			    json_integer(f->snapshot_upto));
 	json_object_set_new(out, "log_witnessed_gone",
@@ -170,6 +172,8 @@
 	f->source = json_integer_value(json_object_get(o, "source"));
 	f->source_begun =
 		json_integer_value(json_object_get(o, "source_begun"));
+	f->version_begun =
+		json_integer_value(json_object_get(o, "version_begun"));
 	if (!doc)
 		return RESULT_OK;
 	json_check_init(&c, "snapshot");
--- a/t/test-published.c
+++ b/t/test-published.c
@@ -317,10 +317,13 @@
 	fleet_init(&f);
 	publish(&f, operators_record(4, many_rules(3)));
 	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
-		json_t *r = record_changes(f.configuration_version,
-					   json_loads(texts[i], 0, NULL),
-					   f.source + 1, false, 0);
+		json_t *changes = json_loads(texts[i], 0, NULL);
+		json_t *r;
 
+		json_object_set_new(changes, "version",
+				    json_integer(f.version_begun));
+		r = record_changes(f.configuration_version, changes,
+				   f.source + 1, false, 0);
 		g_assert_cmpint(fleet_apply(&f, f.applied + 1, "", r), ==,
 				RESULT_INVALID);
 		json_decref(r);
