gate: a call that a killed process left unanswered still counts as a hold

Sequence: an heir took the shard over and called its server (7,060 ms, hold 2,638 ms). The call got no answer. All processes were killed at 8,320 ms. The heir's new process asked the shard back at 8,960 ms, the server said at 9,120 ms that it was free, and the process told the owner that is back so. That one had its server take the shard at 9,320 ms. At 9,520 ms the heir's server carried the first call out and held the shard beside it until 9,722.

Cause: the doubt about a call without an answer is known only to the process that sent it. The next one kept what was unknown as held for a lease, but ended that with the server's word, which speaks of calls carried out and not of those still to be. Class: a restart forgets what is under way.

Now all that a process before may have sent is in doubt from the start, until its longest hold has ended. A grant that the server has taken under a higher fence ends the doubt, since it refuses lower ones from then on; keys that move on soon after a restart do not wait.

The same cause with heartbeats: a server has one heartbeat on its way at a time, so no answer to an earlier process is left when a new one hears it.

The rule past-counts, off, takes this doubt with it, or its absence would go unnoticed.

Not measured: the cost of the calls on a real node.

--- a/gate/grant-beat.c
+++ b/gate/grant-beat.c
@@ -113,8 +113,14 @@
 	       now_ms < s->until_ms;
 }
 
+static int64_t past_ms(int64_t lease_ms)
+{
+	return lease_ms + GRANT_MARGIN_MS;
+}
+
 const struct grant_ops grant_by_heartbeat = {
 	.name = "heartbeat",
+	.past_ms = past_ms,
 	.on_life = on_life,
 	.on_ended = on_ended,
 	.may_hold = may_hold,
--- a/gate/grant-call.c
+++ b/gate/grant-call.c
@@ -5,6 +5,11 @@
 
 /* A shorter hold would be over before it could be renewed. */
 #define MIN_HOLD_MS 300
+/*
+ * A longer one would keep keys from their next owner for longer after a
+ * restart: a new process waits for all that the one before may have sent.
+ */
+#define LONGEST_HOLD_MS 2200
 /* Time for a call's bytes to leave: a busy loop, a connection to open. */
 #define SEND_MS 150
 /*
@@ -12,7 +17,7 @@
  * that get no answer. Runs differ by up to the spread, so that they are not all
  * renewed at one moment.
  */
-#define RENEW_LEFT_MS 1300
+#define RENEW_LEFT_MS 1100
 #define RENEW_SPREAD_MS 400
 /* A renewal that gains less is not worth its call. */
 #define MIN_GAIN_MS 300
@@ -26,13 +31,30 @@
 #define rule_on(g, rule) ((void)(g), true)
 #endif
 
+static int64_t past_ms(int64_t lease_ms)
+{
+	int64_t longest_ms =
+		SEND_MS + (int64_t)(LONGEST_HOLD_MS * GRANT_SLOW_CLOCK);
+
+	return MIN(lease_ms, longest_ms) + GRANT_MARGIN_MS;
+}
+
+/*
+ * A process before this one may have been killed with a call in doubt, which
+ * the server carries out after it has let the shard go on our word.
+ */
 static void on_resize(struct grants *g)
 {
+	bool doubt_lasts = rule_on(g, GRANT_RULE_PAST_COUNTS) &&
+			   rule_on(g, GRANT_RULE_PAST_DOUBT_LASTS);
 	uint32_t i;
 
 	for (i = 0; i < g->n_shards; i++) {
-		g->shards[i].state = GRANT_UNKNOWN;
-		g->shards[i].until_ms = g->past_until_ms;
+		struct grant *s = &g->shards[i];
+
+		s->state = GRANT_UNKNOWN;
+		s->until_ms = g->past_until_ms;
+		s->doubt_until_ms = doubt_lasts ? g->past_until_ms : 0;
 	}
 }
 
@@ -73,6 +95,7 @@
 		s->until_ms = 0;
 		s->sure_until_ms = 0;
 		s->doubt_until_ms = 0;
+		s->doubt_fence = 0;
 	}
 }
 
@@ -115,6 +138,7 @@
 
 const struct grant_ops grant_by_call = {
 	.name = "call",
+	.past_ms = past_ms,
 	.on_resize = on_resize,
 	.on_life = on_life,
 	.on_ended = on_ended,
@@ -232,7 +256,7 @@
 
 	c->send_by_ms = now_ms + SEND_MS;
 	c->hold_ms = (end_ms - now_ms - send_ms - GRANT_MARGIN_MS) / slow;
-	c->hold_ms = MIN(c->hold_ms, max_ms);
+	c->hold_ms = MIN(c->hold_ms, MIN(max_ms, LONGEST_HOLD_MS));
 	c->until_ms = c->send_by_ms + (int64_t)(c->hold_ms * GRANT_SLOW_CLOCK) +
 		      GRANT_MARGIN_MS;
 	c->sure_until_ms = now_ms + c->hold_ms - GRANT_MARGIN_MS;
@@ -340,6 +364,21 @@
 	return can_give && next_renewal(g, o, now_ms, c);
 }
 
+/* The server refuses what it was sent before under a lower fence. */
+static void end_doubt_below(struct grant *s, int64_t fence)
+{
+	if (fence <= s->doubt_fence)
+		return;
+	s->doubt_until_ms = 0;
+	s->doubt_fence = 0;
+}
+
+static void add_doubt(struct grant *s, const struct grant_call *c)
+{
+	s->doubt_until_ms = MAX(s->doubt_until_ms, c->until_ms);
+	s->doubt_fence = MAX(s->doubt_fence, c->row.fence);
+}
+
 static void given(struct grant *s, const struct grant_call *c,
 		  enum grant_outcome outcome, bool doubt_lasts, int64_t now_ms)
 {
@@ -351,6 +390,7 @@
 		s->sure_until_ms = c->sure_until_ms;
 		s->retry_ms = 0;
 		s->alone = false;
+		end_doubt_below(s, c->row.fence);
 		g_clear_pointer(&s->handover_in, g_free);
 		g_clear_pointer(&s->handover_out, g_free);
 		break;
@@ -366,7 +406,7 @@
 		break;
 	case GRANT_IN_DOUBT:
 		if (doubt_lasts)
-			s->doubt_until_ms = MAX(s->doubt_until_ms, c->until_ms);
+			add_doubt(s, c);
 		s->retry_ms = 0;
 		break;
 	}
--- a/gate/grant-call.h
+++ b/gate/grant-call.h
@@ -20,8 +20,10 @@
  * no answer leaves it in doubt besides: the server may carry the call out
  * seconds later, after newer ones and after a release. Its time counts from its
  * arrival, so the doubt ends when a hold that arrived at the last moment at
- * which the bytes can have left would have run out. Until then the shard counts
- * as held, and no other server may have it.
+ * which the bytes can have left would have run out, or when the server has
+ * taken a higher fence. Until then the shard counts as held, and no other
+ * server may have it. What a process before this one sent counts as in doubt
+ * from the start.
  */
 
 enum grant_call_kind {
@@ -83,6 +85,7 @@
 	GRANT_RULE_PAST_COUNTS = 1 << 2,
 	GRANT_RULE_ASKED_COUNTS = 1 << 3,
 	GRANT_RULE_SLOW_CLOCK = 1 << 4,
+	GRANT_RULE_PAST_DOUBT_LASTS = 1 << 5,
 };
 
 #endif
--- a/gate/grants.c
+++ b/gate/grants.c
@@ -27,6 +27,11 @@
 	g->past_until_ms = past_until_ms;
 }
 
+int64_t grants_past_ms(const struct grant_ops *ops, int64_t lease_ms)
+{
+	return ops ? ops->past_ms(lease_ms) : 0;
+}
+
 void grants_clear(struct grant *s)
 {
 	g_free(s->handover_in);
--- a/gate/grants.h
+++ b/gate/grants.h
@@ -41,6 +41,7 @@
 	enum grant_state state;
 	int64_t sure_until_ms; /* the server surely holds it until then */
 	int64_t doubt_until_ms; /* a call without an answer may hold so long */
+	int64_t doubt_fence; /* the highest of such calls, 0 another process's */
 	int64_t retry_ms; /* no call before then */
 	int64_t fenced; /* the server has seen a higher fence than this */
 	bool asked; /* part of a call on its way */
@@ -60,6 +61,8 @@
 /* A way of telling a backend server what it is to hold. */
 struct grant_ops {
 	const char *name;
+	/* How long a grant of a process that has ended may last, at most. */
+	int64_t (*past_ms)(int64_t lease_ms);
 	/* The configuration has told how many shards there are. */
 	void (*on_resize)(struct grants *g);
 	/* A life of the server that this process has not heard of before. */
@@ -103,6 +106,9 @@
  */
 void grants_init(struct grants *g, const struct grant_ops *ops,
 		 int64_t past_until_ms);
+
+/* For how long after its start a process counts the grants of one before. */
+int64_t grants_past_ms(const struct grant_ops *ops, int64_t lease_ms);
 void grants_finish(struct grants *g);
 
 /* Follow the configuration; a change of shape forgets everything. */
--- a/node/gate.c
+++ b/node/gate.c
@@ -99,7 +99,8 @@
 		       clock_now_ms());
 	ids_init(&g->ids, MAX_IDS);
 	grants_init(&g->grants, node->settings.grants,
-		    clock_now_ms() + node->settings.lease_ms + GRANT_MARGIN_MS);
+		    clock_now_ms() + grants_past_ms(node->settings.grants,
+						    node->settings.lease_ms));
 	balance_init(&g->balance);
 	g->class_indexes =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/t/sim.c
+++ b/t/sim.c
@@ -195,7 +195,7 @@
 	nd->paused_until = 0;
 	s->process[slot]++;
 	grants_init(&nd->grants, s->way,
-		    sim_local(nd) + timing.lease_ms + GRANT_MARGIN_MS);
+		    sim_local(nd) + grants_past_ms(s->way, timing.lease_ms));
 	nd->grants.disabled_rules = s->grant_rules;
 	nd->life_known = 0;
 	if (s->granted && !sim_has_backend(nd))
--- a/t/test-grants.c
+++ b/t/test-grants.c
@@ -358,7 +358,64 @@
 	g_assert_cmpint(c.row.fence, ==, 999);
 	g_assert_true(grants_may_hold(&f.g, 5, f.now));
 	done(&f, &c, GRANT_DONE, NULL);
-	g_assert_false(grants_may_hold(&f.g, 5, f.now));
+	/* The process before may have been killed with a call in doubt. */
+	g_assert_true(grants_may_hold(&f.g, 5, end - 1));
+	g_assert_false(grants_may_hold(&f.g, 5, end));
+	grants_finish(&f.g);
+}
+
+/*
+ * What was given anew has raised the fence: no call of the process before is
+ * carried out any more, and let go the shard is free at once. Under the same
+ * fence a late call of our own still would be.
+ */
+static void test_higher_fence_ends_doubt(void)
+{
+	struct fixture f;
+	struct grant_call c;
+
+	set_up(&f);
+	grants_finish(&f.g);
+	grants_init(&f.g, &grant_by_call, f.now + LEASE_MS);
+	grants_resize(&f.g, N_SHARDS, N_KEYS);
+	grant_call_heard(&f.g);
+	own(&f, 0, 7, 10);
+	g_assert_true(next(&f, &c));
+	done(&f, &c, GRANT_IN_DOUBT, NULL);
+	g_assert_true(next(&f, &c));
+	done(&f, &c, GRANT_DONE, NULL);
+	own(&f, 0, 3, 0);
+	g_assert_true(next(&f, &c));
+	g_assert_cmpint(c.kind, ==, GRANT_CALL_TAKE_BACK);
+	done(&f, &c, GRANT_DONE, NULL);
+	g_assert_true(grants_may_hold(&f.g, 0, f.now));
+	own(&f, 4, 7, 12);
+	f.now += 1500;
+	renew_lease(&f);
+	g_assert_true(next(&f, &c));
+	g_assert_cmpint(c.row.fence, ==, 12);
+	done(&f, &c, GRANT_DONE, NULL);
+	own(&f, 4, 7, 0);
+	g_assert_true(next(&f, &c));
+	g_assert_cmpint(c.kind, ==, GRANT_CALL_TAKE_BACK);
+	done(&f, &c, GRANT_DONE, NULL);
+	g_assert_false(grants_may_hold(&f.g, 4, f.now));
+	grants_finish(&f.g);
+}
+
+/* A new process waits no longer than the one before can have granted. */
+static void test_past_covers_longest_hold(void)
+{
+	struct fixture f;
+	struct grant_call c;
+
+	set_up(&f);
+	f.o.lease_end_ms = f.now + 60000;
+	own(&f, 0, 0, 10);
+	g_assert_true(next(&f, &c));
+	g_assert_cmpint(c.until_ms, <=,
+			f.now + grants_past_ms(&grant_by_call, 60000));
+	done(&f, &c, GRANT_DONE, NULL);
 	grants_finish(&f.g);
 }
 
@@ -636,6 +693,10 @@
 	g_test_add_func("/grants/handover", test_handover);
 	g_test_add_func("/grants/fenced", test_fenced_alone);
 	g_test_add_func("/grants/past", test_past_is_accounted_for);
+	g_test_add_func("/grants/higher-fence-ends-doubt",
+			test_higher_fence_ends_doubt);
+	g_test_add_func("/grants/past-covers-longest-hold",
+			test_past_covers_longest_hold);
 	g_test_add_func("/grants/past-kept", test_past_kept_until_joined);
 	g_test_add_func("/grants/new-life", test_new_life_gives_all_back);
 	g_test_add_func("/grants/ended", test_ended_server_holds_nothing);
--- a/t/test-recovery.c
+++ b/t/test-recovery.c
@@ -68,6 +68,61 @@
 	g_assert_cmpuint(without, >, 0);
 }
 
+static uint64_t late_call(uint32_t seed, uint32_t grant_rules)
+{
+	struct sim_call late = { .outcome = GRANT_IN_DOUBT, .answered = -1 };
+	struct fleet_service *sv;
+	struct sim_node *nd;
+	struct sim s;
+	uint64_t breaches;
+	int64_t fence;
+	int owner, heir;
+
+	sim_init_called(&s, seed, grant_rules);
+	s.verbose = g_getenv("VERBOSE") != NULL;
+	g_assert_true(sim_converge(&s, 20000));
+	sim_run(&s, 15000);
+	sv = fleet_service(sim_newest(&s), "records");
+	owner = sim_slot(&s, sv->shards[0].owner);
+	heir = sim_slot(&s, sv->shards[0].successor);
+	nd = &s.nodes[heir];
+	s.log_down_until = s.now + 100000;
+	sim_kill(&s, owner);
+	while (sim_server(&s, 0) != heir)
+		sim_step(&s);
+	/* Sent as the heir is killed, and carried out as its hold would end. */
+	g_assert_true(member_holds(&nd->member, 0, &fence));
+	late.call.row.fence = fence;
+	late.call.hold_ms = 2200;
+	late.life = nd->backend.life;
+	late.arrives = s.now;
+	late.applied = s.now + 2100;
+	g_array_append_val(nd->backend.calls, late);
+	s.log_down_until = 0;
+	sim_kill_all(&s, false, SIM_STEP_MS);
+	sim_run(&s, 4000);
+	breaches = s.breaches;
+	sim_finish(&s);
+	return breaches;
+}
+
+/*
+ * An heir that has taken a key over is killed with a call in doubt. Its new
+ * process asks the key back, its server says that it is free, the owner that is
+ * back takes it, and then the heir's server carries the call out.
+ */
+static void test_late_call(void)
+{
+	uint64_t without = 0;
+	uint32_t seed;
+
+	for (seed = 1; seed <= 10; seed++) {
+		g_assert_cmpuint(late_call(seed, 0), ==, 0);
+		without += late_call(seed, GRANT_RULE_PAST_DOUBT_LASTS);
+	}
+	g_assert_cmpuint(without, >, 0);
+}
+
 /*
  * Each change that every node read from the log itself would cost as many calls
  * as there are nodes. A few read, and the others must have it as soon. Reads
@@ -215,6 +270,7 @@
 			     test_all_killed);
 	g_test_add_func("/recovery/unknown-past", test_unknown_past);
 	g_test_add_func("/recovery/heir-forgets", test_heir_forgets);
+	g_test_add_func("/recovery/late-call", test_late_call);
 	g_test_add_func("/recovery/passed-on", test_passed_on);
 	return g_test_run();
 }
