node, net: what waits at a gate is not begun while its entry cannot be reached

What callers saw: nothing, and that is the fault: an entry was killed with 20 lookups waiting at gates, and servers worked on all 20 for nobody (t0044, 20 of 20). Only the entry's successor in the log, or its expulsion seconds later, had gates let them go.

Cause: a gate begins what it was asked for without a look at whether its answer has a way back. The kernel ends a killed process's connections at once, and the library knows then; nobody asked it. Class: a decision to begin work taken on old word.

Now a gate whose queue comes to a request that has waited asks the link first, by a message of one byte that says nothing: with ROUTER_MANDATORY a send to a peer without a connection is an error. What cannot be answered is set aside, and queued again when the connection is back; when the time to answer is over, or the node ends its work, it is refused. So a connection that is reset, and back within 50 ms to a second, costs its requests a wait and not their lives.

Ruled out: refusing at once (a reset connection would lose the refusal as well, and the caller wait until its deadline); the monitor of the socket (it names descriptors, not peers); the entry's lease (3 s).

Not covered: a host that loses power sends no word, and its link is found silent after 2.5 s. Requests that arrive fresh from a link that has just ended are begun. The cost of the messages, one for each request that waited and came from another host, was not measured.

--- a/net/peer.c
+++ b/net/peer.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <string.h>
 #include <unistd.h>
 #include <zmq.h>
@@ -21,6 +22,8 @@
 #define RECEIVE_QUEUE_MESSAGES 50000
 #define IDLE_CLOSE_MS 30000
 #define SWEEP_S 1.0
+/* A message that says nothing: it is sent to learn whether it can be. */
+#define PROBE "p"
 
 struct peer_link {
 	struct peers *peers;
@@ -73,6 +76,8 @@
 
 	if (g_hash_table_contains(p->blocked, from->address))
 		return;
+	if (len == strlen(PROBE) && !memcmp(data, PROBE, len))
+		return;
 	if (!len || (data[0] != PLANE_MEMBER && data[0] != PLANE_REQUEST)) {
 		COUNT(peer_messages_malformed);
 		return;
@@ -257,6 +262,8 @@
 	p->router = zmq_socket(p->context, ZMQ_ROUTER);
 	set_common(p->router);
 	set_int(p->router, ZMQ_ROUTER_HANDOVER, 1);
+	/* What cannot be sent is an error, and not dropped in silence. */
+	set_int(p->router, ZMQ_ROUTER_MANDATORY, 1);
 	p->links =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, link_free);
 	p->dirty = g_ptr_array_new();
@@ -383,6 +390,21 @@
 	return send_body(p->router, plane, data, len);
 }
 
+bool peers_reaches(struct peers *p, const void *identity, size_t identity_len)
+{
+	g_autofree char *address = address_of(identity, identity_len);
+
+	/* A cut for a test is one that nobody is told of. */
+	if (g_hash_table_contains(p->blocked, address))
+		return true;
+	p->router_dirty = true;
+	if (zmq_send(p->router, identity, identity_len,
+		     ZMQ_SNDMORE | ZMQ_DONTWAIT) < 0)
+		return zmq_errno() != EHOSTUNREACH;
+	zmq_send(p->router, PROBE, strlen(PROBE), ZMQ_DONTWAIT);
+	return true;
+}
+
 void peers_replace(struct peers *p, const char *address)
 {
 	g_hash_table_remove(p->links, address);
--- a/net/peer.h
+++ b/net/peer.h
@@ -63,6 +63,9 @@
 int peers_answer(struct peers *p, const void *identity, size_t identity_len,
 		 enum peer_plane plane, const void *data, size_t len);
 
+/* Whether a connection is there on the link that a message came by. */
+bool peers_reaches(struct peers *p, const void *identity, size_t identity_len);
+
 /* Read all that has come. */
 void peers_read(struct peers *p);
 
--- a/node/gate-request.h
+++ b/node/gate-request.h
@@ -11,6 +11,7 @@
 enum gate_state {
 	GATE_WAITING, /* in the queue */
 	GATE_PARKED, /* for a key that is on its way to us */
+	GATE_CUT, /* set aside: nothing connects us to its entry */
 	GATE_RUNNING, /* handed to the backend server */
 };
 
@@ -96,6 +97,13 @@
 void gate_unpark(struct gate_request *r);
 void gate_park_tick(struct gate *g, int64_t now_ms);
 
+/* node/gate-cut.c */
+
+/* Keep a request that could not be answered now; false when it can be. */
+bool gate_set_aside(struct gate_request *r);
+void gate_bring_back(struct gate_request *r);
+void gate_cut_tick(struct gate *g, int64_t now_ms);
+
 bool gate_may_serve(struct gate_request *r, int64_t *fence,
 		    int64_t *lease_end_ms);
 void gate_enqueue(struct gate_request *r);
--- a/node/gate-take-back.c
+++ b/node/gate-take-back.c
@@ -17,6 +17,7 @@
 	static const char *const names[] = {
 		[GATE_WAITING] = "waiting",
 		[GATE_PARKED] = "parked",
+		[GATE_CUT] = "cut",
 		[GATE_RUNNING] = "running",
 	};
 
@@ -49,6 +50,8 @@
 	      late_ms, r->sent_ms, r->arrived_ms);
 	if (r->state == GATE_PARKED) {
 		gate_unpark(r);
+	} else if (r->state == GATE_CUT) {
+		gate_bring_back(r);
 	} else if (r->state == GATE_WAITING) {
 		queue_remove(&g->load.queue, r);
 	} else {
@@ -108,6 +111,8 @@
 			continue;
 		if (r->state == GATE_PARKED)
 			gate_unpark(r);
+		else if (r->state == GATE_CUT)
+			gate_bring_back(r);
 		else
 			queue_remove(&g->load.queue, r);
 		gate_refuse(r, RESULT_UNREACHABLE);
--- a/node/gate.c
+++ b/node/gate.c
@@ -88,6 +88,7 @@
 	g->version = -1;
 	g->requests = g_hash_table_new(request_hash, request_equal);
 	g->parked = g_ptr_array_new();
+	g->cut = g_ptr_array_new();
 	g->rand = g_rand_new();
 	g->entries = g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
 					   (GDestroyNotify)g_bytes_unref,
@@ -127,6 +128,7 @@
 		fetcher_finish(&g->fetcher);
 	g_hash_table_unref(g->requests);
 	g_ptr_array_unref(g->parked);
+	g_ptr_array_unref(g->cut);
 	admission_finish(&g->load);
 	ids_finish(&g->ids);
 	ev_timer_stop(g->node->loop, &g->watch);
@@ -371,6 +373,8 @@
 		gate_refuse(r, RESULT_TIMEOUT);
 		return;
 	}
+	if (gate_set_aside(r))
+		return;
 	if (r->seen_hash) {
 		if (!ids_begin(&g->ids, r->seen_hash, MAX(r->shard, 0),
 			       r->resend_window_ms, now)) {
@@ -689,6 +693,7 @@
 		COUNT(gate_refused_overtaken);
 		gate_refuse(q.request, RESULT_OVERLOAD);
 	}
+	gate_cut_tick(g, now);
 	if (!g->backend_server.announced)
 		return;
 	gate_park_tick(g, now);
--- a/node/gate.h
+++ b/node/gate.h
@@ -42,6 +42,7 @@
 	struct ids ids;
 	GHashTable *requests; /* struct gate_request, by origin and id */
 	GPtrArray *parked; /* struct gate_request */
+	GPtrArray *cut; /* the same */
 	uint32_t *shard_load; /* in flight or waiting, per shard */
 	uint32_t n_shards;
 	bool draining;
--- a/t/test-net.c
+++ b/t/test-net.c
@@ -6,6 +6,7 @@
 #include "net/httpd.h"
 #include "net/headers.h"
 #include "net/log-client.h"
+#include "net/peer.h"
 #include "net/request-msg.h"
 #include "util/deflate.h"
 #include "platform/store.h"
@@ -301,6 +302,55 @@
 	g_string_free(back, TRUE);
 }
 
+struct heard {
+	GBytes *identity;
+};
+
+static void on_peer(void *user, enum peer_plane plane,
+		    const struct peer_source *from, const void *data,
+		    size_t len)
+{
+	struct heard *h = user;
+
+	g_assert_cmpint(plane, ==, PLANE_REQUEST);
+	g_assert_cmpmem(data, len, "ask", 3);
+	if (from->identity)
+		h->identity = g_bytes_new(from->identity, from->identity_len);
+}
+
+/*
+ * An entry that was killed leaves its requests in gates' queues. Whether
+ * anything connects to it must be known without waiting for its lease's end.
+ */
+static void test_link_gone(void)
+{
+	struct ev_loop *loop = ev_loop_new(0);
+	struct heard heard = { 0 };
+	struct peers gate, entry;
+	const void *id;
+	gsize len;
+
+	g_assert_cmpint(peers_init(&gate, loop, "127.0.0.1:25991", on_peer,
+				   &heard),
+			==, RESULT_OK);
+	g_assert_cmpint(peers_init(&entry, loop, "127.0.0.1:25992", on_peer,
+				   &heard),
+			==, RESULT_OK);
+	g_assert_cmpint(peers_send(&entry, "127.0.0.1:25991", PLANE_REQUEST,
+				   "ask", 3),
+			==, RESULT_OK);
+	while (!heard.identity)
+		ev_run(loop, EVRUN_ONCE);
+	id = g_bytes_get_data(heard.identity, &len);
+	g_assert_true(peers_reaches(&gate, id, len));
+	peers_finish(&entry);
+	while (peers_reaches(&gate, id, len))
+		ev_run(loop, EVRUN_NOWAIT);
+	g_bytes_unref(heard.identity);
+	peers_finish(&gate);
+	ev_loop_destroy(loop);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -310,6 +360,7 @@
 	g_test_add_func("/net/hop-by-hop", test_hop_by_hop);
 	g_test_add_func("/net/short-form", test_short_form);
 	g_test_add_func("/net/append-follows", test_append_follows);
+	g_test_add_func("/net/link-gone", test_link_gone);
 	g_test_add_func("/net/lost-answer-is-settled",
 			test_lost_answer_is_settled);
 	return g_test_run();
--- a/util/event.h
+++ b/util/event.h
@@ -46,6 +46,7 @@
 	X(gate_started, 20, 40)              \
 	X(gate_answered, 20, 40)             \
 	X(gate_cancelled, 10, 30)            \
+	X(gate_set_aside, 5, 20)             \
 	X(gate_refused, 20, 60)              \
 	X(gate_failed, 20, 60)               \
 	X(grant_in_doubt, 5, 20)             \
