util, node, platform: calls to the store are counted by kind

Calls to the store are the largest price of a grown fleet, and no counter told reads of the fleet's stream from those of the operators', pages from reads, an append that was refused and sent again from one that was taken, nor one kind of record from another.

--- a/node/node.c
+++ b/node/node.c
@@ -89,6 +89,9 @@
 {
 	struct node *n = user;
 
+	G_STATIC_ASSERT(COUNTER_appends_published - COUNTER_appends_join ==
+			N_APPEND_KINDS - 1);
+	counters[COUNTER_appends_join + kind]++;
 	if (kind == APPEND_PUBLISHED)
 		tell_proposed(n);
 	log_client_append(&n->log, kind, member_append_may_follow(kind), NULL,
--- a/util/counters.h
+++ b/util/counters.h
@@ -6,7 +6,8 @@
 
 /*
  * The process's counters, one line each. They only grow; rates are left to
- * whoever reads them. The text form is one "name value" pair a line.
+ * whoever reads them. The text form is one "name value" pair a line. The kinds
+ * of appends stand in the order of enum append_kind.
  */
 #define COUNTER_LIST(X)            \
 	X(requests_received)       \
@@ -64,6 +65,20 @@
 	X(requests_begun_ahead)    \
 	X(log_reads)               \
 	X(log_reads_renewed)       \
+	X(store_reads_fleet)       \
+	X(store_reads_operators)   \
+	X(store_pages)             \
+	X(store_append_calls)      \
+	X(store_appends_refused)   \
+	X(appends_join)            \
+	X(appends_expel)           \
+	X(appends_settle)          \
+	X(appends_witnesses)       \
+	X(appends_balance)         \
+	X(appends_snapshot)        \
+	X(appends_give)            \
+	X(appends_place)           \
+	X(appends_published)       \
 	X(log_failures)            \
 	X(peer_messages_in)        \
 	X(peer_messages_out)       \
