member: a change of witnesses is settled once the new ones cover what was lent

Two servers began requests on one key: an owner had begun one under a lease by its old witnesses (the log, read a moment before), sent the record that settles the change to three others, whose vouches were up to half a second older, and stood still. To those who had read the record the new ones counted alone; they promised a stop when their own wait had run out, and the successor served while the request was still within the lease that it was begun under.

The lesser of both sets counted from the sending on, so nothing new was begun for longer, but what had been begun before was forgotten. Now the lesser counts first, and the record is sent when the new ones have vouched for as long as the lease had been given out for. Where they stop vouching before that, the old ones count again.

--- a/member/internal.h
+++ b/member/internal.h
@@ -48,6 +48,8 @@
 bool lease_valid(const struct member_node *n);
 bool lease_by_new_witnesses(const struct member_node *n,
 			    const struct member *m);
+void lease_prepare_settle(struct member_node *n, const struct member *m);
+bool lease_covers_lent(const struct member_node *n, const struct member *m);
 bool lease_is_lost(const struct member_node *n);
 bool lease_witnesses_applied(const struct member_node *n,
 			     const struct witness_set *w, int64_t offset);
--- a/member/lease.c
+++ b/member/lease.c
@@ -115,6 +115,31 @@
 	return vouched && n->now_ms - vouched < n->timing.lease_ms / 2;
 }
 
+/*
+ * Once others read of the settling, the new witnesses count alone. Their
+ * vouches may be older than those that requests under way were begun by, so the
+ * lesser of both sets counts from here on, and the record is sent when the new
+ * ones have vouched for as long as anything was begun for.
+ */
+void lease_prepare_settle(struct member_node *n, const struct member *m)
+{
+	if (n->settling != m->witness_offset) {
+		n->lent_until_ms = member_lease_end_ms(n);
+		n->settle_sent = false;
+		n->settling = m->witness_offset;
+	} else if (!n->settle_sent && !lease_by_new_witnesses(n, m)) {
+		n->settling = 0;
+	}
+}
+
+/* Whether the new witnesses alone have vouched for all that we lent. */
+bool lease_covers_lent(const struct member_node *n, const struct member *m)
+{
+	return n->settling == m->witness_offset &&
+	       set_vouched_ms(n, &m->witnesses) + n->timing.lease_ms >=
+		       n->lent_until_ms;
+}
+
 /* Whether we may serve at all just now. */
 bool lease_valid(const struct member_node *n)
 {
--- a/member/member.h
+++ b/member/member.h
@@ -161,7 +161,9 @@
 	bool log_caught_up; /* we have read to the log's end once */
 	bool log_up; /* the last read succeeded; the caller keeps this */
 	int64_t first_end; /* how far the log went when we first read it */
-	int64_t settling; /* the change of witnesses we last sent a settle for */
+	int64_t settling; /* the change of witnesses we last settled, or may */
+	bool settle_sent; /* the record of it */
+	int64_t lent_until_ms; /* the lease's end when both sets began to count */
 	bool leased; /* we have had a lease in this incarnation */
 	int64_t joined_ms; /* when this incarnation began */
 	bool peer_caught_up; /* we have had all that a current peer had once */
--- a/member/propose.c
+++ b/member/propose.c
@@ -351,7 +351,7 @@
 	if (m->old_witnesses.n) {
 		if (lease_witnesses_applied(n, &m->old_witnesses,
 					    m->witness_offset) &&
-		    lease_by_new_witnesses(n, m))
+		    lease_by_new_witnesses(n, m) && lease_covers_lent(n, m))
 			*useful = true;
 		else
 			upto = MIN(upto, m->witness_offset - 1);
@@ -378,11 +378,14 @@
 	 */
 	if (!m || !may_append(n, APPEND_SETTLE) || !lease_valid(n))
 		return;
+	if (m->old_witnesses.n &&
+	    (n->settling == m->witness_offset || lease_by_new_witnesses(n, m)))
+		lease_prepare_settle(n, m);
 	upto = settled_upto(n, m, &useful);
 	if (!useful)
 		return;
 	if (m->old_witnesses.n && m->witness_offset <= upto)
-		n->settling = m->witness_offset;
+		n->settle_sent = true;
 	member_append(n, APPEND_SETTLE, record_settle(n->self, upto));
 }
 
--- a/t/test-schedules.c
+++ b/t/test-schedules.c
@@ -441,6 +441,46 @@
 	g_assert_cmpuint(without, >, 0);
 }
 
+/*
+ * A member's witness was the log, which it has just read, and those that follow
+ * vouched for it half a second ago. Requests run under the longer lease.
+ */
+static void test_settle_keeps_what_was_lent(void)
+{
+	struct witness_set log = { .n = 1, .id = { LOG_WITNESS } };
+	uint32_t seed;
+
+	for (seed = 1; seed <= 10; seed++) {
+		uint32_t n_settled = 0;
+		int64_t longest = 0, end;
+		struct member_node *n;
+		const struct member *m;
+		struct sim s;
+		uint32_t seen;
+
+		start_quietly(&s, seed, 0);
+		n = &s.nodes[4].member;
+		m = fleet_member(sim_newest(&s), n->self);
+		sim_append(&s,
+			   record_witnesses(n->self, m->witness_offset, &log));
+		for (end = s.now + 10000; s.now < end;) {
+			seen = s.log->len;
+			longest = MAX(longest, member_lease_end_ms(n));
+			sim_step(&s);
+			m = fleet_member(&n->fleet, n->self);
+			g_assert_nonnull(m);
+			if (s.log->len == seen || !settles(&s, m->id) ||
+			    !witness_set_has(&m->old_witnesses, LOG_WITNESS))
+				continue;
+			g_assert_cmpint(member_lease_end_ms(n), >=, longest);
+			n_settled++;
+		}
+		g_assert_cmpuint(n_settled, >, 0);
+		g_assert_false(witness_set_has(&m->witnesses, LOG_WITNESS));
+		sim_finish(&s);
+	}
+}
+
 /*
  * A witness gives up on a member, is replaced and later taken back, while the
  * member's heirs still hold its promise. Vouching again, it would let owner
@@ -681,6 +721,8 @@
 	g_test_add_func("/schedule/new-witnesses-keep-lease",
 			test_new_witnesses_keep_lease);
 	g_test_add_func("/schedule/unread-settle", test_unread_settle);
+	g_test_add_func("/schedule/settle-keeps-what-was-lent",
+			test_settle_keeps_what_was_lent);
 	g_test_add_func("/schedule/unheard-heir", test_unheard_heir);
 	g_test_add_func("/schedule/unread-change-to-the-log",
 			test_unread_change_to_the_log);
