member, node: two read the log for all, and relays pass on what they read

Now the first two readers by rank wait at the log; they pass records on to the others, which are relays and pass them on to their followers as before. A relay that has heard from no reader for 1.5 s, with word every 400 ms, reads for itself, so losing both readers, or both being cut off, costs that long at most.

A pause between reads ends when a member begins to read for others; it used to be waited out, up to 10 s.

Two rather than one, since one host is lost often. Ruled out: fewer readers in all, for each would pass records on to twice as many; a longer gather, for news would be later everywhere.

--- a/member/member.c
+++ b/member/member.c
@@ -46,6 +46,7 @@
 	n->handed = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	n->own_before = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	n->followers = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	n->relays = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	n->snapshot_parts = g_ptr_array_new_with_free_func(json_decref_p);
 	n->cache = g_queue_new();
 }
@@ -63,6 +64,7 @@
 	g_array_unref(n->handed);
 	g_array_unref(n->own_before);
 	g_array_unref(n->followers);
+	g_array_unref(n->relays);
 	g_ptr_array_unref(n->snapshot_parts);
 	g_queue_free_full(n->cache, cached_record_free);
 	g_free(n->holds);
--- a/member/member.h
+++ b/member/member.h
@@ -219,9 +219,13 @@
 	uint32_t cache_bytes;
 	int64_t next_fetch_ms;
 	bool read_now; /* there is news, and it is to be read from the log */
-	int64_t next_readers_ms; /* when the two below are worked out anew */
+	int64_t next_readers_ms; /* when the four below are worked out anew */
 	bool is_reader; /* we are one of those who wait for news at the log */
+	bool is_relay; /* we pass on what readers pass on to us */
+	GArray *relays; /* int64_t members; a reader passes records on to them */
 	GArray *followers; /* int64_t members that we pass records on to */
+	int64_t told_ms; /* a reader last sent word; it may be of no news */
+	int64_t next_word_ms; /* when we, a reader, send such a word */
 	GArray *releases; /* int64_t shards released since last told */
 	uint32_t disabled_rules; /* tests only */
 	fleet_event_fn on_event; /* audit */
--- a/member/sync.c
+++ b/member/sync.c
@@ -34,6 +34,11 @@
 #define ALL_READ_MEMBERS 24
 /* Rarely are all of them gone or cut off from the store at once. */
 #define N_OPERATOR_READERS 12
+/* The first of the readers by rank read for all, so that one may be lost. */
+#define FIRST_READERS 2
+/* Relays read the log themselves once no reader has sent word for so long. */
+#define WORD_EVERY_MS 400
+#define WORD_LACKING_MS 1500
 
 /* Release one cached record. */
 void cached_record_free(gpointer p)
@@ -129,39 +134,51 @@
 }
 
 /*
- * Each member that does not wait at the log has two readers who pass records on
- * to it, so that the loss of one goes unnoticed.
+ * A read costs a call for each who reads, so two do: they pass records on to
+ * the relays, and each relay to its followers. Each follower has two relays or
+ * readers, so that the loss of one goes unnoticed.
  */
 static void refresh_readers(struct member_node *n)
 {
-	GArray *readers;
+	GArray *all;
 	struct member *m;
 	uint32_t place, i;
 
 	if (n->now_ms < n->next_readers_ms)
 		return;
 	n->next_readers_ms = n->now_ms + READERS_EVERY_MS;
-	readers = assign_readers(&n->fleet);
+	all = assign_readers(&n->fleet);
 	g_array_set_size(n->followers, 0);
-	for (place = 0; place < readers->len; place++)
-		if (g_array_index(readers, int64_t, place) == n->self)
+	g_array_set_size(n->relays, 0);
+	for (place = 0; place < all->len; place++)
+		if (g_array_index(all, int64_t, place) == n->self)
 			break;
-	n->is_reader = n->self && place < readers->len;
+	n->is_reader = n->self && place < FIRST_READERS;
+	n->is_relay = n->self && !n->is_reader && place < all->len;
+	for (i = FIRST_READERS; n->is_reader && i < all->len; i++)
+		g_array_append_val(n->relays, g_array_index(all, int64_t, i));
 	for_each_member (&n->fleet, m, i) {
-		uint32_t first = hash_pair("follow", m->id) % readers->len;
-		uint32_t second = (first + 1) % readers->len;
+		uint32_t first = hash_pair("follow", m->id) % all->len;
+		uint32_t second = (first + 1) % all->len;
 
-		if (n->is_reader && (first == place || second == place) &&
-		    !ids_contain(readers, m->id))
+		if ((n->is_reader || n->is_relay) &&
+		    (first == place || second == place) &&
+		    !ids_contain(all, m->id))
 			g_array_append_val(n->followers, m->id);
 	}
-	g_array_unref(readers);
+	g_array_unref(all);
+}
+
+/* Readers may all be gone or cut off, and nobody would notice news. */
+static bool relay_lacks_word(const struct member_node *n)
+{
+	return n->is_relay && n->now_ms - n->told_ms > WORD_LACKING_MS;
 }
 
 bool member_reads_log(const struct member_node *n)
 {
-	return !n->self || n->is_reader || member_needs_log(n) ||
-	       fleet_n_members(&n->fleet) <= FEW_MEMBERS;
+	return !n->self || n->is_reader || relay_lacks_word(n) ||
+	       member_needs_log(n) || fleet_n_members(&n->fleet) <= FEW_MEMBERS;
 }
 
 bool member_reads_operators(const struct member_node *n)
@@ -219,22 +236,53 @@
 	return text;
 }
 
+static void send_to_each(struct member_node *n, const GArray *ids,
+			 struct member_msg *msg)
+{
+	uint32_t i;
+
+	for (i = 0; i < ids->len; i++)
+		member_send(n, g_array_index(ids, int64_t, i), msg);
+}
+
+/* Records from an offset on for those who do not read them. */
+static void passed_on_init(const struct member_node *n, int64_t offset,
+			   struct member_msg *msg)
+{
+	member_msg_init(msg, MSG_RECORDS);
+	msg->offset = offset;
+	msg->flags = sender_flags(n);
+	if (n->is_reader && n->log_up)
+		msg->flags |= SENDER_READS_LOG;
+	msg->text = records_from(n, offset);
+	/* What is long they read themselves; that there is news is enough. */
+	if (msg->text->len > PASS_ON_MAX_BYTES)
+		g_string_assign(msg->text, "[]");
+}
+
 void member_pass_on(struct member_node *n, int64_t offset)
 {
 	struct member_msg msg;
-	uint32_t i;
 
-	if (!n->followers->len)
+	if (!n->followers->len && !n->relays->len)
 		return;
-	member_msg_init(&msg, MSG_RECORDS);
-	msg.offset = offset;
-	msg.flags = sender_flags(n);
-	msg.text = records_from(n, offset);
-	/* What is long they read themselves; that there is news is enough. */
-	if (msg.text->len > PASS_ON_MAX_BYTES)
-		g_string_assign(msg.text, "[]");
-	for (i = 0; i < n->followers->len; i++)
-		member_send(n, g_array_index(n->followers, int64_t, i), &msg);
+	passed_on_init(n, offset, &msg);
+	send_to_each(n, n->relays, &msg);
+	send_to_each(n, n->followers, &msg);
+	member_msg_finish(&msg);
+	n->next_word_ms = n->now_ms + WORD_EVERY_MS;
+}
+
+/* Tell the relays that the log is being read, though it has no news. */
+static void send_word(struct member_node *n)
+{
+	struct member_msg msg;
+
+	if (!n->relays->len || !n->log_up || n->now_ms < n->next_word_ms)
+		return;
+	n->next_word_ms = n->now_ms + WORD_EVERY_MS;
+	passed_on_init(n, n->fleet.applied + 1, &msg);
+	send_to_each(n, n->relays, &msg);
 	member_msg_finish(&msg);
 }
 
@@ -242,6 +290,7 @@
 void sync_tick(struct member_node *n)
 {
 	refresh_readers(n);
+	send_word(n);
 	if (n->fleet.applied >= n->ahead_applied) {
 		n->behind_since_ms = 0;
 		return;
@@ -328,6 +377,10 @@
 		COUNT(records_from_peers);
 	}
 	json_decref(list);
+	if (msg->flags & SENDER_READS_LOG)
+		n->told_ms = n->now_ms;
+	if (n->is_relay && n->fleet.applied > before)
+		member_pass_on(n, before + 1);
 	/* Announced and not sent, or after others that we lack. */
 	if (n->fleet.applied < msg->applied && n->fleet.applied == before)
 		n->read_now = true;
--- a/node/streams.c
+++ b/node/streams.c
@@ -279,6 +279,10 @@
 	n->log.wait_ms = member_needs_log(m) ? LOG_WAIT_SHORT_MS
 					     : n->operators.wait_ms;
 	n->log.gather_ms = m->self ? GATHER_MS : GATHER_LONG_MS;
+	if (m->is_reader)
+		n->log.wait_ms = MIN(n->log.wait_ms, LOG_WAIT_LOOKOUT_MS);
+	if (n->log.pause_ms && member_reads_log(m) && log_client_up(&n->log))
+		log_client_read_now(&n->log);
 	n->log.pause_ms = member_reads_log(m) ? 0 : LOG_PAUSE_MS;
 	n->operators.gather_ms = GATHER_MS;
 	n->log.retry_max_ms = m->is_reader ? READER_RETRY_MS : RETRY_MAX_MS;
--- /dev/null
+++ b/t/test-readers.c
@@ -0,0 +1,110 @@
+#include "t/sim.h"
+
+/* Who reads the log, and how what is read there reaches the rest. */
+
+#define FIRST_READERS 2
+#define N_RECORDS 20
+
+static void start(struct sim *s, uint32_t seed)
+{
+	sim_init_granted(s, seed, 0);
+	g_assert_true(sim_converge(s, 20000));
+	sim_run(s, 5000);
+}
+
+static uint64_t count_reads(const struct sim *s)
+{
+	uint64_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < SIM_NODES; i++)
+		n += s->nodes[i].n_reads;
+	return n;
+}
+
+static void append_padding(struct sim *s)
+{
+	sim_append(s, json_pack("{s:s}", "type", "padding"));
+}
+
+/* Whether all that run have applied what is in the log now, within a time. */
+static bool all_hear(struct sim *s, int64_t within_ms)
+{
+	int64_t end = s->log->len - 1;
+	uint32_t i;
+
+	sim_run(s, within_ms);
+	for (i = 0; i < SIM_NODES; i++)
+		if (s->nodes[i].up && s->nodes[i].member.fleet.applied < end)
+			return false;
+	return true;
+}
+
+/* Each record is read by two, however many pass it on. */
+static void test_two_read_for_all(void)
+{
+	uint32_t seed, i;
+
+	for (seed = 1; seed <= 5; seed++) {
+		uint64_t before;
+		struct sim s;
+
+		start(&s, seed);
+		before = count_reads(&s);
+		for (i = 0; i < N_RECORDS; i++) {
+			append_padding(&s);
+			g_assert_true(all_hear(&s, 300));
+		}
+		g_assert_cmpuint(count_reads(&s) - before, <=,
+				 FIRST_READERS * N_RECORDS + 4);
+		sim_finish(&s);
+	}
+}
+
+/* Those who read for all cannot reach the log, and nobody says so. */
+static void test_first_readers_cut_off(void)
+{
+	uint32_t seed, i;
+
+	for (seed = 1; seed <= 5; seed++) {
+		struct sim s;
+
+		start(&s, seed);
+		for (i = 0; i < SIM_NODES; i++)
+			s.nodes[i].log_cut = s.nodes[i].member.is_reader;
+		append_padding(&s);
+		g_assert_true(all_hear(&s, 2500));
+		append_padding(&s);
+		g_assert_true(all_hear(&s, 1200));
+		sim_finish(&s);
+	}
+}
+
+/* Those who read for all are killed at the same time. */
+static void test_first_readers_killed(void)
+{
+	uint32_t seed, i;
+
+	for (seed = 1; seed <= 5; seed++) {
+		struct sim s;
+
+		start(&s, seed);
+		for (i = 0; i < SIM_NODES; i++)
+			if (s.nodes[i].member.is_reader)
+				sim_kill(&s, i);
+		append_padding(&s);
+		g_assert_true(all_hear(&s, 2500));
+		sim_finish(&s);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/readers/two-read-for-all", test_two_read_for_all);
+	g_test_add_func("/readers/first-readers-cut-off",
+			test_first_readers_cut_off);
+	g_test_add_func("/readers/first-readers-killed",
+			test_first_readers_killed);
+	return g_test_run();
+}
