node: a host that joins reads little until its own record is in

Who joins needs no news before its own record: that is read when it is appended, and a refusal is followed by a read. It gathers news for a second now and waits as long for the first; a lease by the log, which lasts several reads, is content with three a second.

How a node reads is a function of its own now, without network or clock.

--- a/node/node.h
+++ b/node/node.h
@@ -17,11 +17,7 @@
 #include "platform/operator.h"
 #include "settings/settings.h"
 
-/*
- * How long a read of the log waits for news: short while reading the log is
- * what keeps our lease.
- */
-#define LOG_WAIT_SHORT_MS 300
+/* How long a read of the log waits for news where nothing hurries. */
 #define LOG_WAIT_LONG_MS 10000
 
 /* How far a caller's clock may be off from ours (docs/design/at-most-once). */
--- a/node/streams.c
+++ b/node/streams.c
@@ -3,6 +3,7 @@
 
 #include "net/clock.h"
 #include "node/node.h"
+#include "node/read-plan.h"
 #include "platform/store.h"
 #include "util/event.h"
 #include "util/result.h"
@@ -19,12 +20,8 @@
 #define LOG_WAIT_LOOKOUT_MS 3000
 /* Who brings news to the others notices the store's return that soon. */
 #define READER_RETRY_MS 500
-/* Those whom others pass records on to look for themselves that often. */
-#define LOG_PAUSE_MS 10000
 /* News seldom comes alone: what follows it is fetched with one read. */
 #define GATHER_MS 100
-/* The same for those who do not serve yet, or whom others pass it on to. */
-#define GATHER_LONG_MS 500
 #define GATHER_OPERATORS_MS 1000
 /* One of the others may come back to the stream late; it reads it whole then. */
 #define OPERATORS_PAUSE_MS (10 * 60 * 1000)
@@ -260,6 +257,7 @@
 void streams_tick(struct node *n, int64_t now)
 {
 	struct member_node *m = &n->member;
+	struct read_plan plan;
 
 	if (m->read_now ||
 	    (m->behind_since_ms && now - m->behind_since_ms > DEAF_MS))
@@ -275,21 +273,16 @@
 			n->operators.retry_max_ms = READER_RETRY_MS;
 		}
 	}
-	/* A node with its lease from peers need not keep asking the log. */
-	n->log.wait_ms = member_needs_log(m) ? LOG_WAIT_SHORT_MS
-					     : n->operators.wait_ms;
-	n->log.gather_ms = m->self ? GATHER_MS : GATHER_LONG_MS;
-	if (m->is_reader)
-		n->log.wait_ms = MIN(n->log.wait_ms, LOG_WAIT_LOOKOUT_MS);
-	if (n->log.pause_ms && member_reads_log(m) && log_client_up(&n->log))
+	read_plan_make(m, n->operators.wait_ms, &plan);
+	n->log.wait_ms = plan.wait_ms;
+	n->log.gather_ms = plan.gather_ms;
+	if (n->log.pause_ms && !plan.pause_ms && log_client_up(&n->log))
 		log_client_read_now(&n->log);
-	n->log.pause_ms = member_reads_log(m) ? 0 : LOG_PAUSE_MS;
+	n->log.pause_ms = plan.pause_ms;
 	n->operators.gather_ms = GATHER_MS;
 	n->log.retry_max_ms = m->is_reader ? READER_RETRY_MS : RETRY_MAX_MS;
-	if (n->log.pause_ms) {
-		n->log.wait_ms = 0;
+	if (n->log.pause_ms)
 		n->operators.gather_ms = GATHER_OPERATORS_MS;
-	}
 	/* What operators changed is in force elsewhere by now, or nobody reads.
 	 */
 	if (m->published_source > m->fleet.source &&
--- a/t/test-readers.c
+++ b/t/test-readers.c
@@ -1,3 +1,4 @@
+#include "node/read-plan.h"
 #include "t/sim.h"
 
 /* Who reads the log, and how what is read there reaches the rest. */
@@ -98,6 +99,50 @@
 	}
 }
 
+/* A fleet that starts reads little until each has joined. */
+static void test_who_joins_reads_little(void)
+{
+	struct read_plan p;
+	struct sim s;
+	uint32_t i;
+
+	sim_init_granted(&s, 1, 0);
+	member_set_wanted(&s.nodes[0].member, true, 0);
+	read_plan_make(&s.nodes[0].member, 10000, &p);
+	g_assert_cmpint(p.wait_ms, >=, 1000);
+	g_assert_cmpint(p.gather_ms, >=, 1000);
+	g_assert_cmpint(p.pause_ms, ==, 0);
+	g_assert_true(sim_converge(&s, 20000));
+	sim_run(&s, 5000);
+	for (i = 0; i < SIM_NODES; i++) {
+		const struct member_node *m = &s.nodes[i].member;
+
+		read_plan_make(m, 10000, &p);
+		g_assert_cmpint(p.wait_ms, ==, m->is_reader ? 3000 : 0);
+		g_assert_cmpint(p.pause_ms, ==, m->is_reader ? 0 : 10000);
+	}
+	sim_finish(&s);
+}
+
+/* Where the log is the witness, a lease must outlast several reads. */
+static void test_log_as_witness_is_read_often(void)
+{
+	struct witness_set log = { .n = 1, .id = { LOG_WITNESS } };
+	struct read_plan p;
+	struct member *m;
+	struct sim s;
+
+	start(&s, 2);
+	m = fleet_member(&s.nodes[0].member.fleet, s.nodes[0].member.self);
+	m->witnesses = log;
+	read_plan_make(&s.nodes[0].member, 10000, &p);
+	g_assert_cmpint(p.wait_ms, <=, 300);
+	g_assert_cmpint(p.gather_ms, <=, 300);
+	g_assert_cmpint(p.gather_ms, >, 100);
+	g_assert_cmpint(p.pause_ms, ==, 0);
+	sim_finish(&s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -106,5 +151,9 @@
 			test_first_readers_cut_off);
 	g_test_add_func("/readers/first-readers-killed",
 			test_first_readers_killed);
+	g_test_add_func("/readers/who-joins-reads-little",
+			test_who_joins_reads_little);
+	g_test_add_func("/readers/log-as-witness-is-read-often",
+			test_log_as_witness_is_read_often);
 	return g_test_run();
 }
