member, node: who is told that there is no news does not look for it

A relay that hears from a reader, or can read itself, now sends its followers word every 2 s. Where word comes a follower looks once a minute; where it has not come for 6 s it looks at once and every 10 s, as before, so the loss is noticed sooner.

A word is an empty message of records: a follower that lacks any reads at once.

test-start, peer-not-level: the fleet's log got one more record (the join of the very node that was asked) while the answer was on its way, by the order of random numbers. The test now takes the log's end when it asks, and checks that the peer had all of it.

--- a/member/member.h
+++ b/member/member.h
@@ -224,8 +224,9 @@
 	bool is_relay; /* we pass on what readers pass on to us */
 	GArray *relays; /* int64_t members; a reader passes records on to them */
 	GArray *followers; /* int64_t members that we pass records on to */
-	int64_t told_ms; /* a reader last sent word; it may be of no news */
-	int64_t next_word_ms; /* when we, a reader, send such a word */
+	int64_t told_ms; /* we last had word of the log; it may be of no news */
+	int64_t next_relay_word_ms; /* when we send such a word to relays */
+	int64_t next_follower_word_ms; /* and when to followers */
 	GArray *releases; /* int64_t shards released since last told */
 	uint32_t disabled_rules; /* tests only */
 	fleet_event_fn on_event; /* audit */
@@ -335,6 +336,9 @@
  */
 bool member_reads_operators(const struct member_node *n);
 
+/* Whether those who pass records on to us told lately that they hear of all. */
+bool member_is_told(const struct member_node *n);
+
 /* Records from an offset on were read from the log: pass them on. */
 void member_pass_on(struct member_node *n, int64_t offset);
 
--- a/member/msg.h
+++ b/member/msg.h
@@ -57,7 +57,7 @@
 
 /* The sender is current, as member_is_current() tells. */
 #define SENDER_IS_CURRENT 1
-/* The sender waits for news at the log, and can read it. */
+/* The sender waits for news at the log, or hears from one who does. */
 #define SENDER_READS_LOG 2
 
 /* No successor of the sender's can be serving either. */
--- a/member/sync.c
+++ b/member/sync.c
@@ -37,8 +37,11 @@
 /* The first of the readers by rank read for all, so that one may be lost. */
 #define FIRST_READERS 2
 /* Relays read the log themselves once no reader has sent word for so long. */
-#define WORD_EVERY_MS 400
-#define WORD_LACKING_MS 1500
+#define RELAY_WORD_EVERY_MS 400
+#define RELAY_LACKS_WORD_MS 1500
+/* Followers look at it themselves now and then after that. */
+#define FOLLOWER_WORD_EVERY_MS 2000
+#define FOLLOWER_LACKS_WORD_MS 6000
 
 /* Release one cached record. */
 void cached_record_free(gpointer p)
@@ -172,7 +175,15 @@
 /* Readers may all be gone or cut off, and nobody would notice news. */
 static bool relay_lacks_word(const struct member_node *n)
 {
-	return n->is_relay && n->now_ms - n->told_ms > WORD_LACKING_MS;
+	return n->is_relay && n->now_ms - n->told_ms > RELAY_LACKS_WORD_MS;
+}
+
+/* Whether news of the log reaches us, so that silence means none. */
+static bool hears_of_log(const struct member_node *n)
+{
+	if (n->is_reader || relay_lacks_word(n))
+		return n->log_up;
+	return n->is_relay;
 }
 
 bool member_reads_log(const struct member_node *n)
@@ -188,6 +199,15 @@
 	       assign_rank(&n->fleet, "publish", n->self) < N_OPERATOR_READERS;
 }
 
+bool member_is_told(const struct member_node *n)
+{
+	int64_t since = n->now_ms - n->told_ms;
+
+	if (n->is_relay)
+		return since <= RELAY_LACKS_WORD_MS;
+	return n->told_ms && since <= FOLLOWER_LACKS_WORD_MS;
+}
+
 static void shorten(GString *text)
 {
 	GString *packed;
@@ -252,7 +272,7 @@
 	member_msg_init(msg, MSG_RECORDS);
 	msg->offset = offset;
 	msg->flags = sender_flags(n);
-	if (n->is_reader && n->log_up)
+	if (hears_of_log(n))
 		msg->flags |= SENDER_READS_LOG;
 	msg->text = records_from(n, offset);
 	/* What is long they read themselves; that there is news is enough. */
@@ -270,19 +290,21 @@
 	send_to_each(n, n->relays, &msg);
 	send_to_each(n, n->followers, &msg);
 	member_msg_finish(&msg);
-	n->next_word_ms = n->now_ms + WORD_EVERY_MS;
+	n->next_relay_word_ms = n->now_ms + RELAY_WORD_EVERY_MS;
+	n->next_follower_word_ms = n->now_ms + FOLLOWER_WORD_EVERY_MS;
 }
 
-/* Tell the relays that the log is being read, though it has no news. */
-static void send_word(struct member_node *n)
+/* Tell members that the log is being read, though it has no news. */
+static void send_word(struct member_node *n, const GArray *to, int64_t *next_ms,
+		      int64_t every_ms)
 {
 	struct member_msg msg;
 
-	if (!n->relays->len || !n->log_up || n->now_ms < n->next_word_ms)
+	if (!to->len || n->now_ms < *next_ms || !hears_of_log(n))
 		return;
-	n->next_word_ms = n->now_ms + WORD_EVERY_MS;
+	*next_ms = n->now_ms + every_ms;
 	passed_on_init(n, n->fleet.applied + 1, &msg);
-	send_to_each(n, n->relays, &msg);
+	send_to_each(n, to, &msg);
 	member_msg_finish(&msg);
 }
 
@@ -290,7 +312,9 @@
 void sync_tick(struct member_node *n)
 {
 	refresh_readers(n);
-	send_word(n);
+	send_word(n, n->relays, &n->next_relay_word_ms, RELAY_WORD_EVERY_MS);
+	send_word(n, n->followers, &n->next_follower_word_ms,
+		  FOLLOWER_WORD_EVERY_MS);
 	if (n->fleet.applied >= n->ahead_applied) {
 		n->behind_since_ms = 0;
 		return;
--- a/node/read-plan.c
+++ b/node/read-plan.c
@@ -18,6 +18,8 @@
 #define GATHER_JOINING_MS 1000
 /* Those whom others pass records on to look for themselves that often. */
 #define PAUSE_MS 10000
+/* And where these say now and then that there are none. */
+#define PAUSE_TOLD_MS 60000
 
 static int64_t wait_ms(const struct member_node *m, int64_t longest_ms)
 {
@@ -37,10 +39,17 @@
 	return member_needs_log(m) ? GATHER_AS_WITNESS_MS : GATHER_MS;
 }
 
+static int64_t pause_ms(const struct member_node *m)
+{
+	if (member_reads_log(m))
+		return 0;
+	return member_is_told(m) ? PAUSE_TOLD_MS : PAUSE_MS;
+}
+
 void read_plan_make(const struct member_node *m, int64_t longest_ms,
 		    struct read_plan *p)
 {
 	p->wait_ms = wait_ms(m, longest_ms);
 	p->gather_ms = gather_ms(m);
-	p->pause_ms = member_reads_log(m) ? 0 : PAUSE_MS;
+	p->pause_ms = pause_ms(m);
 }
--- a/t/sim.c
+++ b/t/sim.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "node/read-plan.h"
 #include "state/records.h"
 #include "t/sim.h"
 #include "util/result.h"
@@ -7,7 +8,6 @@
 #define N_SHARDS 12
 #define ANSWER_LATE_MS 700
 /* As in node/streams.c. */
-#define READ_PAUSE_MS 10000
 #define READ_WHEN_BEHIND_MS 200
 
 const char *const sim_data_centres[SIM_DATA_CENTRES] = { "hakata", "tenjin",
@@ -382,9 +382,11 @@
 static bool pauses(const struct sim_node *nd)
 {
 	const struct member_node *m = &nd->member;
+	struct read_plan plan;
 
-	return nd->sim->granted && !member_reads_log(m) && !m->read_now &&
-	       nd->sim->now - nd->read_at < READ_PAUSE_MS &&
+	read_plan_make(m, 0, &plan);
+	return nd->sim->granted && plan.pause_ms && !m->read_now &&
+	       nd->sim->now - nd->read_at < plan.pause_ms &&
 	       !(m->behind_since_ms &&
 		 m->now_ms - m->behind_since_ms > READ_WHEN_BEHIND_MS);
 }
@@ -411,6 +413,7 @@
 	}
 	member_on_log_tail(&nd->member, sim_local(nd), sim_local(nd));
 	nd->n_reads += next > first;
+	nd->n_looks++;
 	if (s->granted && next > first)
 		member_pass_on(&nd->member, first);
 }
--- a/t/sim.h
+++ b/t/sim.h
@@ -74,6 +74,7 @@
 	uint32_t life_known; /* the same, 0 none */
 	int64_t read_at; /* its last read of the log */
 	uint64_t n_reads; /* reads that found something */
+	uint64_t n_looks; /* reads in all */
 };
 
 struct sim_packet {
--- a/t/test-readers.c
+++ b/t/test-readers.c
@@ -99,6 +99,48 @@
 	}
 }
 
+/* Those who are told that there is no news do not look for it. */
+static void test_who_is_told_reads_seldom(void)
+{
+	uint64_t looks[SIM_NODES];
+	struct sim s;
+	uint32_t i;
+
+	start(&s, 3);
+	sim_run(&s, 15000);
+	for (i = 0; i < SIM_NODES; i++)
+		looks[i] = s.nodes[i].n_looks;
+	sim_run(&s, 50000);
+	for (i = 0; i < SIM_NODES; i++)
+		if (!s.nodes[i].member.is_reader)
+			g_assert_cmpuint(s.nodes[i].n_looks - looks[i], <=, 2);
+	sim_finish(&s);
+}
+
+/* All who pass records on are cut off from the log: the rest look themselves. */
+static void test_all_who_pass_on_cut_off(void)
+{
+	uint32_t seed, i;
+
+	for (seed = 1; seed <= 5; seed++) {
+		uint32_t n_left = 0;
+		struct sim s;
+
+		start(&s, seed);
+		sim_run(&s, 15000);
+		for (i = 0; i < SIM_NODES; i++) {
+			const struct member_node *m = &s.nodes[i].member;
+
+			s.nodes[i].log_cut = m->is_reader || m->is_relay;
+			n_left += !s.nodes[i].log_cut;
+		}
+		g_assert_cmpuint(n_left, >, 0);
+		append_padding(&s);
+		g_assert_true(all_hear(&s, 10000));
+		sim_finish(&s);
+	}
+}
+
 /* A fleet that starts reads little until each has joined. */
 static void test_who_joins_reads_little(void)
 {
@@ -119,7 +161,7 @@
 
 		read_plan_make(m, 10000, &p);
 		g_assert_cmpint(p.wait_ms, ==, m->is_reader ? 3000 : 0);
-		g_assert_cmpint(p.pause_ms, ==, m->is_reader ? 0 : 10000);
+		g_assert_cmpint(p.pause_ms, ==, m->is_reader ? 0 : 60000);
 	}
 	sim_finish(&s);
 }
@@ -151,6 +193,10 @@
 			test_first_readers_cut_off);
 	g_test_add_func("/readers/first-readers-killed",
 			test_first_readers_killed);
+	g_test_add_func("/readers/who-is-told-reads-seldom",
+			test_who_is_told_reads_seldom);
+	g_test_add_func("/readers/all-who-pass-on-cut-off",
+			test_all_who_pass_on_cut_off);
 	g_test_add_func("/readers/who-joins-reads-little",
 			test_who_joins_reads_little);
 	g_test_add_func("/readers/log-as-witness-is-read-often",
--- a/t/test-start.c
+++ b/t/test-start.c
@@ -39,6 +39,7 @@
 static void test_peer_not_level(void)
 {
 	struct sim s;
+	int64_t end;
 	uint32_t i;
 
 	sim_init_granted(&s, 3, 0);
@@ -56,8 +57,10 @@
 	g_assert_false(member_is_current(&s.nodes[1].member));
 	s.nodes[0].log_cut = false;
 	sim_run(&s, 100);
+	end = s.log->len - 1;
+	g_assert_cmpint(s.nodes[0].member.fleet.applied, ==, end);
 	ask_peer(&s, 1, 0);
-	g_assert_cmpint(s.nodes[1].member.fleet.applied, ==, s.log->len - 1);
+	g_assert_cmpint(s.nodes[1].member.fleet.applied, >=, end);
 	g_assert_true(member_is_current(&s.nodes[1].member));
 	sim_finish(&s);
 }
