--- a/node/read-plan.c
+++ b/node/read-plan.c
@@ -20,8 +20,6 @@
 #define PAUSE_MS 10000
 /* And where these say now and then that there are none. */
 #define PAUSE_TOLD_MS 60000
-/* A read tells of news within some milliseconds of others hearing of it. */
-#define DEAF_MS 200
 
 static int64_t wait_ms(const struct member_node *m, int64_t longest_ms)
 {
@@ -55,20 +53,3 @@
 	p->gather_ms = gather_ms(m);
 	p->pause_ms = pause_ms(m);
 }
-
-bool read_plan_misses_news(const struct member_node *m, int64_t read_sent_ms,
-			   int64_t now_ms)
-{
-	if (m->read_now)
-		return true;
-	if (m->behind_since_ms && now_ms - m->behind_since_ms > DEAF_MS)
-		return true;
-	/* A stranger waits shortly, and nobody proposes while a fleet starts. */
-	if (!m->self)
-		return false;
-	/* What operators changed is in force elsewhere by now, or nobody reads.
-	 */
-	return m->published_source > m->fleet.source &&
-	       now_ms - m->published_since_ms > DEAF_MS &&
-	       now_ms - read_sent_ms > DEAF_MS;
-}
--- a/node/read-plan.h
+++ b/node/read-plan.h
@@ -14,11 +14,4 @@
 void read_plan_make(const struct member_node *m, int64_t longest_ms,
 		    struct read_plan *p);
 
-/*
- * Whether a read under way or a pause should end, since there is news that it
- * should have told of by now; read_sent_ms is when the last read began.
- */
-bool read_plan_misses_news(const struct member_node *m, int64_t read_sent_ms,
-			   int64_t now_ms);
-
 #endif
--- a/node/streams.c
+++ b/node/streams.c
@@ -259,7 +259,8 @@
 	struct member_node *m = &n->member;
 	struct read_plan plan;
 
-	if (read_plan_misses_news(m, n->log.read_sent_ms, now))
+	if (m->read_now ||
+	    (m->behind_since_ms && now - m->behind_since_ms > DEAF_MS))
 		log_client_renew(&n->log);
 	m->read_now = false;
 	if (now >= n->next_wait_ms) {
@@ -282,6 +283,12 @@
 	n->log.retry_max_ms = m->is_reader ? READER_RETRY_MS : RETRY_MAX_MS;
 	if (n->log.pause_ms)
 		n->operators.gather_ms = GATHER_OPERATORS_MS;
+	/* What operators changed is in force elsewhere by now, or nobody reads.
+	 */
+	if (m->published_source > m->fleet.source &&
+	    now - m->published_since_ms > DEAF_MS &&
+	    now - n->log.read_sent_ms > DEAF_MS)
+		log_client_renew(&n->log);
 	if (!n->operators.ops)
 		return;
 	if (m->fleet.source < n->operators.next || !n->reads_operators)
--- a/t/test-readers.c
+++ b/t/test-readers.c
@@ -166,34 +166,6 @@
 	sim_finish(&s);
 }
 
-/*
- * Operators published, and nobody has brought it into the log: who is a member
- * looks whether it missed that; who is none hears within its short wait.
- */
-static void test_stranger_waits_for_change(void)
-{
-	struct member_node *m;
-	struct sim s;
-	int64_t since;
-
-	sim_init_granted(&s, 4, 0);
-	m = &s.nodes[0].member;
-	since = m->now_ms;
-	member_set_published(m, 5, 100, since);
-	g_assert_false(read_plan_misses_news(m, since, since + 900));
-	m->read_now = true;
-	g_assert_true(read_plan_misses_news(m, since, since + 900));
-	sim_finish(&s);
-
-	start(&s, 4);
-	m = &s.nodes[0].member;
-	since = m->now_ms;
-	member_set_published(m, 5, 100, since);
-	g_assert_false(read_plan_misses_news(m, 0, since + 100));
-	g_assert_true(read_plan_misses_news(m, 0, since + 300));
-	sim_finish(&s);
-}
-
 /* Where the log is the witness, a lease must outlast several reads. */
 static void test_log_as_witness_is_read_often(void)
 {
@@ -227,8 +199,6 @@
 			test_all_who_pass_on_cut_off);
 	g_test_add_func("/readers/who-joins-reads-little",
 			test_who_joins_reads_little);
-	g_test_add_func("/readers/stranger-waits-for-change",
-			test_stranger_waits_for_change);
 	g_test_add_func("/readers/log-as-witness-is-read-often",
 			test_log_as_witness_is_read_often);
 	return g_test_run();
