--- a/member/member.h
+++ b/member/member.h
@@ -161,7 +161,9 @@
 	bool log_caught_up; /* we have read to the log's end once */
 	bool log_up; /* the last read succeeded; the caller keeps this */
 	int64_t first_end; /* how far the log went when we first read it */
-	int64_t settling; /* the change of witnesses we last sent a settle for */
+	int64_t settling; /* the change of witnesses we last settled, or may */
+	bool settle_sent; /* the record of it */
+	int64_t lent_until_ms; /* the lease's end when both sets began to count */
 	bool leased; /* we have had a lease in this incarnation */
 	int64_t joined_ms; /* when this incarnation began */
 	bool peer_caught_up; /* we have had all that a current peer had once */
@@ -217,9 +219,14 @@
 	uint32_t cache_bytes;
 	int64_t next_fetch_ms;
 	bool read_now; /* there is news, and it is to be read from the log */
-	int64_t next_readers_ms; /* when the two below are worked out anew */
+	int64_t next_readers_ms; /* when the four below are worked out anew */
 	bool is_reader; /* we are one of those who wait for news at the log */
+	bool is_relay; /* we pass on what readers pass on to us */
+	GArray *relays; /* int64_t members; a reader passes records on to them */
 	GArray *followers; /* int64_t members that we pass records on to */
+	int64_t told_ms; /* we last had word of the log; it may be of no news */
+	int64_t next_relay_word_ms; /* when we send such a word to relays */
+	int64_t next_follower_word_ms; /* and when to followers */
 	GArray *releases; /* int64_t shards released since last told */
 	uint32_t disabled_rules; /* tests only */
 	fleet_event_fn on_event; /* audit */
@@ -329,6 +336,9 @@
  */
 bool member_reads_operators(const struct member_node *n);
 
+/* Whether those who pass records on to us told lately that they hear of all. */
+bool member_is_told(const struct member_node *n);
+
 /* Records from an offset on were read from the log: pass them on. */
 void member_pass_on(struct member_node *n, int64_t offset);
 
--- a/member/propose.c
+++ b/member/propose.c
@@ -24,7 +24,8 @@
 #define CHANGES_MAX_BYTES (192 * 1024)
 /*
  * After another's append came first: read it, then decide again. Whole fleets
- * join at once: there each further time in a row may wait twice as long.
+ * join at once, and a snapshot cannot follow what it does not hold: there each
+ * further time in a row may wait twice as long.
  */
 #define CONFLICT_MS 30
 #define CONFLICT_DOUBLINGS 5
@@ -68,7 +69,7 @@
 {
 	uint32_t doublings = MIN(n->conflicts[kind]++, CONFLICT_DOUBLINGS);
 
-	if (kind != APPEND_JOIN)
+	if (kind != APPEND_JOIN && kind != APPEND_SNAPSHOT)
 		doublings = 0;
 	return g_rand_int_range(n->rand, 0, CONFLICT_MS << doublings);
 }
@@ -351,7 +352,7 @@
 	if (m->old_witnesses.n) {
 		if (lease_witnesses_applied(n, &m->old_witnesses,
 					    m->witness_offset) &&
-		    lease_by_new_witnesses(n, m))
+		    lease_by_new_witnesses(n, m) && lease_covers_lent(n, m))
 			*useful = true;
 		else
 			upto = MIN(upto, m->witness_offset - 1);
@@ -378,11 +379,14 @@
 	 */
 	if (!m || !may_append(n, APPEND_SETTLE) || !lease_valid(n))
 		return;
+	if (m->old_witnesses.n &&
+	    (n->settling == m->witness_offset || lease_by_new_witnesses(n, m)))
+		lease_prepare_settle(n, m);
 	upto = settled_upto(n, m, &useful);
 	if (!useful)
 		return;
 	if (m->old_witnesses.n && m->witness_offset <= upto)
-		n->settling = m->witness_offset;
+		n->settle_sent = true;
 	member_append(n, APPEND_SETTLE, record_settle(n->self, upto));
 }
 
--- /dev/null
+++ b/t/test-readers.c
@@ -0,0 +1,205 @@
+#include "node/read-plan.h"
+#include "t/sim.h"
+
+/* Who reads the log, and how what is read there reaches the rest. */
+
+#define FIRST_READERS 2
+#define N_RECORDS 20
+
+static void start(struct sim *s, uint32_t seed)
+{
+	sim_init_granted(s, seed, 0);
+	g_assert_true(sim_converge(s, 20000));
+	sim_run(s, 5000);
+}
+
+static uint64_t count_reads(const struct sim *s)
+{
+	uint64_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < SIM_NODES; i++)
+		n += s->nodes[i].n_reads;
+	return n;
+}
+
+static void append_padding(struct sim *s)
+{
+	sim_append(s, json_pack("{s:s}", "type", "padding"));
+}
+
+/* Whether all that run have applied what is in the log now, within a time. */
+static bool all_hear(struct sim *s, int64_t within_ms)
+{
+	int64_t end = s->log->len - 1;
+	uint32_t i;
+
+	sim_run(s, within_ms);
+	for (i = 0; i < SIM_NODES; i++)
+		if (s->nodes[i].up && s->nodes[i].member.fleet.applied < end)
+			return false;
+	return true;
+}
+
+/* Each record is read by two, however many pass it on. */
+static void test_two_read_for_all(void)
+{
+	uint32_t seed, i;
+
+	for (seed = 1; seed <= 5; seed++) {
+		uint64_t before;
+		struct sim s;
+
+		start(&s, seed);
+		before = count_reads(&s);
+		for (i = 0; i < N_RECORDS; i++) {
+			append_padding(&s);
+			g_assert_true(all_hear(&s, 300));
+		}
+		g_assert_cmpuint(count_reads(&s) - before, <=,
+				 FIRST_READERS * N_RECORDS + 4);
+		sim_finish(&s);
+	}
+}
+
+/* Those who read for all cannot reach the log, and nobody says so. */
+static void test_first_readers_cut_off(void)
+{
+	uint32_t seed, i;
+
+	for (seed = 1; seed <= 5; seed++) {
+		struct sim s;
+
+		start(&s, seed);
+		for (i = 0; i < SIM_NODES; i++)
+			s.nodes[i].log_cut = s.nodes[i].member.is_reader;
+		append_padding(&s);
+		g_assert_true(all_hear(&s, 2500));
+		append_padding(&s);
+		g_assert_true(all_hear(&s, 1200));
+		sim_finish(&s);
+	}
+}
+
+/* Those who read for all are killed at the same time. */
+static void test_first_readers_killed(void)
+{
+	uint32_t seed, i;
+
+	for (seed = 1; seed <= 5; seed++) {
+		struct sim s;
+
+		start(&s, seed);
+		for (i = 0; i < SIM_NODES; i++)
+			if (s.nodes[i].member.is_reader)
+				sim_kill(&s, i);
+		append_padding(&s);
+		g_assert_true(all_hear(&s, 2500));
+		sim_finish(&s);
+	}
+}
+
+/* Those who are told that there is no news do not look for it. */
+static void test_who_is_told_reads_seldom(void)
+{
+	uint64_t looks[SIM_NODES];
+	struct sim s;
+	uint32_t i;
+
+	start(&s, 3);
+	sim_run(&s, 15000);
+	for (i = 0; i < SIM_NODES; i++)
+		looks[i] = s.nodes[i].n_looks;
+	sim_run(&s, 50000);
+	for (i = 0; i < SIM_NODES; i++)
+		if (!s.nodes[i].member.is_reader)
+			g_assert_cmpuint(s.nodes[i].n_looks - looks[i], <=, 2);
+	sim_finish(&s);
+}
+
+/* All who pass records on are cut off from the log: the rest look themselves. */
+static void test_all_who_pass_on_cut_off(void)
+{
+	uint32_t seed, i;
+
+	for (seed = 1; seed <= 5; seed++) {
+		uint32_t n_left = 0;
+		struct sim s;
+
+		start(&s, seed);
+		sim_run(&s, 15000);
+		for (i = 0; i < SIM_NODES; i++) {
+			const struct member_node *m = &s.nodes[i].member;
+
+			s.nodes[i].log_cut = m->is_reader || m->is_relay;
+			n_left += !s.nodes[i].log_cut;
+		}
+		g_assert_cmpuint(n_left, >, 0);
+		append_padding(&s);
+		g_assert_true(all_hear(&s, 10000));
+		sim_finish(&s);
+	}
+}
+
+/* A fleet that starts reads little until each has joined. */
+static void test_who_joins_reads_little(void)
+{
+	struct read_plan p;
+	struct sim s;
+	uint32_t i;
+
+	sim_init_granted(&s, 1, 0);
+	member_set_wanted(&s.nodes[0].member, true, 0);
+	read_plan_make(&s.nodes[0].member, 10000, &p);
+	g_assert_cmpint(p.wait_ms, >=, 1000);
+	g_assert_cmpint(p.gather_ms, >=, 1000);
+	g_assert_cmpint(p.pause_ms, ==, 0);
+	g_assert_true(sim_converge(&s, 20000));
+	sim_run(&s, 5000);
+	for (i = 0; i < SIM_NODES; i++) {
+		const struct member_node *m = &s.nodes[i].member;
+
+		read_plan_make(m, 10000, &p);
+		g_assert_cmpint(p.wait_ms, ==, m->is_reader ? 3000 : 0);
+		g_assert_cmpint(p.pause_ms, ==, m->is_reader ? 0 : 60000);
+	}
+	sim_finish(&s);
+}
+
+/* Where the log is the witness, a lease must outlast several reads. */
+static void test_log_as_witness_is_read_often(void)
+{
+	struct witness_set log = { .n = 1, .id = { LOG_WITNESS } };
+	struct read_plan p;
+	struct member *m;
+	struct sim s;
+
+	start(&s, 2);
+	m = fleet_member(&s.nodes[0].member.fleet, s.nodes[0].member.self);
+	m->witnesses = log;
+	read_plan_make(&s.nodes[0].member, 10000, &p);
+	g_assert_cmpint(p.wait_ms, <=, 300);
+	g_assert_cmpint(p.gather_ms, <=, 300);
+	g_assert_cmpint(p.gather_ms, >, 100);
+	g_assert_cmpint(p.pause_ms, ==, 0);
+	sim_finish(&s);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/readers/two-read-for-all", test_two_read_for_all);
+	g_test_add_func("/readers/first-readers-cut-off",
+			test_first_readers_cut_off);
+	g_test_add_func("/readers/first-readers-killed",
+			test_first_readers_killed);
+	g_test_add_func("/readers/who-is-told-reads-seldom",
+			test_who_is_told_reads_seldom);
+	g_test_add_func("/readers/all-who-pass-on-cut-off",
+			test_all_who_pass_on_cut_off);
+	g_test_add_func("/readers/who-joins-reads-little",
+			test_who_joins_reads_little);
+	g_test_add_func("/readers/log-as-witness-is-read-often",
+			test_log_as_witness_is_read_often);
+	return g_test_run();
+}
