net: nothing is handed to a link that has no connection

What callers saw: bookings answered 504 that had reached no gate. ZeroMQ takes messages for a peer whether or not there is a connection, keeps them for as long as it tries, and may deliver them at any later time. Once it has taken a request nobody can say any more that it will not run.

Links now take nothing without a connection (ZMQ_IMMEDIATE); what is sent meanwhile waits in net/peer.c. What is sent under a tag waits for a new link's connection for 150 ms, is refused at once on a link that was lost, and can be taken back as long as it waits, so that "no byte has left" is known. What is sent without a tag, which is everything yet, waits for as long as it takes, as before.

/net/nothing-leaves plays a peer that is not there, comes, and ends. Socket monitors would tell the same, but cost two sockets and a descriptor a link.

--- a/net/peer.c
+++ b/net/peer.c
@@ -28,10 +28,18 @@
 	void *dealer;
 	ev_io io;
 	bool dirty;
+	bool was_up;
+	GQueue waiting; /* struct waiting_message, for a connection */
+	int64_t opened_ms;
 	int64_t used_ms;
 	int64_t heard_ms;
 };
 
+struct waiting_message {
+	uint64_t tag; /* 0: not to be taken back */
+	zmq_msg_t body;
+};
+
 static void set_int(void *socket, int option, int value)
 {
 	zmq_setsockopt(socket, option, &value, sizeof(value));
@@ -136,6 +144,42 @@
 		;
 }
 
+static void waiting_free(struct waiting_message *w)
+{
+	zmq_msg_close(&w->body);
+	g_free(w);
+}
+
+/* Hand a message to the library, which owns it then. */
+static bool hand_over(void *socket, zmq_msg_t *body)
+{
+	size_t len = zmq_msg_size(body);
+	char plane = *(const char *)zmq_msg_data(body);
+
+	if (zmq_msg_send(body, socket, ZMQ_DONTWAIT) < 0)
+		return false;
+	COUNT(peer_messages_out);
+	COUNT_ADD(peer_bytes_out, len);
+	if (plane == PLANE_MEMBER)
+		COUNT_ADD(control_bytes_out, len);
+	return true;
+}
+
+/* Send what waited for a connection. Returns whether nothing waits any more. */
+static bool flush_waiting(struct peer_link *l)
+{
+	while (!g_queue_is_empty(&l->waiting)) {
+		struct waiting_message *w = g_queue_peek_head(&l->waiting);
+
+		if (!hand_over(l->dealer, &w->body))
+			return false;
+		l->was_up = true;
+		g_queue_pop_head(&l->waiting);
+		waiting_free(w);
+	}
+	return true;
+}
+
 static bool receive_answer(struct peer_link *l)
 {
 	struct peer_source from = { .address = l->address };
@@ -153,6 +197,16 @@
 	return got;
 }
 
+/* Whether a socket has something to read or can be sent on. */
+static bool usable(const struct peer_link *l)
+{
+	int events = 0;
+	size_t len = sizeof(events);
+
+	zmq_getsockopt(l->dealer, ZMQ_EVENTS, &events, &len);
+	return events & (ZMQ_POLLIN | ZMQ_POLLOUT);
+}
+
 /*
  * A handler may close the link that it was called from, so look it up again
  * after each message.
@@ -164,8 +218,11 @@
 
 	while ((l = g_hash_table_lookup(p->links, key))) {
 		l->dirty = false;
-		if (!receive_answer(l))
+		if (receive_answer(l))
+			continue;
+		if (g_queue_is_empty(&l->waiting) || !usable(l))
 			return;
+		flush_waiting(l);
 	}
 }
 
@@ -214,6 +271,7 @@
 
 	g_ptr_array_remove_fast(l->peers->dirty, l);
 	ev_io_stop(l->peers->loop, &l->io);
+	g_queue_clear_full(&l->waiting, (GDestroyNotify)waiting_free);
 	zmq_close(l->dealer);
 	g_free(l->address);
 	g_free(l);
@@ -303,6 +361,13 @@
 	l->address = g_strdup(address);
 	l->dealer = zmq_socket(p->context, ZMQ_DEALER);
 	set_common(l->dealer);
+	/*
+	 * What the library has taken may go out at any later time. It takes
+	 * nothing without a connection, so that a request for a peer that is
+	 * gone stays ours, to be sent to another.
+	 */
+	set_int(l->dealer, ZMQ_IMMEDIATE, 1);
+	g_queue_init(&l->waiting);
 	/* A new identity each time, so that answers to the old link are lost
 	 * rather than taken for answers on this one. */
 	g_snprintf(strrchr(p->identity, '/'), 10, "/%08x", g_random_int());
@@ -317,49 +382,126 @@
 		return NULL;
 	}
 	ev_io_start(p->loop, &l->io);
-	l->used_ms = clock_now_ms();
+	l->opened_ms = clock_now_ms();
+	l->used_ms = l->opened_ms;
 	g_hash_table_insert(p->links, l->address, l);
 	COUNT(peer_links_opened);
 	return l;
 }
 
-static int send_body(void *socket, enum peer_plane plane, const void *data,
-		     size_t len)
+static void fill_body(zmq_msg_t *body, enum peer_plane plane, const void *data,
+		      size_t len)
 {
-	zmq_msg_t body;
 	char *out;
 
-	zmq_msg_init_size(&body, len + 1);
-	out = zmq_msg_data(&body);
+	zmq_msg_init_size(body, len + 1);
+	out = zmq_msg_data(body);
 	out[0] = plane;
 	memcpy(out + 1, data, len);
-	if (zmq_msg_send(&body, socket, ZMQ_DONTWAIT) < 0) {
-		zmq_msg_close(&body);
-		COUNT(peer_sends_dropped);
-		return RESULT_OVERLOAD;
+}
+
+/* A link to send on, or NULL; it is looked at before the loop sleeps. */
+static struct peer_link *use_link(struct peers *p, const char *address)
+{
+	struct peer_link *l = open_link(p, address);
+
+	if (!l)
+		return NULL;
+	l->used_ms = clock_now_ms();
+	if (!l->dirty)
+		g_ptr_array_add(p->dirty, l);
+	l->dirty = true;
+	return l;
+}
+
+static void wait_for_connection(struct peer_link *l, uint64_t tag,
+				zmq_msg_t *body)
+{
+	struct waiting_message *w = g_new(struct waiting_message, 1);
+
+	w->tag = tag;
+	zmq_msg_init(&w->body);
+	zmq_msg_move(&w->body, body);
+	zmq_msg_close(body);
+	g_queue_push_tail(&l->waiting, w);
+}
+
+static int drop(zmq_msg_t *body, int result)
+{
+	zmq_msg_close(body);
+	COUNT(peer_sends_dropped);
+	return result;
+}
+
+static bool is_connecting(const struct peer_link *l)
+{
+	return !l->was_up && clock_now_ms() - l->opened_ms < PEER_CONNECT_MS;
+}
+
+/* tag: 0 what may wait for a connection, however long that takes. */
+static int send_on(struct peer_link *l, uint64_t tag, zmq_msg_t *body)
+{
+	if (flush_waiting(l) && hand_over(l->dealer, body)) {
+		l->was_up = true;
+		return RESULT_OK;
 	}
-	COUNT(peer_messages_out);
-	COUNT_ADD(peer_bytes_out, len + 1);
-	if (plane == PLANE_MEMBER)
-		COUNT_ADD(control_bytes_out, len + 1);
+	if (tag && !is_connecting(l))
+		return drop(body, RESULT_UNREACHABLE);
+	if (l->waiting.length >= QUEUE_MESSAGES)
+		return drop(body, RESULT_OVERLOAD);
+	wait_for_connection(l, tag, body);
 	return RESULT_OK;
 }
 
-int peers_send(struct peers *p, const char *address, enum peer_plane plane,
-	       const void *data, size_t len)
+int peers_send_tagged(struct peers *p, const char *address,
+		      enum peer_plane plane, uint64_t tag, const void *data,
+		      size_t len)
 {
 	struct peer_link *l;
+	zmq_msg_t body;
 
 	if (g_hash_table_contains(p->blocked, address))
 		return RESULT_OK;
-	l = open_link(p, address);
+	l = use_link(p, address);
 	if (!l)
 		return RESULT_UNREACHABLE;
-	l->used_ms = clock_now_ms();
-	if (!l->dirty)
-		g_ptr_array_add(p->dirty, l);
-	l->dirty = true;
-	return send_body(l->dealer, plane, data, len);
+	fill_body(&body, plane, data, len);
+	return send_on(l, tag, &body);
+}
+
+int peers_send(struct peers *p, const char *address, enum peer_plane plane,
+	       const void *data, size_t len)
+{
+	return peers_send_tagged(p, address, plane, 0, data, len);
+}
+
+static GList *find_waiting(const struct peers *p, const char *address,
+			   uint64_t tag)
+{
+	struct peer_link *l = g_hash_table_lookup(p->links, address);
+	GList *i;
+
+	for (i = l ? l->waiting.head : NULL; i; i = i->next)
+		if (((struct waiting_message *)i->data)->tag == tag)
+			return i;
+	return NULL;
+}
+
+bool peers_is_waiting(const struct peers *p, const char *address, uint64_t tag)
+{
+	return find_waiting(p, address, tag);
+}
+
+bool peers_take_back(struct peers *p, const char *address, uint64_t tag)
+{
+	struct peer_link *l = g_hash_table_lookup(p->links, address);
+	GList *i = find_waiting(p, address, tag);
+
+	if (!i)
+		return false;
+	waiting_free(i->data);
+	g_queue_delete_link(&l->waiting, i);
+	return true;
 }
 
 void peers_read(struct peers *p)
@@ -371,6 +513,7 @@
 		 enum peer_plane plane, const void *data, size_t len)
 {
 	g_autofree char *address = address_of(identity, identity_len);
+	zmq_msg_t body;
 
 	if (g_hash_table_contains(p->blocked, address))
 		return RESULT_OK;
@@ -380,7 +523,9 @@
 		COUNT(peer_sends_dropped);
 		return RESULT_OVERLOAD;
 	}
-	return send_body(p->router, plane, data, len);
+	fill_body(&body, plane, data, len);
+	return hand_over(p->router, &body) ? RESULT_OK
+					   : drop(&body, RESULT_OVERLOAD);
 }
 
 void peers_replace(struct peers *p, const char *address)
--- a/net/peer.h
+++ b/net/peer.h
@@ -55,10 +55,34 @@
 	       peer_handler handler, void *user);
 void peers_finish(struct peers *p);
 
-/* Send to a peer by its address; lost when its queue is full. */
+/*
+ * Send to a peer by its address. Until there is a connection it waits here;
+ * lost when the queue is full.
+ */
 int peers_send(struct peers *p, const char *address, enum peer_plane plane,
 	       const void *data, size_t len);
 
+/* How long a new link may take before it counts as down. */
+#define PEER_CONNECT_MS 150
+
+/*
+ * Send what must not come late, under a tag that is not 0. RESULT_UNREACHABLE:
+ * the link is down or its queue full, and nothing was sent. While a new link
+ * connects it waits here, and peers_take_back() may have it back.
+ */
+int peers_send_tagged(struct peers *p, const char *address,
+		      enum peer_plane plane, uint64_t tag, const void *data,
+		      size_t len);
+
+/* Whether what was sent under a tag still waits for a connection. */
+bool peers_is_waiting(const struct peers *p, const char *address, uint64_t tag);
+
+/*
+ * Take back what was sent under a tag. Returns whether it still waited, and so
+ * no byte of it has left; otherwise the peer may have got it.
+ */
+bool peers_take_back(struct peers *p, const char *address, uint64_t tag);
+
 /* Answer over the link that a message came by. */
 int peers_answer(struct peers *p, const void *identity, size_t identity_len,
 		 enum peer_plane plane, const void *data, size_t len);
--- a/t/test-net.c
+++ b/t/test-net.c
@@ -6,6 +6,7 @@
 #include "net/httpd.h"
 #include "net/headers.h"
 #include "net/log-client.h"
+#include "net/peer.h"
 #include "net/request-msg.h"
 #include "util/deflate.h"
 #include "platform/store.h"
@@ -301,6 +302,57 @@
 	g_string_free(back, TRUE);
 }
 
+#define PEER_ADDRESS "127.0.0.1:29873"
+#define OTHER_ADDRESS "127.0.0.1:29874"
+
+static void on_peer_message(void *user, enum peer_plane plane,
+			    const struct peer_source *from, const void *data,
+			    size_t len)
+{
+	GString *got = user;
+
+	(void)plane;
+	(void)from;
+	g_string_append_len(got, data, len);
+}
+
+/* The library would keep a request for a peer that is gone, and send it late. */
+static void test_nothing_leaves_without_connection(void)
+{
+	struct ev_loop *loop = ev_default_loop(0);
+	GString *got = g_string_new(NULL);
+	struct peers p, other;
+
+	g_assert_cmpint(peers_init(&p, loop, PEER_ADDRESS, on_peer_message,
+				   got),
+			==, RESULT_OK);
+	g_assert_cmpint(peers_send_tagged(&p, OTHER_ADDRESS, PLANE_REQUEST, 1,
+					  "a", 1),
+			==, RESULT_OK);
+	g_assert_cmpint(peers_send_tagged(&p, OTHER_ADDRESS, PLANE_REQUEST, 2,
+					  "b", 1),
+			==, RESULT_OK);
+	g_assert_cmpint(peers_send(&p, OTHER_ADDRESS, PLANE_REQUEST, "c", 1),
+			==, RESULT_OK);
+	g_assert_true(peers_is_waiting(&p, OTHER_ADDRESS, 1));
+	g_assert_true(peers_take_back(&p, OTHER_ADDRESS, 1));
+	g_assert_false(peers_take_back(&p, OTHER_ADDRESS, 1));
+	g_assert_cmpint(peers_init(&other, loop, OTHER_ADDRESS, on_peer_message,
+				   got),
+			==, RESULT_OK);
+	while (got->len < 2)
+		ev_run(loop, EVRUN_ONCE);
+	g_assert_cmpstr(got->str, ==, "bc");
+	g_assert_false(peers_take_back(&p, OTHER_ADDRESS, 2));
+	peers_finish(&other);
+	/* It has ended: known as soon as the library has noticed. */
+	while (!peers_send_tagged(&p, OTHER_ADDRESS, PLANE_REQUEST, 3, "d", 1))
+		ev_run(loop, EVRUN_NOWAIT);
+	g_assert_false(peers_is_waiting(&p, OTHER_ADDRESS, 3));
+	peers_finish(&p);
+	g_string_free(got, TRUE);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -309,6 +361,8 @@
 	g_test_add_func("/net/address", test_address);
 	g_test_add_func("/net/hop-by-hop", test_hop_by_hop);
 	g_test_add_func("/net/short-form", test_short_form);
+	g_test_add_func("/net/nothing-leaves",
+			test_nothing_leaves_without_connection);
 	g_test_add_func("/net/append-follows", test_append_follows);
 	g_test_add_func("/net/lost-answer-is-settled",
 			test_lost_answer_is_settled);
