route, node: each attempt has a state of its own; one that never left goes on

Cause: an attempt counted as one that may have run as soon as it was handed to its link, though no connection ever existed. Ruled out: an answer lost on the way (the gate had ended 40 ms earlier and its server ran none of the two).

The plan keeps a state for each attempt (not sent, sent, known not begun, begun, unknown, answered) and a table of what each event makes of it; what the caller is told follows from the attempts alone: "not run" only if each of them never left or the gate or the server said so. Gates say by a flag whether a request that failed was begun.

--- a/model/entry.c
+++ b/model/entry.c
@@ -126,10 +126,12 @@
 		m->options[i].member = m->first_host[k->service] + i + 1;
 		m->options[i].extra_ms = 0;
 	}
-	return chooser_pick(
-		&r->entry->chooser, m->options, s->servers, member_of(r->entry),
-		r->plan.refusals || r->plan.reached ? r->last_member : 0,
-		now_ms(m));
+	return chooser_pick(&r->entry->chooser, m->options, s->servers,
+			    member_of(r->entry),
+			    r->plan.refusals || plan_n_reached(&r->plan)
+				    ? r->last_member
+				    : 0,
+			    now_ms(m));
 }
 
 static void check_hedge(struct model *m, void *subject);
@@ -153,7 +155,8 @@
 	r->last_member = member;
 	m->result->offers++;
 	chooser_sent(&e->chooser, member, now_ms(m));
-	plan_sent(&r->plan);
+	j->attempt = (uint32_t)plan_begin(&r->plan);
+	plan_event(&r->plan, j->attempt, ATTEMPT_EVENT_LEFT);
 	model_at(m, m->now_us + (j->gate == e ? 0 : link_us(m)), gate_arrive,
 		 j);
 	if (hedge || !m->policy->hedge || !k->repeatable ||
@@ -172,7 +175,7 @@
 	int64_t member;
 
 	if (r->done || !j->wanted || r->hedged || !plan_may_reach(&r->plan) ||
-	    (r->jobs[0] && r->jobs[1]))
+	    r->plan.tries >= PLAN_MAX_TRIES || (r->jobs[0] && r->jobs[1]))
 		return;
 	member = pick(m, r);
 	if (!member || &m->hosts[member - 1] == j->gate ||
@@ -304,7 +307,7 @@
 		chooser_refused(&r->entry->chooser, member_of(j->gate),
 				AVOID_MS, now_ms(m));
 	step(m, r,
-	     plan_refused(&r->plan, not_owner, false, wait_ms,
+	     plan_refused(&r->plan, j->attempt, not_owner, false, wait_ms,
 			  &r->entry->budgets[class_of(r)->service],
 			  g_rand_double(m->rand), now_ms(m)));
 }
--- a/model/internal.h
+++ b/model/internal.h
@@ -27,6 +27,7 @@
 		JOB_ENDED
 	} state;
 	bool wanted; /* its entry still waits for the answer */
+	uint32_t attempt; /* of the request's plan */
 	bool hedge;
 	bool good; /* how its work ended */
 	int64_t sent_us;
--- a/net/request-msg.h
+++ b/net/request-msg.h
@@ -16,7 +16,7 @@
 	REQ_HEAD, /* status, headers and the first data of an answer */
 	REQ_DATA, /* more data */
 	REQ_REFUSED, /* not run; number: result, wait_ms: when to come back */
-	REQ_FAILED, /* may have run; number: result */
+	REQ_FAILED, /* may have run, or its id before; number: result */
 	REQ_STALLED, /* the backend server stalls; wait_ms: avoid it so long */
 	REQ_N_TYPES,
 };
@@ -27,6 +27,7 @@
 #define REQ_FLAG_FIRST_SENDING 8 /* asked: its id was never sent before */
 #define REQ_FLAG_REACHED 16 /* refused: by the backend server itself */
 #define REQ_FLAG_TRACED 32 /* asked: log all that happens to it */
+#define REQ_FLAG_BEGUN 64 /* failed: a backend server has got it */
 
 struct request_msg {
 	enum request_msg_type type;
--- a/node/entry-answer.c
+++ b/node/entry-answer.c
@@ -59,7 +59,7 @@
 		    event_text(r->class_name), event_text(r->service),
 		    r->version, p->keyed ? (int64_t)r->shard : -1,
 		    event_text(why), now - p->received_ms, p->deadline_ms - now,
-		    wait_ms, p->tries, p->reached, past_text(r));
+		    wait_ms, p->tries, plan_n_reached(p), past_text(r));
 }
 
 static double age_ms(const struct entry_request *r)
@@ -219,11 +219,10 @@
 	take_bytes(r, m);
 	if ((m->flags & REQ_FLAG_END) && !whole(r, m)) {
 		COUNT(answers_cut);
-		entry_forget_attempt(e, a);
-		entry_step(r, plan_failed(&r->plan, entry_budget(e, r->service),
-					  clock_now_ms()));
+		entry_end_attempt(r, a, ATTEMPT_EVENT_MIXED, RESULT_MIXED);
 		return;
 	}
+	plan_event(&r->plan, a->number, ATTEMPT_EVENT_ANSWERED);
 	entry_cancel_others(r, a);
 	note_answered(r, a, m->status);
 	if (a->hedge)
--- a/node/entry-attempt.c
+++ b/node/entry-attempt.c
@@ -35,8 +35,12 @@
 	}
 	out = g_byte_array_sized_new(512 + m->len);
 	request_msg_encode(m, out);
-	err = peers_send(&e->node->peers, a->address, PLANE_REQUEST, out->data,
-			 out->len);
+	err = m->type == REQ_ASK
+		      ? peers_send_tagged(&e->node->peers, a->address,
+					  PLANE_REQUEST, a->id, out->data,
+					  out->len)
+		      : peers_send(&e->node->peers, a->address, PLANE_REQUEST,
+				   out->data, out->len);
 	g_byte_array_unref(out);
 	return err;
 }
@@ -60,8 +64,31 @@
 	send_small(e, a, REQ_CREDIT, bytes);
 }
 
+void entry_note_left(struct attempt *a)
+{
+	struct entry_request *r = a->request;
+
+	if (r->plan.attempts[a->number].state == ATTEMPT_NOT_SENT &&
+	    !peers_is_waiting(&r->entry->node->peers, a->address, a->id))
+		plan_event(&r->plan, a->number, ATTEMPT_EVENT_LEFT);
+}
+
+bool entry_withdraw_attempt(struct entry *e, struct attempt *a)
+{
+	entry_note_left(a);
+	if (!peers_take_back(&e->node->peers, a->address, a->id))
+		return false;
+	chooser_dropped(&e->chooser, a->member, true, clock_now_ms());
+	chooser_not_serving(&e->chooser, a->member, clock_now_ms());
+	entry_note_attempt(a->request, a, RESULT_UNREACHABLE);
+	entry_forget_attempt(e, a);
+	return true;
+}
+
 void entry_cancel_attempt(struct entry *e, struct attempt *a, bool silent)
 {
+	if (entry_withdraw_attempt(e, a))
+		return;
 	chooser_dropped(&e->chooser, a->member, silent, clock_now_ms());
 	send_small(e, a, REQ_CANCEL, 0);
 	entry_forget_attempt(e, a);
@@ -124,8 +151,7 @@
 	      r->plan.deadline_ms - now, a->hedge ? "true" : "false");
 }
 
-/* Ask a gate. Returns false when nothing was sent. */
-bool entry_send_attempt(struct entry_request *r, int64_t member, bool hedge)
+int entry_send_attempt(struct entry_request *r, int64_t member, bool hedge)
 {
 	struct entry *e = r->entry;
 	const struct member *to = fleet_member(&e->node->member.fleet, member);
@@ -133,11 +159,16 @@
 	struct request_msg m = { 0 };
 	struct attempt *a;
 	uint64_t id;
+	int number;
 	int err;
 
 	if (!to || (r->attempts[0] && r->attempts[1]))
-		return false;
+		return RESULT_OVERLOAD;
+	number = plan_begin(&r->plan);
+	if (number < 0)
+		return RESULT_OVERLOAD;
 	a = g_new0(struct attempt, 1);
+	a->number = (uint32_t)number;
 	a->id = ++e->next_id;
 	a->request = r;
 	a->member = member;
@@ -148,7 +179,6 @@
 	r->last_member = member;
 	g_hash_table_insert(e->attempts, &a->id, a);
 	chooser_sent(&e->chooser, member, now);
-	plan_sent(&r->plan);
 	fill(r, member, now, &m);
 	m.id = a->id;
 	id = a->id;
@@ -156,10 +186,12 @@
 	/* Our own gate may answer, and end the request, before this returns. */
 	err = deliver(e, a, &m);
 	if (!err)
-		return true;
+		return RESULT_OK;
 	a = g_hash_table_lookup(e->attempts, &id);
 	chooser_dropped(&e->chooser, member, true, now);
+	chooser_not_serving(&e->chooser, member, now);
+	plan_event(&r->plan, a->number, ATTEMPT_EVENT_WITHDRAWN);
+	entry_note_attempt(r, a, err);
 	entry_forget_attempt(e, a);
-	r->plan.open--;
-	return false;
+	return RESULT_UNREACHABLE;
 }
--- a/node/entry-request.h
+++ b/node/entry-request.h
@@ -17,6 +17,7 @@
 struct attempt {
 	uint64_t id;
 	struct entry_request *request;
+	uint32_t number; /* of the request's plan */
 	int64_t member;
 	char address[64];
 	int64_t sent_us;
@@ -88,9 +89,18 @@
 void entry_end_answer(struct entry_request *r, struct attempt *a, bool ok);
 
 /* node/entry-attempt.c */
-bool entry_send_attempt(struct entry_request *r, int64_t member, bool hedge);
+
+/*
+ * Ask a gate. RESULT_OVERLOAD: no attempt was made; RESULT_UNREACHABLE: it
+ * could not leave, which is for the caller to tell the plan.
+ */
+int entry_send_attempt(struct entry_request *r, int64_t member, bool hedge);
 void entry_send_credit(struct entry *e, const struct attempt *a, int64_t bytes);
 void entry_forget_attempt(struct entry *e, struct attempt *a);
+/* Tell the plan of an attempt that has left since it was sent. */
+void entry_note_left(struct attempt *a);
+/* Take back an attempt that has not left yet; false when it may have. */
+bool entry_withdraw_attempt(struct entry *e, struct attempt *a);
 /* Give up an attempt; the gate stops work on it if it can. */
 void entry_cancel_attempt(struct entry *e, struct attempt *a, bool silent);
 /* Want no answer from any but one; keep may be NULL. */
@@ -105,5 +115,8 @@
 struct class_cost *entry_cost(struct entry_request *r);
 struct budget *entry_budget(struct entry *e, const char *service);
 void entry_step(struct entry_request *r, enum plan_step step);
+/* An attempt ended without an answer or a refusal; go on from there. */
+void entry_end_attempt(struct entry_request *r, struct attempt *a,
+		       enum attempt_event why, int result);
 
 #endif
--- a/node/entry.c
+++ b/node/entry.c
@@ -53,13 +53,29 @@
 	return c;
 }
 
+static void plan_step_ended(struct entry_request *r, uint32_t number,
+			    enum attempt_event why)
+{
+	enum plan_step step = plan_ended(&r->plan, number, why,
+					 entry_budget(r->entry, r->service),
+					 g_rand_double(r->entry->rand),
+					 clock_now_ms());
+
+	if (step == PLAN_SEND && plan_in_doubt(&r->plan))
+		COUNT(requests_retried);
+	entry_step(r, step);
+}
+
 static void send_next(struct entry_request *r)
 {
-	int64_t member = entry_pick_gate(
-		r, r->plan.refusals || r->plan.reached ? r->last_member : 0);
+	int64_t member = entry_pick_gate(r, r->plan.tries ? r->last_member : 0);
 	double jitter = g_rand_double(r->entry->rand);
+	int err = member ? entry_send_attempt(r, member, false)
+			 : RESULT_OVERLOAD;
 
-	if (!member || !entry_send_attempt(r, member, false))
+	if (err == RESULT_UNREACHABLE)
+		plan_step_ended(r, r->plan.tries - 1, ATTEMPT_EVENT_WITHDRAWN);
+	else if (err)
 		entry_step(r, plan_nobody(&r->plan, jitter, clock_now_ms()));
 }
 
@@ -84,7 +100,19 @@
 	}
 }
 
-static void on_refused(struct entry_request *r, const struct request_msg *m)
+void entry_end_attempt(struct entry_request *r, struct attempt *a,
+		       enum attempt_event why, int result)
+{
+	uint32_t number = a->number;
+
+	entry_note_left(a);
+	entry_note_attempt(r, a, result);
+	entry_forget_attempt(r->entry, a);
+	plan_step_ended(r, number, why);
+}
+
+static void on_refused(struct entry_request *r, uint32_t number,
+		       const struct request_msg *m)
 {
 	struct entry *e = r->entry;
 	int64_t now = clock_now_ms();
@@ -95,20 +123,11 @@
 		chooser_not_serving(&e->chooser, r->last_member, now);
 	else
 		chooser_refused(&e->chooser, r->last_member, AVOID_MS, now);
-	entry_step(r, plan_refused(&r->plan, m->number == RESULT_NOT_OWNER,
-				   m->flags & REQ_FLAG_REACHED, m->wait_ms,
-				   entry_budget(e, r->service),
-				   g_rand_double(e->rand), now));
-}
-
-static void on_failed(struct entry_request *r)
-{
-	enum plan_step step = plan_failed(
-		&r->plan, entry_budget(r->entry, r->service), clock_now_ms());
-
-	if (step == PLAN_SEND)
-		COUNT(requests_retried);
-	entry_step(r, step);
+	entry_step(r,
+		   plan_refused(&r->plan, number, m->number == RESULT_NOT_OWNER,
+				m->flags & REQ_FLAG_REACHED, m->wait_ms,
+				entry_budget(e, r->service),
+				g_rand_double(e->rand), now));
 }
 
 static void note_answer(struct entry *e, struct attempt *a,
@@ -134,6 +153,7 @@
 				    ? g_hash_table_lookup(e->attempts, &m->id)
 				    : NULL;
 	struct entry_request *r;
+	uint32_t number;
 
 	if (m->type == REQ_STALLED) {
 		chooser_refused(&e->chooser, m->to, m->wait_ms, clock_now_ms());
@@ -148,6 +168,8 @@
 		return;
 	}
 	r = a->request;
+	number = a->number;
+	entry_note_left(a);
 	note_answer(e, a, m);
 	switch (m->type) {
 	case REQ_HEAD:
@@ -159,16 +181,18 @@
 	case REQ_REFUSED:
 		entry_note_attempt(r, a, m->number);
 		entry_forget_attempt(e, a);
-		on_refused(r, m);
+		on_refused(r, number, m);
 		break;
 	case REQ_FAILED:
 		if (r->streaming && r->winner == a) {
 			entry_end_answer(r, a, false);
 			break;
 		}
-		entry_note_attempt(r, a, m->number);
-		entry_forget_attempt(e, a);
-		on_failed(r);
+		entry_end_attempt(r, a,
+				  m->flags & REQ_FLAG_BEGUN
+					  ? ATTEMPT_EVENT_CUT
+					  : ATTEMPT_EVENT_IN_DOUBT,
+				  m->number);
 		break;
 	default:
 		break;
@@ -217,7 +241,7 @@
 
 	if (!r->plan.repeatable || age_ms < try_ms(r, a) ||
 	    now < r->plan.resume_ms || now - v->heard_ms < SILENT_GATE_MS ||
-	    r->plan.open > 1 || r->plan.tries >= PLAN_MAX_TRIES ||
+	    plan_n_open(&r->plan) > 1 || r->plan.tries >= PLAN_MAX_TRIES ||
 	    !plan_may_reach(&r->plan))
 		return;
 	v->silent_until_ms = now + SILENT_GATE_MS;
@@ -227,6 +251,29 @@
 		entry_send_attempt(r, member, false);
 }
 
+/* Take back an attempt that has not left, for the next gate. */
+static bool withdraw(struct entry_request *r, struct attempt *a)
+{
+	uint32_t number = a->number;
+
+	if (!entry_withdraw_attempt(r->entry, a))
+		return false;
+	plan_step_ended(r, number, ATTEMPT_EVENT_WITHDRAWN);
+	return true;
+}
+
+static void give_up_attempt(struct entry_request *r, struct attempt *a,
+			    enum attempt_event why, int result, bool silent)
+{
+	uint32_t number = a->number;
+
+	if (withdraw(r, a))
+		return;
+	entry_note_attempt(r, a, result);
+	entry_cancel_attempt(r->entry, a, silent);
+	plan_step_ended(r, number, why);
+}
+
 static void check_attempt(struct entry_request *r, struct attempt *a,
 			  int64_t now)
 {
@@ -237,14 +284,19 @@
 
 	if (r->winner == a)
 		return;
+	entry_note_left(a);
+	if (r->plan.attempts[a->number].state == ATTEMPT_NOT_SENT &&
+	    (age_ms > PEER_CONNECT_MS || now >= r->plan.deadline_ms)) {
+		withdraw(r, a);
+		return;
+	}
 	if (now >= r->plan.deadline_ms) {
 		if (a->member != e->node->member.self &&
 		    now - heard > SILENT_LINK_MS)
 			peers_replace(&e->node->peers, a->address);
-		entry_note_attempt(r, a, RESULT_TIMEOUT);
 		/* A gate that answers others is slow, not silent. */
-		entry_cancel_attempt(e, a, now - v->heard_ms > SILENT_GATE_MS);
-		on_failed(r);
+		give_up_attempt(r, a, ATTEMPT_EVENT_TIMEOUT, RESULT_TIMEOUT,
+				now - v->heard_ms > SILENT_GATE_MS);
 		return;
 	}
 	if (r->plan.keyed) {
@@ -260,7 +312,7 @@
 
 	if (r->done || r->streaming)
 		return;
-	if (!r->plan.open) {
+	if (!plan_n_open(&r->plan)) {
 		if (r->plan.resume_ms && now >= r->plan.resume_ms)
 			entry_step(r, plan_resume(&r->plan, now));
 		return;
@@ -283,12 +335,30 @@
 		ev_timer_stop(loop, w);
 }
 
+/* Whether an attempt waits for a member's gate, and is not being answered. */
+static bool waits_for(const struct entry_request *r, uint32_t i, int64_t member)
+{
+	const struct attempt *a = r->attempts[i];
+
+	return !r->done && a && a->member == member && r->winner != a;
+}
+
 void entry_on_member_stopped(struct entry *e, int64_t member)
 {
 	struct gate_view *v = chooser_view(&e->chooser, member);
+	uint32_t i, j;
 
 	v->silent_until_ms =
 		MAX(v->silent_until_ms, clock_now_ms() + SILENT_GATE_MS);
+	for (i = e->requests->len; i-- > 0;) {
+		struct entry_request *r = g_ptr_array_index(e->requests, i);
+
+		for (j = 0; j < MAX_ATTEMPTS; j++)
+			if (waits_for(r, j, member) &&
+			    !withdraw(r, r->attempts[j]))
+				plan_event(&r->plan, r->attempts[j]->number,
+					   ATTEMPT_EVENT_LEASE_OVER);
+	}
 }
 
 void entry_on_member_lost(struct entry *e, int64_t member)
@@ -301,15 +371,11 @@
 		for (j = 0; j < MAX_ATTEMPTS && !r->done; j++) {
 			struct attempt *a = r->attempts[j];
 
-			if (!a || a->member != member)
-				continue;
-			if (r->winner == a) {
+			if (waits_for(r, j, member))
+				give_up_attempt(r, a, ATTEMPT_EVENT_SUPERSEDED,
+						RESULT_UNREACHABLE, true);
+			else if (a && a->member == member)
 				entry_end_answer(r, a, false);
-				continue;
-			}
-			entry_note_attempt(r, a, RESULT_UNREACHABLE);
-			entry_cancel_attempt(e, a, true);
-			on_failed(r);
 		}
 	}
 	chooser_forget(&e->chooser, member);
@@ -390,8 +456,8 @@
 	      "\"class\":\"%s\",\"repeatable\":%s,\"age_ms\":%" PRId64
 	      ",\"open\":%u,\"tries\":%u,\"behind\":%u",
 	      event_text(r->class_name), r->plan.repeatable ? "true" : "false",
-	      clock_now_ms() - r->plan.received_ms, r->plan.open, r->plan.tries,
-	      httpd_behind(http));
+	      clock_now_ms() - r->plan.received_ms, plan_n_open(&r->plan),
+	      r->plan.tries, httpd_behind(http));
 	r->done = true;
 	entry_cancel_others(r, NULL);
 }
@@ -485,6 +551,22 @@
 	httpd_close(&e->httpd);
 }
 
+/* Nothing more can be heard of what is open. */
+static void end_attempts(struct entry_request *r)
+{
+	uint32_t i;
+
+	for (i = 0; i < MAX_ATTEMPTS; i++) {
+		struct attempt *a = r->attempts[i];
+		uint32_t number = a ? a->number : 0;
+
+		if (!a)
+			continue;
+		entry_cancel_attempt(r->entry, a, false);
+		plan_event(&r->plan, number, ATTEMPT_EVENT_STOPPING);
+	}
+}
+
 void entry_answer_all(struct entry *e)
 {
 	uint32_t i;
@@ -494,7 +576,8 @@
 
 		if (r->done || r->streaming)
 			continue;
-		if (r->plan.open || r->plan.may_have_run)
+		end_attempts(r);
+		if (plan_outcome(&r->plan) != PLAN_NOT_RUN)
 			entry_reply_unknown(r);
 		else
 			entry_reply_not_run(r, "this node is stopping\n");
--- a/node/gate.c
+++ b/node/gate.c
@@ -282,7 +282,11 @@
 
 void gate_fail(struct gate_request *r, int result)
 {
-	struct request_msg m = { .type = REQ_FAILED, .number = result };
+	struct request_msg m = { .type = REQ_FAILED,
+				 .number = result,
+				 .flags = r->state == GATE_RUNNING
+						  ? REQ_FLAG_BEGUN
+						  : 0 };
 
 	EVENT(gate_failed, r->attempt_id,
 	      "\"why\":\"%s\",\"member\":%" PRId64 ",\"server_ms\":%" PRId64
--- a/route/plan.c
+++ b/route/plan.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 
 #include "route/plan.h"
+#include "util/result.h"
 
 /* Between rounds over the candidates for a key that is changing owners. */
 #define ROUND_WAIT_MS 50
@@ -9,25 +10,152 @@
 #define DEFAULT_RETRY_MS 200
 /* A caller that returns later than this share of its time left has none. */
 #define RETRY_SHARE 0.3
+/* Gates without a key that cannot be reached, tried in a row. */
+#define UNSENT_ROUND 4
 
-void plan_sent(struct plan *p)
+/* Where an event takes an attempt. */
+struct move {
+	enum attempt_state to;
+	bool open;
+};
+
+/* Nothing more can become known of an attempt that is at its end. */
+static const struct move moves[ATTEMPT_N_EVENTS][ATTEMPT_N_STATES] = {
+	[ATTEMPT_EVENT_LEFT] = {
+		[ATTEMPT_NOT_SENT] = { ATTEMPT_SENT, true },
+		[ATTEMPT_SENT] = { ATTEMPT_SENT, true },
+	},
+	/* Too late for one that has left. */
+	[ATTEMPT_EVENT_WITHDRAWN] = {
+		[ATTEMPT_NOT_SENT] = { ATTEMPT_NOT_SENT, false },
+		[ATTEMPT_SENT] = { ATTEMPT_SENT, true },
+	},
+	[ATTEMPT_EVENT_REFUSED] = {
+		[ATTEMPT_NOT_SENT] = { ATTEMPT_NOT_BEGUN, false },
+		[ATTEMPT_SENT] = { ATTEMPT_NOT_BEGUN, false },
+	},
+	[ATTEMPT_EVENT_TURNED_AWAY] = {
+		[ATTEMPT_NOT_SENT] = { ATTEMPT_NOT_BEGUN, false },
+		[ATTEMPT_SENT] = { ATTEMPT_NOT_BEGUN, false },
+	},
+	[ATTEMPT_EVENT_CUT] = {
+		[ATTEMPT_NOT_SENT] = { ATTEMPT_BEGUN, false },
+		[ATTEMPT_SENT] = { ATTEMPT_BEGUN, false },
+	},
+	[ATTEMPT_EVENT_IN_DOUBT] = {
+		[ATTEMPT_NOT_SENT] = { ATTEMPT_UNKNOWN, false },
+		[ATTEMPT_SENT] = { ATTEMPT_UNKNOWN, false },
+	},
+	[ATTEMPT_EVENT_MIXED] = {
+		[ATTEMPT_NOT_SENT] = { ATTEMPT_BEGUN, false },
+		[ATTEMPT_SENT] = { ATTEMPT_BEGUN, false },
+	},
+	[ATTEMPT_EVENT_LEASE_OVER] = {
+		[ATTEMPT_NOT_SENT] = { ATTEMPT_NOT_SENT, false },
+		[ATTEMPT_SENT] = { ATTEMPT_SENT, true },
+	},
+	[ATTEMPT_EVENT_SUPERSEDED] = {
+		[ATTEMPT_NOT_SENT] = { ATTEMPT_NOT_SENT, false },
+		[ATTEMPT_SENT] = { ATTEMPT_UNKNOWN, false },
+	},
+	[ATTEMPT_EVENT_TIMEOUT] = {
+		[ATTEMPT_NOT_SENT] = { ATTEMPT_NOT_SENT, false },
+		[ATTEMPT_SENT] = { ATTEMPT_UNKNOWN, false },
+	},
+	[ATTEMPT_EVENT_STOPPING] = {
+		[ATTEMPT_NOT_SENT] = { ATTEMPT_NOT_SENT, false },
+		[ATTEMPT_SENT] = { ATTEMPT_UNKNOWN, false },
+	},
+	[ATTEMPT_EVENT_ANSWERED] = {
+		[ATTEMPT_NOT_SENT] = { ATTEMPT_ANSWERED, false },
+		[ATTEMPT_SENT] = { ATTEMPT_ANSWERED, false },
+	},
+};
+
+int plan_begin(struct plan *p)
 {
-	p->open++;
-	p->tries++;
+	if (p->tries >= PLAN_MAX_TRIES)
+		return RESULT_OVERLOAD;
+	p->attempts[p->tries] = (struct plan_attempt){ .open = true };
+	return (int)p->tries++;
 }
 
-bool plan_may_reach(const struct plan *p)
+void plan_event(struct plan *p, uint32_t attempt, enum attempt_event e)
 {
-	return p->reached + p->open < p->max_reached;
+	struct plan_attempt *a = &p->attempts[attempt];
+	const struct move *m;
+
+	if (!a->open)
+		return;
+	m = &moves[e][a->state];
+	if (m->to != a->state || !m->open)
+		a->last = e;
+	a->state = m->to;
+	a->open = m->open;
+	a->turned_away = e == ATTEMPT_EVENT_TURNED_AWAY;
 }
 
 /*
- * Give up. "Not run" is a promise, which a caller acts on by sending the
- * request again: it must not be given when any attempt may have run.
+ * "Not run" is a promise, which a caller acts on by sending the request again:
+ * it must not be given when any attempt may have run, or still may.
  */
+static bool may_have_run(const struct plan_attempt *a)
+{
+	return a->state == ATTEMPT_SENT || a->state == ATTEMPT_BEGUN ||
+	       a->state == ATTEMPT_UNKNOWN;
+}
+
+const struct plan_attempt *plan_in_doubt(const struct plan *p)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->tries; i++)
+		if (may_have_run(&p->attempts[i]))
+			return &p->attempts[i];
+	return NULL;
+}
+
+enum plan_outcome plan_outcome(const struct plan *p)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->tries; i++)
+		if (p->attempts[i].state == ATTEMPT_ANSWERED)
+			return PLAN_ANSWERED;
+	return plan_in_doubt(p) ? PLAN_MAY_HAVE_RUN : PLAN_NOT_RUN;
+}
+
+uint32_t plan_n_open(const struct plan *p)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < p->tries; i++)
+		n += p->attempts[i].open;
+	return n;
+}
+
+uint32_t plan_n_reached(const struct plan *p)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < p->tries; i++) {
+		const struct plan_attempt *a = &p->attempts[i];
+
+		n += !a->open && (may_have_run(a) || a->turned_away);
+	}
+	return n;
+}
+
+bool plan_may_reach(const struct plan *p)
+{
+	return plan_n_reached(p) + plan_n_open(p) < p->max_reached;
+}
+
 static enum plan_step give_up(const struct plan *p)
 {
-	return p->may_have_run ? PLAN_UNKNOWN : PLAN_REFUSE;
+	return plan_outcome(p) == PLAN_NOT_RUN ? PLAN_REFUSE : PLAN_UNKNOWN;
 }
 
 /*
@@ -49,7 +177,7 @@
 
 enum plan_step plan_nobody(struct plan *p, double jitter, int64_t now_ms)
 {
-	if (p->open)
+	if (plan_n_open(p))
 		return PLAN_PENDING;
 	return wait_round(p, jitter, now_ms);
 }
@@ -57,22 +185,22 @@
 enum plan_step plan_resume(struct plan *p, int64_t now_ms)
 {
 	p->resume_ms = 0;
-	if (p->open)
+	if (plan_n_open(p))
 		return PLAN_PENDING;
 	if (now_ms >= p->deadline_ms || !plan_may_reach(p))
 		return give_up(p);
 	return PLAN_SEND;
 }
 
-enum plan_step plan_refused(struct plan *p, bool not_owner, bool reached,
-			    int64_t wait_ms, struct budget *b, double jitter,
-			    int64_t now_ms)
+enum plan_step plan_refused(struct plan *p, uint32_t attempt, bool not_owner,
+			    bool reached, int64_t wait_ms, struct budget *b,
+			    double jitter, int64_t now_ms)
 {
-	p->open--;
+	plan_event(p, attempt,
+		   reached ? ATTEMPT_EVENT_TURNED_AWAY : ATTEMPT_EVENT_REFUSED);
 	p->refusals++;
 	p->wait_ms = MAX(p->wait_ms, wait_ms);
-	p->reached += reached;
-	if (p->open)
+	if (plan_n_open(p))
 		return PLAN_PENDING;
 	if (p->tries >= PLAN_MAX_TRIES || now_ms >= p->deadline_ms ||
 	    !plan_may_reach(p))
@@ -97,16 +225,34 @@
 	return PLAN_SEND;
 }
 
-enum plan_step plan_failed(struct plan *p, struct budget *b, int64_t now_ms)
+/* No gate got it: the next may, and that is no repeat. */
+static enum plan_step not_sent(struct plan *p, double jitter, int64_t now_ms)
 {
-	p->open--;
-	p->reached++;
-	p->may_have_run = true;
-	if (p->open)
+	p->unsent++;
+	p->refusals += p->keyed;
+	if (plan_n_open(p))
+		return PLAN_PENDING;
+	if (p->tries >= PLAN_MAX_TRIES || now_ms >= p->deadline_ms ||
+	    !plan_may_reach(p))
+		return give_up(p);
+	/* All of them out of reach is a moment to wait. */
+	if (p->keyed ? p->refusals % 2 : p->unsent % UNSENT_ROUND)
+		return PLAN_SEND;
+	return wait_round(p, jitter, now_ms);
+}
+
+enum plan_step plan_ended(struct plan *p, uint32_t attempt,
+			  enum attempt_event why, struct budget *b,
+			  double jitter, int64_t now_ms)
+{
+	plan_event(p, attempt, why);
+	if (p->attempts[attempt].state == ATTEMPT_NOT_SENT)
+		return not_sent(p, jitter, now_ms);
+	if (plan_n_open(p))
 		return PLAN_PENDING;
 	if (!p->repeatable || p->tries >= PLAN_MAX_TRIES ||
 	    now_ms >= p->deadline_ms || !plan_may_reach(p) || !budget_spend(b))
-		return PLAN_UNKNOWN;
+		return give_up(p);
 	return PLAN_SEND;
 }
 
--- a/route/plan.h
+++ b/route/plan.h
@@ -20,6 +20,67 @@
 	PLAN_UNKNOWN, /* final: it may have run */
 };
 
+/* What is known of one attempt at one gate. */
+enum attempt_state {
+	ATTEMPT_NOT_SENT, /* no byte of it has left this process */
+	ATTEMPT_SENT, /* it has left, and the gate has said nothing */
+	ATTEMPT_NOT_BEGUN, /* the gate's or the server's word: not run */
+	ATTEMPT_BEGUN, /* the gate's word: a server has got it */
+	ATTEMPT_UNKNOWN, /* given up, and it may have run */
+	ATTEMPT_ANSWERED,
+	ATTEMPT_N_STATES,
+};
+
+/* What can happen to an attempt. */
+enum attempt_event {
+	/* The link took it. */
+	ATTEMPT_EVENT_LEFT,
+	/* The link was down or its queue full, or it was taken back in time. */
+	ATTEMPT_EVENT_WITHDRAWN,
+	/*
+	 * The gate's word that it has not begun it and will not: it refuses it,
+	 * or stops, or has taken it back as it was asked to.
+	 */
+	ATTEMPT_EVENT_REFUSED,
+	/* The server's word that it turned it away. */
+	ATTEMPT_EVENT_TURNED_AWAY,
+	/* The gate's word that a server has it and no whole answer will come. */
+	ATTEMPT_EVENT_CUT,
+	/* The gate cannot tell what an earlier sending of its id has done. */
+	ATTEMPT_EVENT_IN_DOUBT,
+	/* An answer that is not whole, or not its own. */
+	ATTEMPT_EVENT_MIXED,
+	/* The gate's lease is over; it may yet end what it has begun. */
+	ATTEMPT_EVENT_LEASE_OVER,
+	/* By the log the gate's process is gone. */
+	ATTEMPT_EVENT_SUPERSEDED,
+	/* No word within the caller's time. */
+	ATTEMPT_EVENT_TIMEOUT,
+	/* This process ends. */
+	ATTEMPT_EVENT_STOPPING,
+	ATTEMPT_EVENT_ANSWERED,
+	ATTEMPT_N_EVENTS,
+};
+
+/* What the caller is to be told, by what is known of all attempts. */
+enum plan_outcome {
+	PLAN_NOT_RUN,
+	PLAN_MAY_HAVE_RUN,
+	PLAN_ANSWERED,
+};
+
+/* Most gates that one request is offered to; each costs a message both ways. */
+#define PLAN_MAX_TRIES 24
+/* Gates without a key tried after one refused for load. */
+#define PLAN_MAX_OFFERS 2
+
+struct plan_attempt {
+	enum attempt_state state;
+	enum attempt_event last; /* that moved it */
+	bool open; /* more may become known of it */
+	bool turned_away; /* by a server that had got it */
+};
+
 struct plan {
 	bool repeatable;
 	bool keyed; /* only the owner of its shard can serve it */
@@ -32,23 +93,32 @@
 	 */
 	int64_t hold_until_ms;
 	uint32_t max_reached; /* most backend servers it may reach */
-	uint32_t reached; /* those it reached, or may have */
-	bool may_have_run; /* one of them ended without a word */
-	uint32_t open; /* attempts without an answer */
 	uint32_t tries; /* gates asked */
+	struct plan_attempt attempts[PLAN_MAX_TRIES];
 	uint32_t rounds; /* of all candidates, without one that serves */
 	uint32_t refusals;
+	uint32_t unsent; /* attempts that no gate could get */
 	int64_t wait_ms; /* longest wait that a refusing gate asked for */
 	int64_t resume_ms; /* after PLAN_WAIT */
 };
 
-/* Most gates that one request is offered to; each costs a message both ways. */
-#define PLAN_MAX_TRIES 24
-/* Gates without a key tried after one refused for load. */
-#define PLAN_MAX_OFFERS 2
+/* A new attempt, not sent yet: its number, or RESULT_OVERLOAD. */
+int plan_begin(struct plan *p);
+
+/* Something happened to an attempt, and nothing is to be decided. */
+void plan_event(struct plan *p, uint32_t attempt, enum attempt_event e);
+
+/* What the attempts so far allow to be said. */
+enum plan_outcome plan_outcome(const struct plan *p);
 
-/* An attempt goes out. */
-void plan_sent(struct plan *p);
+/* The attempt for which "not run" may not be said, NULL when it may. */
+const struct plan_attempt *plan_in_doubt(const struct plan *p);
+
+/* Attempts of which more may become known. */
+uint32_t plan_n_open(const struct plan *p);
+
+/* Backend servers that it reached, or may have. */
+uint32_t plan_n_reached(const struct plan *p);
 
 /* Nobody is known who could take it. jitter: from 0 to 1, drawn anew. */
 enum plan_step plan_nobody(struct plan *p, double jitter, int64_t now_ms);
@@ -57,12 +127,14 @@
  * A gate refused: for load, or because it does not serve the key (not_owner).
  * reached: the backend server had got it and turned it away.
  */
-enum plan_step plan_refused(struct plan *p, bool not_owner, bool reached,
-			    int64_t wait_ms, struct budget *b, double jitter,
-			    int64_t now_ms);
+enum plan_step plan_refused(struct plan *p, uint32_t attempt, bool not_owner,
+			    bool reached, int64_t wait_ms, struct budget *b,
+			    double jitter, int64_t now_ms);
 
-/* An attempt ended with nothing known of it, or was given up as silent. */
-enum plan_step plan_failed(struct plan *p, struct budget *b, int64_t now_ms);
+/* An attempt ended otherwise, or was given up. */
+enum plan_step plan_ended(struct plan *p, uint32_t attempt,
+			  enum attempt_event why, struct budget *b,
+			  double jitter, int64_t now_ms);
 
 /* It waited until resume_ms. */
 enum plan_step plan_resume(struct plan *p, int64_t now_ms);
--- a/t/test-route.c
+++ b/t/test-route.c
@@ -3,6 +3,7 @@
 #include "route/budget.h"
 #include "route/choose.h"
 #include "route/plan.h"
+#include "util/result.h"
 
 /*
  * In a bad minute every request fails once. Retries must stay a small part of
@@ -34,10 +35,6 @@
 	return got;
 }
 
-/*
- * One backend server stalls. Its gate says nothing, so its last word still
- * sounds well; the age of what waits there must turn entries away.
- */
 /*
  * A server does not hold the keys that its node thinks it does, and turns their
  * requests away. Each that is sent on to another server is a repeat, and a
@@ -58,13 +55,172 @@
 				  .max_reached = 3 };
 
 		budget_earn(&b);
-		plan_sent(&p);
-		sent += plan_refused(&p, true, true, 0, &b, 0, 0) == PLAN_SEND;
+		plan_event(&p, plan_begin(&p), ATTEMPT_EVENT_LEFT);
+		sent += plan_refused(&p, 0, true, true, 0, &b, 0, 0) ==
+			PLAN_SEND;
 	}
 	g_assert_cmpuint(sent, <=, 210);
 	g_assert_cmpuint(sent, >=, 200);
 }
 
+struct expected {
+	enum attempt_event event;
+	struct plan_attempt unsent; /* what it makes of one that has not left */
+	struct plan_attempt sent; /* and of one that has */
+};
+
+#define STAYS(s)                                   \
+	{                                          \
+		.state = ATTEMPT_##s, .open = true \
+	}
+#define ENDS(s)                                     \
+	{                                           \
+		.state = ATTEMPT_##s, .open = false \
+	}
+
+static const struct expected table[] = {
+	{ ATTEMPT_EVENT_LEFT, STAYS(SENT), STAYS(SENT) },
+	{ ATTEMPT_EVENT_WITHDRAWN, ENDS(NOT_SENT), STAYS(SENT) },
+	{ ATTEMPT_EVENT_REFUSED, ENDS(NOT_BEGUN), ENDS(NOT_BEGUN) },
+	{ ATTEMPT_EVENT_TURNED_AWAY, ENDS(NOT_BEGUN), ENDS(NOT_BEGUN) },
+	{ ATTEMPT_EVENT_CUT, ENDS(BEGUN), ENDS(BEGUN) },
+	{ ATTEMPT_EVENT_IN_DOUBT, ENDS(UNKNOWN), ENDS(UNKNOWN) },
+	{ ATTEMPT_EVENT_MIXED, ENDS(BEGUN), ENDS(BEGUN) },
+	{ ATTEMPT_EVENT_LEASE_OVER, ENDS(NOT_SENT), STAYS(SENT) },
+	{ ATTEMPT_EVENT_SUPERSEDED, ENDS(NOT_SENT), ENDS(UNKNOWN) },
+	{ ATTEMPT_EVENT_TIMEOUT, ENDS(NOT_SENT), ENDS(UNKNOWN) },
+	{ ATTEMPT_EVENT_STOPPING, ENDS(NOT_SENT), ENDS(UNKNOWN) },
+	{ ATTEMPT_EVENT_ANSWERED, ENDS(ANSWERED), ENDS(ANSWERED) },
+};
+
+static void check_attempt(const struct plan_attempt *is,
+			  const struct plan_attempt *want)
+{
+	g_assert_cmpint(is->state, ==, want->state);
+	g_assert_cmpint(is->open, ==, want->open);
+}
+
+static void test_attempt_table(void)
+{
+	uint32_t i, j;
+
+	g_assert_cmpuint(G_N_ELEMENTS(table), ==, ATTEMPT_N_EVENTS);
+	for (i = 0; i < ATTEMPT_N_EVENTS; i++) {
+		struct plan p = { 0 };
+		struct plan_attempt end;
+
+		g_assert_cmpint(plan_begin(&p), ==, 0);
+		g_assert_cmpint(plan_begin(&p), ==, 1);
+		plan_event(&p, 0, table[i].event);
+		check_attempt(&p.attempts[0], &table[i].unsent);
+		plan_event(&p, 1, ATTEMPT_EVENT_LEFT);
+		plan_event(&p, 1, table[i].event);
+		check_attempt(&p.attempts[1], &table[i].sent);
+		if (p.attempts[1].open)
+			continue;
+		g_assert_cmpint(p.attempts[1].last, ==, table[i].event);
+		/* Nothing moves it any more. */
+		end = p.attempts[1];
+		for (j = 0; j < ATTEMPT_N_EVENTS; j++)
+			plan_event(&p, 1, j);
+		check_attempt(&p.attempts[1], &end);
+		g_assert_cmpint(p.attempts[1].last, ==, end.last);
+	}
+}
+
+/* "Not run" of one attempt: it never left, or the gate or the server said so. */
+static bool may_be_refused(const struct plan_attempt *a)
+{
+	return a->state == ATTEMPT_NOT_SENT ||
+	       (a->state == ATTEMPT_NOT_BEGUN &&
+		(a->last == ATTEMPT_EVENT_REFUSED ||
+		 a->last == ATTEMPT_EVENT_TURNED_AWAY));
+}
+
+/* Every two attempts, each after every two events. */
+static void test_outcome_follows_from_attempts(void)
+{
+	const uint32_t n = ATTEMPT_N_EVENTS;
+	uint32_t i;
+
+	for (i = 0; i < n * n * n * n; i++) {
+		struct plan p = { .max_reached = 2 };
+		const struct plan_attempt *a = p.attempts;
+		bool answered, refused;
+
+		plan_begin(&p);
+		plan_begin(&p);
+		plan_event(&p, 0, i % n);
+		plan_event(&p, 0, i / n % n);
+		plan_event(&p, 1, i / n / n % n);
+		plan_event(&p, 1, i / n / n / n);
+		answered = a[0].state == ATTEMPT_ANSWERED ||
+			   a[1].state == ATTEMPT_ANSWERED;
+		refused = may_be_refused(&a[0]) && may_be_refused(&a[1]);
+		g_assert_cmpint(plan_outcome(&p), ==,
+				answered  ? PLAN_ANSWERED
+				: refused ? PLAN_NOT_RUN
+					  : PLAN_MAY_HAVE_RUN);
+		g_assert_cmpint(refused, ==, !plan_in_doubt(&p) && !answered);
+	}
+}
+
+static struct plan booking(void)
+{
+	return (struct plan){ .deadline_ms = 1000,
+			      .hold_until_ms = 100,
+			      .max_reached = 2 };
+}
+
+static enum plan_step end(struct plan *p, enum attempt_event why,
+			  int64_t now_ms)
+{
+	struct budget b;
+
+	budget_init(&b, 0.2, 10);
+	return plan_ended(p, p->tries - 1, why, &b, 0, now_ms);
+}
+
+/* A booking for a gate whose process has ended goes to another gate. */
+static void test_unsent_booking_goes_on(void)
+{
+	struct plan p = booking();
+	enum plan_step step = PLAN_SEND;
+	uint32_t n;
+
+	plan_begin(&p);
+	g_assert_cmpint(end(&p, ATTEMPT_EVENT_WITHDRAWN, 10), ==, PLAN_SEND);
+	plan_begin(&p);
+	plan_event(&p, 1, ATTEMPT_EVENT_LEFT);
+	g_assert_cmpint(end(&p, ATTEMPT_EVENT_TIMEOUT, 20), ==, PLAN_UNKNOWN);
+	p = booking();
+	plan_begin(&p);
+	g_assert_cmpint(end(&p, ATTEMPT_EVENT_TIMEOUT, 1000), ==, PLAN_REFUSE);
+	/* With no gate in reach the caller is told so, not kept waiting. */
+	p = booking();
+	for (n = 0; n < PLAN_MAX_TRIES && step == PLAN_SEND; n++) {
+		plan_begin(&p);
+		step = end(&p, ATTEMPT_EVENT_WITHDRAWN, 100);
+	}
+	g_assert_cmpint(step, ==, PLAN_REFUSE);
+	g_assert_cmpuint(n, <=, 4);
+}
+
+/* Attempts beyond the table's room are not made. */
+static void test_tries_are_bounded(void)
+{
+	struct plan p = { 0 };
+	int i;
+
+	for (i = 0; i < PLAN_MAX_TRIES; i++)
+		g_assert_cmpint(plan_begin(&p), ==, i);
+	g_assert_cmpint(plan_begin(&p), ==, RESULT_OVERLOAD);
+}
+
+/*
+ * One backend server stalls. Its gate says nothing, so its last word still
+ * sounds well; the age of what waits there must turn entries away.
+ */
 static void test_stalled_gate_is_avoided(void)
 {
 	struct gate_option ids[] = { { 1, 0 }, { 2, 0 }, { 3, 0 }, { 4, 0 } };
@@ -190,6 +346,10 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/route/budget", test_budget_bounds_retries);
 	g_test_add_func("/route/turned-away", test_turned_away_spends_budget);
+	g_test_add_func("/plan/table", test_attempt_table);
+	g_test_add_func("/plan/outcome", test_outcome_follows_from_attempts);
+	g_test_add_func("/plan/unsent-booking", test_unsent_booking_goes_on);
+	g_test_add_func("/plan/tries", test_tries_are_bounded);
 	g_test_add_func("/route/stalled", test_stalled_gate_is_avoided);
 	g_test_add_func("/route/no-herd", test_no_herd);
 	g_test_add_func("/route/except", test_except);
