entry: every 504 of our own says and counts why "not run" could not be said

Each request_unknown said "no whole answer", whatever was known, so that 504s of a gate that said nothing, of one that is gone and of a server that was not done in time could not be told apart. The plan now gives the cause by the state and the last event of the attempt that forbids "not run"; the event names it, and one counter each of eight counts it (unknown_no_word and following).

--- a/node/entry-answer.c
+++ b/node/entry-answer.c
@@ -123,14 +123,24 @@
 	reply(r, 503, OUTCOME_NOT_RUN, wait_ms, text);
 }
 
+static const enum counter cause_counters[] = {
+#define CAUSE_COUNTER(name, text) COUNTER_unknown_##name,
+	PLAN_CAUSE_LIST(CAUSE_COUNTER)
+#undef CAUSE_COUNTER
+};
+
 /* Answer for good that it may have run. */
 void entry_reply_unknown(struct entry_request *r)
 {
+	enum plan_cause cause;
+
 	if (r->done)
 		return;
+	cause = plan_cause(plan_in_doubt(&r->plan));
 	COUNT(requests_unknown);
+	counters[cause_counters[cause]]++;
 	MEASURE(unknown_ms, age_ms(r));
-	note_end(r, EVENT_request_unknown, "no whole answer", -1);
+	note_end(r, EVENT_request_unknown, plan_cause_text(cause), -1);
 	reply(r, 504, OUTCOME_UNKNOWN, r->plan.repeatable ? MS_PER_S : -1,
 	      "no whole answer came; the request may have run\n");
 }
--- a/node/entry.c
+++ b/node/entry.c
@@ -147,6 +147,17 @@
 			 clock_now_ms());
 }
 
+/* What a gate says of a request that it does not answer and that may have run. */
+static enum attempt_event failure(const struct request_msg *m)
+{
+	if (!(m->flags & REQ_FLAG_BEGUN))
+		return ATTEMPT_EVENT_IN_DOUBT;
+	if (m->number == RESULT_TIMEOUT)
+		return ATTEMPT_EVENT_LATE;
+	return m->number == RESULT_MIXED ? ATTEMPT_EVENT_MIXED
+					 : ATTEMPT_EVENT_CUT;
+}
+
 void entry_on_message(struct entry *e, const struct request_msg *m)
 {
 	struct attempt *a = m->origin == e->origin
@@ -188,11 +199,7 @@
 			entry_end_answer(r, a, false);
 			break;
 		}
-		entry_end_attempt(r, a,
-				  m->flags & REQ_FLAG_BEGUN
-					  ? ATTEMPT_EVENT_CUT
-					  : ATTEMPT_EVENT_IN_DOUBT,
-				  m->number);
+		entry_end_attempt(r, a, failure(m), m->number);
 		break;
 	default:
 		break;
--- a/route/plan.c
+++ b/route/plan.c
@@ -42,6 +42,10 @@
 		[ATTEMPT_NOT_SENT] = { ATTEMPT_BEGUN, false },
 		[ATTEMPT_SENT] = { ATTEMPT_BEGUN, false },
 	},
+	[ATTEMPT_EVENT_LATE] = {
+		[ATTEMPT_NOT_SENT] = { ATTEMPT_BEGUN, false },
+		[ATTEMPT_SENT] = { ATTEMPT_BEGUN, false },
+	},
 	[ATTEMPT_EVENT_IN_DOUBT] = {
 		[ATTEMPT_NOT_SENT] = { ATTEMPT_UNKNOWN, false },
 		[ATTEMPT_SENT] = { ATTEMPT_UNKNOWN, false },
@@ -93,6 +97,7 @@
 	a->state = m->to;
 	a->open = m->open;
 	a->turned_away = e == ATTEMPT_EVENT_TURNED_AWAY;
+	a->lease_over = a->lease_over || e == ATTEMPT_EVENT_LEASE_OVER;
 }
 
 /*
@@ -125,6 +130,38 @@
 	return plan_in_doubt(p) ? PLAN_MAY_HAVE_RUN : PLAN_NOT_RUN;
 }
 
+enum plan_cause plan_cause(const struct plan_attempt *a)
+{
+	switch (a->last) {
+	case ATTEMPT_EVENT_SUPERSEDED:
+		return PLAN_CAUSE_gate_gone;
+	case ATTEMPT_EVENT_STOPPING:
+		return PLAN_CAUSE_stopping;
+	case ATTEMPT_EVENT_IN_DOUBT:
+		return PLAN_CAUSE_id_in_doubt;
+	case ATTEMPT_EVENT_LATE:
+		return PLAN_CAUSE_server_late;
+	case ATTEMPT_EVENT_CUT:
+		return PLAN_CAUSE_cut;
+	case ATTEMPT_EVENT_MIXED:
+		return PLAN_CAUSE_mixed;
+	default:
+		return a->lease_over ? PLAN_CAUSE_lease_over
+				     : PLAN_CAUSE_no_word;
+	}
+}
+
+const char *plan_cause_text(enum plan_cause c)
+{
+	static const char *const texts[] = {
+#define PLAN_CAUSE_TEXT(name, text) text,
+		PLAN_CAUSE_LIST(PLAN_CAUSE_TEXT)
+#undef PLAN_CAUSE_TEXT
+	};
+
+	return texts[c];
+}
+
 uint32_t plan_n_open(const struct plan *p)
 {
 	uint32_t n = 0;
--- a/route/plan.h
+++ b/route/plan.h
@@ -46,6 +46,8 @@
 	ATTEMPT_EVENT_TURNED_AWAY,
 	/* The gate's word that a server has it and no whole answer will come. */
 	ATTEMPT_EVENT_CUT,
+	/* The same, as the server was still at work when its time was up. */
+	ATTEMPT_EVENT_LATE,
 	/* The gate cannot tell what an earlier sending of its id has done. */
 	ATTEMPT_EVENT_IN_DOUBT,
 	/* An answer that is not whole, or not its own. */
@@ -62,6 +64,24 @@
 	ATTEMPT_N_EVENTS,
 };
 
+/* Why "not run" cannot be said. */
+#define PLAN_CAUSE_LIST(X)                                               \
+	X(no_word, "sent, and no word from the gate in time")            \
+	X(lease_over, "sent, and the gate's lease ended without a word") \
+	X(gate_gone, "sent, and the gate's process is gone")             \
+	X(stopping, "sent, and this node stops")                         \
+	X(id_in_doubt, "its id may have run before")                     \
+	X(server_late, "begun, and the server was not done in time")     \
+	X(cut, "begun, and the answer was cut")                          \
+	X(mixed, "begun, and the answer was not whole or not its own")
+
+enum plan_cause {
+#define PLAN_CAUSE_ENUM(name, text) PLAN_CAUSE_##name,
+	PLAN_CAUSE_LIST(PLAN_CAUSE_ENUM)
+#undef PLAN_CAUSE_ENUM
+	PLAN_N_CAUSES
+};
+
 /* What the caller is to be told, by what is known of all attempts. */
 enum plan_outcome {
 	PLAN_NOT_RUN,
@@ -79,6 +99,7 @@
 	enum attempt_event last; /* that moved it */
 	bool open; /* more may become known of it */
 	bool turned_away; /* by a server that had got it */
+	bool lease_over; /* its gate's, while it was open */
 };
 
 struct plan {
@@ -114,6 +135,10 @@
 /* The attempt for which "not run" may not be said, NULL when it may. */
 const struct plan_attempt *plan_in_doubt(const struct plan *p);
 
+/* Of an attempt for which "not run" may not be said. */
+enum plan_cause plan_cause(const struct plan_attempt *a);
+const char *plan_cause_text(enum plan_cause c);
+
 /* Attempts of which more may become known. */
 uint32_t plan_n_open(const struct plan *p);
 
--- a/t/test-route.c
+++ b/t/test-route.c
@@ -84,6 +84,7 @@
 	{ ATTEMPT_EVENT_REFUSED, ENDS(NOT_BEGUN), ENDS(NOT_BEGUN) },
 	{ ATTEMPT_EVENT_TURNED_AWAY, ENDS(NOT_BEGUN), ENDS(NOT_BEGUN) },
 	{ ATTEMPT_EVENT_CUT, ENDS(BEGUN), ENDS(BEGUN) },
+	{ ATTEMPT_EVENT_LATE, ENDS(BEGUN), ENDS(BEGUN) },
 	{ ATTEMPT_EVENT_IN_DOUBT, ENDS(UNKNOWN), ENDS(UNKNOWN) },
 	{ ATTEMPT_EVENT_MIXED, ENDS(BEGUN), ENDS(BEGUN) },
 	{ ATTEMPT_EVENT_LEASE_OVER, ENDS(NOT_SENT), STAYS(SENT) },
@@ -206,6 +207,41 @@
 	g_assert_cmpuint(n, <=, 4);
 }
 
+/* Each way to an answer "may have run" has a cause of its own. */
+static void test_causes(void)
+{
+	static const struct {
+		enum attempt_event last;
+		enum plan_cause cause;
+	} causes[] = {
+		{ ATTEMPT_EVENT_TIMEOUT, PLAN_CAUSE_no_word },
+		{ ATTEMPT_EVENT_SUPERSEDED, PLAN_CAUSE_gate_gone },
+		{ ATTEMPT_EVENT_STOPPING, PLAN_CAUSE_stopping },
+		{ ATTEMPT_EVENT_IN_DOUBT, PLAN_CAUSE_id_in_doubt },
+		{ ATTEMPT_EVENT_LATE, PLAN_CAUSE_server_late },
+		{ ATTEMPT_EVENT_CUT, PLAN_CAUSE_cut },
+		{ ATTEMPT_EVENT_MIXED, PLAN_CAUSE_mixed },
+	};
+	struct plan p;
+	uint32_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(causes); i++) {
+		p = booking();
+		plan_begin(&p);
+		plan_event(&p, 0, ATTEMPT_EVENT_LEFT);
+		plan_event(&p, 0, causes[i].last);
+		g_assert_cmpint(plan_cause(plan_in_doubt(&p)), ==,
+				causes[i].cause);
+	}
+	p = booking();
+	plan_begin(&p);
+	plan_event(&p, 0, ATTEMPT_EVENT_LEFT);
+	plan_event(&p, 0, ATTEMPT_EVENT_LEASE_OVER);
+	plan_event(&p, 0, ATTEMPT_EVENT_TIMEOUT);
+	g_assert_cmpint(plan_cause(plan_in_doubt(&p)), ==,
+			PLAN_CAUSE_lease_over);
+}
+
 /* Attempts beyond the table's room are not made. */
 static void test_tries_are_bounded(void)
 {
@@ -349,6 +385,7 @@
 	g_test_add_func("/plan/table", test_attempt_table);
 	g_test_add_func("/plan/outcome", test_outcome_follows_from_attempts);
 	g_test_add_func("/plan/unsent-booking", test_unsent_booking_goes_on);
+	g_test_add_func("/plan/causes", test_causes);
 	g_test_add_func("/plan/tries", test_tries_are_bounded);
 	g_test_add_func("/route/stalled", test_stalled_gate_is_avoided);
 	g_test_add_func("/route/no-herd", test_no_herd);
--- a/util/counters.h
+++ b/util/counters.h
@@ -13,6 +13,14 @@
 	X(requests_answered)       \
 	X(requests_not_run)        \
 	X(requests_unknown)        \
+	X(unknown_no_word)         \
+	X(unknown_lease_over)      \
+	X(unknown_gate_gone)       \
+	X(unknown_stopping)        \
+	X(unknown_id_in_doubt)     \
+	X(unknown_server_late)     \
+	X(unknown_cut)             \
+	X(unknown_mixed)           \
 	X(requests_rejected)       \
 	X(requests_abandoned)      \
 	X(requests_left_unread)    \
