gate: a gate that stops says of all that it holds what was begun

What callers saw: when a node stopped at its time limit beside a server that stood still, bookings that waited at its gate were answered 504 at the end of their own time (20 s), though none had begun. Cause: a gate that stops refuses what waits only when its turn comes, and with no slot free it never does; the process then ended without a word on what it held, and without one an entry must take all of it for begun. Ruled out: answers lost on the way (the gate logged none).

A gate that begins to stop now refuses at once all that has not begun, as others may serve it, and at its end reads what has come meanwhile, refuses that, and says of the rest that it was begun; the socket gets 100 ms for these words to go out. Parked requests are refused as well when a server leaves; by the code they waited for their deadline there (read, not played).

--- a/net/peer.c
+++ b/net/peer.c
@@ -20,6 +20,7 @@
  */
 #define RECEIVE_QUEUE_MESSAGES 50000
 #define IDLE_CLOSE_MS 30000
+#define LAST_WORD_MS 100
 #define SWEEP_S 1.0
 
 struct peer_link {
@@ -314,6 +315,8 @@
 	p->context = zmq_ctx_new();
 	p->router = zmq_socket(p->context, ZMQ_ROUTER);
 	set_common(p->router);
+	/* A last word needs a moment to go out. */
+	set_int(p->router, ZMQ_LINGER, LAST_WORD_MS);
 	set_int(p->router, ZMQ_ROUTER_HANDOVER, 1);
 	p->links =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, link_free);
--- a/node/gate.c
+++ b/node/gate.c
@@ -177,14 +177,9 @@
 
 void gate_leave(struct gate *g)
 {
-	struct queued q;
-
 	g->backend_server.announced = false;
-	g->draining = true;
 	g_info("backend server leaves");
-	/* What it has not begun, others can: kept here it would only wait. */
-	while (queue_pop(&g->load.queue, &q))
-		gate_refuse(q.request, RESULT_NOT_OWNER);
+	gate_stop_taking(g);
 }
 
 uint32_t gate_shard_load(const struct gate *g, uint32_t shard)
--- a/node/gate.h
+++ b/node/gate.h
@@ -96,6 +96,18 @@
  */
 void gate_hold(struct gate *g, int64_t now_ms);
 
+/*
+ * Take nothing any more. What has not begun is refused, as others may serve it;
+ * what has begun goes on.
+ */
+void gate_stop_taking(struct gate *g);
+
+/*
+ * The process ends in a moment: say of all that is held what was begun and what
+ * was not. Whoever is not told would have to wait, and then take it for begun.
+ */
+void gate_say_last(struct gate *g);
+
 /*
  * The process at a peer address is gone, and its callers with it: what it asked
  * for and has not begun is refused.
--- a/node/node.c
+++ b/node/node.c
@@ -361,7 +361,7 @@
 	entry_drain(&n->entry);
 	/* Others can serve what needs no key; for a key there is only us. */
 	if (!n->gate.grants.n_shards || asked_ms >= NOTICE_MS)
-		n->gate.draining = true;
+		gate_stop_taking(&n->gate);
 	/* Callers are sent here until the platform has noticed. */
 	if (asked_ms < NOTICE_MS)
 		return;
@@ -464,7 +464,7 @@
 	n->stopping_ms = clock_now_ms();
 	if (keeps_backend(n))
 		return;
-	n->gate.draining = true;
+	gate_stop_taking(&n->gate);
 	member_set_wanted(&n->member, false, clock_now_ms());
 }
 
@@ -613,6 +613,7 @@
 void node_run(struct node *n)
 {
 	ev_run(n->loop, 0);
+	gate_say_last(&n->gate);
 }
 
 /* Release everything. */
