net: a connection that goes silent before it is set up is given up

A peer that is paused, or cut off between accepting a connection and greeting, held a link for the library's 30 s; while a host was away the kernel's pause between tries grew to many seconds. A request that timed out on such a link used to replace it. Now none is put on a link without a connection, so nobody would: the library itself gives up a try after 1 s and a greeting after 2 s.

/net/silent-setup: without the limits no second connection came within 15 s, with them after 2 s.

--- a/net/peer.c
+++ b/net/peer.c
@@ -11,6 +11,8 @@
 #define MAX_MESSAGE_BYTES (80 * 1024 * 1024)
 #define HEARTBEAT_INTERVAL_MS 1000
 #define HEARTBEAT_TIMEOUT_MS 2500
+#define CONNECT_TIMEOUT_MS 1000
+#define HANDSHAKE_TIMEOUT_MS 2000
 #define RECONNECT_MS 50
 #define RECONNECT_MAX_MS 1000
 #define QUEUE_MESSAGES 2000
@@ -60,6 +62,13 @@
 	 */
 	set_int(socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS);
 	set_int(socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
+	/*
+	 * The kernel's own pause between tries at a host that is away grows to
+	 * many seconds, and a peer that is paused or cut off before it has
+	 * answered the library's greeting would hold the link for half a minute.
+	 */
+	set_int(socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
+	set_int(socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS);
 	set_int(socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
 	set_int(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
 	zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max, sizeof(max));
--- a/t/test-net.c
+++ b/t/test-net.c
@@ -1,5 +1,9 @@
 #include <glib.h>
+#include <netinet/in.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
 
 #include "member/msg.h"
 #include "net/address.h"
@@ -353,6 +357,43 @@
 	g_string_free(got, TRUE);
 }
 
+static int listen_at(const char *address)
+{
+	struct timeval limit = { .tv_sec = 15 };
+	struct sockaddr_in addr;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int on = 1;
+
+	g_assert_cmpint(address_parse(address, &addr), ==, RESULT_OK);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	g_assert_cmpint(bind(fd, (struct sockaddr *)&addr, sizeof(addr)), ==,
+			0);
+	g_assert_cmpint(listen(fd, 4), ==, 0);
+	return fd;
+}
+
+/* A connection that goes silent before it is set up: nothing else replaces it. */
+static void test_silent_setup_is_given_up(void)
+{
+	struct peers p;
+	int first, second;
+	int fd = listen_at(OTHER_ADDRESS);
+
+	g_assert_cmpint(peers_init(&p, ev_default_loop(0), PEER_ADDRESS,
+				   on_peer_message, NULL),
+			==, RESULT_OK);
+	peers_send(&p, OTHER_ADDRESS, PLANE_REQUEST, "a", 1);
+	first = accept(fd, NULL, NULL);
+	g_assert_cmpint(first, >=, 0);
+	second = accept(fd, NULL, NULL);
+	g_assert_cmpint(second, >=, 0);
+	peers_finish(&p);
+	close(first);
+	close(second);
+	close(fd);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -363,6 +404,7 @@
 	g_test_add_func("/net/short-form", test_short_form);
 	g_test_add_func("/net/nothing-leaves",
 			test_nothing_leaves_without_connection);
+	g_test_add_func("/net/silent-setup", test_silent_setup_is_given_up);
 	g_test_add_func("/net/append-follows", test_append_follows);
 	g_test_add_func("/net/lost-answer-is-settled",
 			test_lost_answer_is_settled);
