--- a/node/entry-answer.c
+++ b/node/entry-answer.c
@@ -59,7 +59,7 @@
 		    event_text(r->class_name), event_text(r->service),
 		    r->version, p->keyed ? (int64_t)r->shard : -1,
 		    event_text(why), now - p->received_ms, p->deadline_ms - now,
-		    wait_ms, p->tries, p->reached, past_text(r));
+		    wait_ms, p->tries, plan_n_reached(p), past_text(r));
 }
 
 static double age_ms(const struct entry_request *r)
@@ -123,14 +123,24 @@
 	reply(r, 503, OUTCOME_NOT_RUN, wait_ms, text);
 }
 
+static const enum counter cause_counters[] = {
+#define CAUSE_COUNTER(name, text) COUNTER_unknown_##name,
+	PLAN_CAUSE_LIST(CAUSE_COUNTER)
+#undef CAUSE_COUNTER
+};
+
 /* Answer for good that it may have run. */
 void entry_reply_unknown(struct entry_request *r)
 {
+	enum plan_cause cause;
+
 	if (r->done)
 		return;
+	cause = plan_cause(plan_in_doubt(&r->plan));
 	COUNT(requests_unknown);
+	counters[cause_counters[cause]]++;
 	MEASURE(unknown_ms, age_ms(r));
-	note_end(r, EVENT_request_unknown, "no whole answer", -1);
+	note_end(r, EVENT_request_unknown, plan_cause_text(cause), -1);
 	reply(r, 504, OUTCOME_UNKNOWN, r->plan.repeatable ? MS_PER_S : -1,
 	      "no whole answer came; the request may have run\n");
 }
@@ -219,11 +229,10 @@
 	take_bytes(r, m);
 	if ((m->flags & REQ_FLAG_END) && !whole(r, m)) {
 		COUNT(answers_cut);
-		entry_forget_attempt(e, a);
-		entry_step(r, plan_failed(&r->plan, entry_budget(e, r->service),
-					  clock_now_ms()));
+		entry_end_attempt(r, a, ATTEMPT_EVENT_MIXED, RESULT_MIXED);
 		return;
 	}
+	plan_event(&r->plan, a->number, ATTEMPT_EVENT_ANSWERED);
 	entry_cancel_others(r, a);
 	note_answered(r, a, m->status);
 	if (a->hedge)
--- a/node/gate.c
+++ b/node/gate.c
@@ -181,14 +181,9 @@
 
 void gate_leave(struct gate *g)
 {
-	struct queued q;
-
 	g->backend_server.announced = false;
-	g->draining = true;
 	g_info("backend server leaves");
-	/* What it has not begun, others can: kept here it would only wait. */
-	while (queue_pop(&g->load.queue, &q))
-		gate_refuse(q.request, RESULT_NOT_OWNER);
+	gate_stop_taking(g);
 }
 
 uint32_t gate_shard_load(const struct gate *g, uint32_t shard)
@@ -286,7 +281,11 @@
 
 void gate_fail(struct gate_request *r, int result)
 {
-	struct request_msg m = { .type = REQ_FAILED, .number = result };
+	struct request_msg m = { .type = REQ_FAILED,
+				 .number = result,
+				 .flags = r->state == GATE_RUNNING
+						  ? REQ_FLAG_BEGUN
+						  : 0 };
 
 	EVENT(gate_failed, r->attempt_id,
 	      "\"why\":\"%s\",\"member\":%" PRId64 ",\"server_ms\":%" PRId64
--- a/t/test-net.c
+++ b/t/test-net.c
@@ -1,5 +1,9 @@
 #include <glib.h>
+#include <netinet/in.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
 
 #include "member/msg.h"
 #include "net/address.h"
@@ -351,6 +355,94 @@
 	ev_loop_destroy(loop);
 }
 
+#define PEER_ADDRESS "127.0.0.1:29873"
+#define OTHER_ADDRESS "127.0.0.1:29874"
+
+static void on_peer_message(void *user, enum peer_plane plane,
+			    const struct peer_source *from, const void *data,
+			    size_t len)
+{
+	GString *got = user;
+
+	(void)plane;
+	(void)from;
+	g_string_append_len(got, data, len);
+}
+
+/* The library would keep a request for a peer that is gone, and send it late. */
+static void test_nothing_leaves_without_connection(void)
+{
+	struct ev_loop *loop = ev_default_loop(0);
+	GString *got = g_string_new(NULL);
+	struct peers p, other;
+
+	g_assert_cmpint(peers_init(&p, loop, PEER_ADDRESS, on_peer_message,
+				   got),
+			==, RESULT_OK);
+	g_assert_cmpint(peers_send_tagged(&p, OTHER_ADDRESS, PLANE_REQUEST, 1,
+					  "a", 1),
+			==, RESULT_OK);
+	g_assert_cmpint(peers_send_tagged(&p, OTHER_ADDRESS, PLANE_REQUEST, 2,
+					  "b", 1),
+			==, RESULT_OK);
+	g_assert_cmpint(peers_send(&p, OTHER_ADDRESS, PLANE_REQUEST, "c", 1),
+			==, RESULT_OK);
+	g_assert_true(peers_is_waiting(&p, OTHER_ADDRESS, 1));
+	g_assert_true(peers_take_back(&p, OTHER_ADDRESS, 1));
+	g_assert_false(peers_take_back(&p, OTHER_ADDRESS, 1));
+	g_assert_cmpint(peers_init(&other, loop, OTHER_ADDRESS, on_peer_message,
+				   got),
+			==, RESULT_OK);
+	while (got->len < 2)
+		ev_run(loop, EVRUN_ONCE);
+	g_assert_cmpstr(got->str, ==, "bc");
+	g_assert_false(peers_take_back(&p, OTHER_ADDRESS, 2));
+	peers_finish(&other);
+	/* It has ended: known as soon as the library has noticed. */
+	while (!peers_send_tagged(&p, OTHER_ADDRESS, PLANE_REQUEST, 3, "d", 1))
+		ev_run(loop, EVRUN_NOWAIT);
+	g_assert_false(peers_is_waiting(&p, OTHER_ADDRESS, 3));
+	peers_finish(&p);
+	g_string_free(got, TRUE);
+}
+
+static int listen_at(const char *address)
+{
+	struct timeval limit = { .tv_sec = 15 };
+	struct sockaddr_in addr;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int on = 1;
+
+	g_assert_cmpint(address_parse(address, &addr), ==, RESULT_OK);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	g_assert_cmpint(bind(fd, (struct sockaddr *)&addr, sizeof(addr)), ==,
+			0);
+	g_assert_cmpint(listen(fd, 4), ==, 0);
+	return fd;
+}
+
+/* A connection that goes silent before it is set up: nothing else replaces it. */
+static void test_silent_setup_is_given_up(void)
+{
+	struct peers p;
+	int first, second;
+	int fd = listen_at(OTHER_ADDRESS);
+
+	g_assert_cmpint(peers_init(&p, ev_default_loop(0), PEER_ADDRESS,
+				   on_peer_message, NULL),
+			==, RESULT_OK);
+	peers_send(&p, OTHER_ADDRESS, PLANE_REQUEST, "a", 1);
+	first = accept(fd, NULL, NULL);
+	g_assert_cmpint(first, >=, 0);
+	second = accept(fd, NULL, NULL);
+	g_assert_cmpint(second, >=, 0);
+	peers_finish(&p);
+	close(first);
+	close(second);
+	close(fd);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -359,6 +451,9 @@
 	g_test_add_func("/net/address", test_address);
 	g_test_add_func("/net/hop-by-hop", test_hop_by_hop);
 	g_test_add_func("/net/short-form", test_short_form);
+	g_test_add_func("/net/nothing-leaves",
+			test_nothing_leaves_without_connection);
+	g_test_add_func("/net/silent-setup", test_silent_setup_is_given_up);
 	g_test_add_func("/net/append-follows", test_append_follows);
 	g_test_add_func("/net/link-gone", test_link_gone);
 	g_test_add_func("/net/lost-answer-is-settled",
