gate, node, net: waits on the way in are counted where they are spent

On a grown fleet a third of all requests took more than half of their target to reach their first server, and nothing said where: hop_ms, queue_ms, server_ms and loop_ms leave out the time at the entry, between a refusal and the next attempt, at a gate that refuses in the end, and without a connection to the server.

Histograms entry_ms, again_ms, parked_ms, in_vain_ms and connect_ms; the lines of traced requests carry the same (age_ms, parked_ms, connect_ms), so that the waits can be told apart by class as well. Nothing decides by them.

--- a/net/fetch.c
+++ b/net/fetch.c
@@ -289,6 +289,7 @@
 	if (f->send_by_ms && clock_now_ms() > f->send_by_ms)
 		return CURL_PREREQFUNC_ABORT;
 	f->sent = true;
+	f->sent_us = clock_now_us();
 	return CURL_PREREQFUNC_OK;
 }
 
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -52,6 +52,7 @@
 	long status;
 	bool head_done;
 	bool sent; /* some byte of the request may have left */
+	int64_t sent_us; /* when it had a connection */
 	int64_t send_by_ms; /* not to be sent later, 0 at any time */
 	int64_t open_by_ms; /* no connection to be opened later, 0 any time */
 	bool unopened; /* failed for the latter */
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -9,6 +9,7 @@
 
 #include "net/address.h"
 #include "net/ahead.h"
+#include "net/clock.h"
 #include "net/headers.h"
 #include "net/httpd.h"
 #include "util/counters.h"
@@ -169,6 +170,7 @@
 	struct httpd_request *r = g_new0(struct httpd_request, 1);
 
 	r->httpd = h;
+	r->read_us = clock_now_us();
 	r->body = g_byte_array_new();
 	ev_init(&r->watch, on_watch);
 	return r;
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -73,6 +73,7 @@
 	GPtrArray *headers; /* of one begun before its turn, else NULL */
 	bool in_socket; /* the same, and libmicrohttpd has not read it yet */
 	ev_io watch; /* for the caller's leaving, while suspended */
+	int64_t read_us; /* when its first line was read */
 	char *method;
 	char *path; /* decoded, without the query */
 	char *url; /* as it came, with the query */
--- a/node/entry-attempt.c
+++ b/node/entry-attempt.c
@@ -6,6 +6,7 @@
 #include "node/gate.h"
 #include "node/node.h"
 #include "util/event.h"
+#include "util/histogram.h"
 #include "util/result.h"
 
 /* Attempts at gates: messages that go out, and what is kept about them. */
@@ -106,22 +107,34 @@
 	m->len = r->http->body->len;
 }
 
+static void measure_waiting(const struct entry_request *r,
+			    const struct attempt *a)
+{
+	if (r->plan.tries == 1)
+		MEASURE(entry_ms, (a->sent_us - r->http->read_us) / 1000.0);
+	else if (r->refused_us)
+		MEASURE(again_ms, (a->sent_us - r->refused_us) / 1000.0);
+}
+
 static void note_sent(struct entry_request *r, const struct attempt *a,
 		      int64_t now)
 {
 	const struct gate_view *v = chooser_view(&r->entry->chooser, a->member);
 
+	measure_waiting(r, a);
 	if (!r->traced)
 		return;
 	EVENT(request_sent, r->attempt_id,
 	      "\"class\":\"%s\",\"service\":\"%s\",\"version\":%" PRId64
 	      ",\"gate\":%" PRId64 ",\"shard\":%" PRId64
 	      ",\"gate_load\":%.0f,\"gate_limit\":%.0f,\"slowness\":%.0f"
-	      ",\"heard_ms\":%" PRId64 ",\"left_ms\":%" PRId64 ",\"hedge\":%s",
+	      ",\"heard_ms\":%" PRId64 ",\"age_ms\":%" PRId64
+	      ",\"left_ms\":%" PRId64 ",\"hedge\":%s",
 	      event_text(r->class_name), event_text(r->service), r->version,
 	      a->member, r->plan.keyed ? (int64_t)r->shard : -1, v->load,
 	      v->limit, v->latency_ms, v->heard_ms ? now - v->heard_ms : -1,
-	      r->plan.deadline_ms - now, a->hedge ? "true" : "false");
+	      (a->sent_us - r->http->read_us) / 1000, r->plan.deadline_ms - now,
+	      a->hedge ? "true" : "false");
 }
 
 /* Ask a gate. Returns false when nothing was sent. */
--- a/node/entry-request.h
+++ b/node/entry-request.h
@@ -56,6 +56,7 @@
 	int64_t target_ms;
 	int64_t resend_window_ms;
 	int64_t last_member;
+	int64_t refused_us; /* last by a gate, 0 by none */
 	struct attempt *attempts[MAX_ATTEMPTS];
 	struct attempt *winner;
 	int64_t received_bytes;
--- a/node/entry.c
+++ b/node/entry.c
@@ -89,6 +89,7 @@
 	struct entry *e = r->entry;
 	int64_t now = clock_now_ms();
 
+	r->refused_us = clock_now_us();
 	if (m->number == RESULT_NOT_OWNER && r->plan.keyed)
 		entry_note_moved_on(r);
 	else if (m->number == RESULT_NOT_OWNER)
--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -87,10 +87,16 @@
 	return false;
 }
 
+static double connect_ms(const struct gate_request *r)
+{
+	return (r->fetch.sent_us - r->started_us) / 1000.0;
+}
+
 static void on_head(struct fetch *f)
 {
 	struct gate_request *r = f->user;
 
+	MEASURE(connect_ms, connect_ms(r));
 	r->gate->heard_ms = clock_now_ms();
 	if (f->status != STATUS_MISDIRECTED)
 		gate_connected(r->gate);
@@ -164,11 +170,11 @@
 		if (r->traced)
 			EVENT(gate_answered, r->attempt_id,
 			      "\"member\":%" PRId64 ",\"status\":%ld"
-			      ",\"server_ms\":%.0f,\"bytes\":%" PRId64
-			      ",\"sent_ms\":%" PRId64
+			      ",\"connect_ms\":%.0f,\"server_ms\":%.0f"
+			      ",\"bytes\":%" PRId64 ",\"sent_ms\":%" PRId64
 			      ",\"arrived_ms\":%" PRId64,
-			      g->node->member.self, f->status, ms, r->total,
-			      r->sent_ms, r->arrived_ms);
+			      g->node->member.self, f->status, connect_ms(r),
+			      ms, r->total, r->sent_ms, r->arrived_ms);
 		queue_learn_bytes(&g->load.queue, r->class_index, r->total);
 		send_part(r, true);
 		gate_request_free(r);
--- a/node/gate-park.c
+++ b/node/gate-park.c
@@ -2,6 +2,7 @@
 #include "node/gate-request.h"
 #include "node/node.h"
 #include "util/counters.h"
+#include "util/histogram.h"
 #include "util/result.h"
 
 /*
@@ -45,6 +46,8 @@
 {
 	g_ptr_array_remove(r->gate->parked, r);
 	r->state = GATE_WAITING;
+	r->parked_ms = clock_now_ms() - r->arrived_ms;
+	MEASURE(parked_ms, r->parked_ms);
 }
 
 void gate_park_tick(struct gate *g, int64_t now_ms)
--- a/node/gate-request.h
+++ b/node/gate-request.h
@@ -37,6 +37,7 @@
 	bool keyed;
 	int64_t shard;
 	int64_t arrived_ms;
+	int64_t parked_ms; /* how long it was parked */
 	int64_t started_us;
 	int64_t deadline_ms;
 	int64_t answer_by_ms; /* one not begun by then is refused */
--- a/node/gate.c
+++ b/node/gate.c
@@ -277,6 +277,7 @@
 		COUNT(gate_refused_overload);
 	queue_count(&r->gate->load.queue, r->class_index, true);
 	note_refused(r, result, m.wait_ms);
+	MEASURE(in_vain_ms, clock_now_ms() - r->arrived_ms);
 	gate_emit_for(r, &m);
 	gate_request_free(r);
 }
@@ -394,11 +395,13 @@
 		      "\"member\":%" PRId64
 		      ",\"server\":\"%s\",\"shard\":%" PRId64
 		      ",\"fence\":%" PRId64 ",\"queued_ms\":%" PRId64
+		      ",\"parked_ms\":%" PRId64
 		      ",\"running\":%u,\"left_ms\":%" PRId64
 		      ",\"sent_ms\":%" PRId64 ",\"arrived_ms\":%" PRId64,
 		      g->node->member.self, event_text(g->backend_server.id),
 		      r->keyed ? r->shard : -1, fence, now - r->arrived_ms,
-		      g->load.n_running, left_ms, r->sent_ms, r->arrived_ms);
+		      r->parked_ms, g->load.n_running, left_ms, r->sent_ms,
+		      r->arrived_ms);
 	fetch_start(&r->fetch, &g->fetcher, r->method, url, r->headers,
 		    r->body->data, r->body->len, left_ms + ANSWER_GRACE_MS,
 		    false, &gate_fetch_ops, r);
--- a/util/histogram.h
+++ b/util/histogram.h
@@ -15,8 +15,13 @@
 	X(answered_ms) /* a request, from its arrival to the answer */ \
 	X(refused_ms) /* the same, to the refusal */                   \
 	X(unknown_ms) /* the same, to giving up */                     \
+	X(entry_ms) /* at the entry, until a gate was asked */         \
+	X(again_ms) /* after a gate refused, until another was */      \
 	X(queue_ms) /* at the gate, before it was begun */             \
-	X(server_ms) /* at the backend server */                       \
+	X(parked_ms) /* of that, for a key on its way to the gate */   \
+	X(in_vain_ms) /* at the gate, before it was refused */         \
+	X(connect_ms) /* begun, until it had a connection */           \
+	X(server_ms) /* at the backend server, with connect_ms */      \
 	X(hop_ms) /* between nodes, beyond the fastest seen */         \
 	X(cancel_ms) /* the same for what takes a request back */      \
 	X(loop_ms) /* a round of the loop, without its waiting */      \
