gate: requests that wait are told in time that they have not run

What callers saw: bookings that waited at a gate until their time was over were answered 504, though they had not begun. The gate refuses what still waits 40 ms before its deadline, so that its word comes before the entry gives up; but it looked every 50 ms only, so that about one word in ten came too late, and every one of a burst at once. A timer now looks every 10 ms while anything waits.

--- a/node/gate.c
+++ b/node/gate.c
@@ -32,6 +32,8 @@
  * to say that it may have run.
  */
 #define WORD_MARGIN_MS 40
+/* A look at the queue: most of that margin is for the word's way back. */
+#define EXPIRY_S 0.01
 /*
  * Keys leave a data centre within about two heartbeats of 0.9 s; the platform's
  * bound on the last work there is 5 s.
@@ -81,6 +83,19 @@
 	g_free(r);
 }
 
+/* Those that wait and whose time is almost over get their word. */
+static void on_expiry(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct gate *g = w->data;
+	struct queued q;
+
+	(void)events;
+	while (queue_pop_expired(&g->load.queue, clock_now_ms(), &q))
+		gate_refuse(q.request, RESULT_TIMEOUT);
+	if (!g->load.queue.heap->len)
+		ev_timer_stop(loop, w);
+}
+
 /* Set up a gate whose backend server has not announced itself yet. */
 void gate_init(struct gate *g, struct node *node)
 {
@@ -94,6 +109,9 @@
 	g->entries = g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
 					   (GDestroyNotify)g_bytes_unref,
 					   g_free);
+	ev_init(&g->expiry, on_expiry);
+	g->expiry.repeat = EXPIRY_S;
+	g->expiry.data = g;
 	ev_init(&g->watch, gate_on_watch);
 	g->watch.repeat = WATCH_S;
 	g->watch.data = g;
@@ -133,6 +151,7 @@
 	admission_finish(&g->load);
 	ids_finish(&g->ids);
 	ev_timer_stop(g->node->loop, &g->watch);
+	ev_timer_stop(g->node->loop, &g->expiry);
 	grants_finish(&g->grants);
 	balance_finish(&g->balance);
 	g_hash_table_unref(g->class_indexes);
@@ -603,6 +622,8 @@
 		gate_refuse(r, RESULT_OVERLOAD);
 		return;
 	}
+	if (!ev_is_active(&g->expiry))
+		ev_timer_again(g->node->loop, &g->expiry);
 	r->promised_bytes = admission_promise(&g->load, &q);
 	if (victim) {
 		struct gate_request *v = victim->request;
@@ -698,7 +719,7 @@
 	node_backend_left(g->node);
 }
 
-/* Timed duties: probes, queue deadlines, the backend server gone. */
+/* Timed duties: probes, overtaken requests, the backend server gone. */
 void gate_tick(struct gate *g)
 {
 	int64_t now = clock_now_ms();
@@ -707,8 +728,6 @@
 	if (!g->fetcher_ready)
 		return;
 	gate_follow_configuration(g);
-	while (queue_pop_expired(&g->load.queue, now, &q))
-		gate_refuse(q.request, RESULT_TIMEOUT);
 	while (admission_overtaken(&g->load, now, &q)) {
 		COUNT(gate_refused_overtaken);
 		gate_refuse(q.request, RESULT_OVERLOAD);
--- a/node/gate.h
+++ b/node/gate.h
@@ -64,6 +64,7 @@
 	struct fetch probe;
 	bool probing;
 	ev_timer watch; /* runs while requests are in flight */
+	ev_timer expiry; /* runs while requests wait */
 	int64_t next_stall_note_ms;
 	GHashTable *entries; /* GBytes identity -> int64_t last heard */
 	GRand *rand;
