--- a/member/propose.c
+++ b/member/propose.c
@@ -20,7 +20,7 @@
 /* Of the records between snapshots: how much longer the next by rank waits. */
 #define SNAPSHOT_RANK_SHARE 8
 #define LOG_WITNESSED_LAPSES 2
-/* What a record carries, before it is compressed; the store bounds it. */
+/* What a record may take once it is compressed; the store bounds it. */
 #define CHANGES_MAX_BYTES (192 * 1024)
 /*
  * After another's append came first: read it, then decide again. Whole fleets
