member, node: moves that are not settled are shown

A service of which one move is not settled is never balanced: a node that comes back is given nothing. Nothing showed which shard it was, nor for how long.

/status and /metrics give the number of such moves and how long the oldest has waited, the event move_unsettled names its shard, predecessors and what was cleared of them, every five seconds. Hypotheses that it tells apart: a predecessor that is not answering (cleared lacks its bits and state is waiting), an owner that has everything and does not write it down (all bits set), and an answer that is dropped (state held, bits missing).

--- a/member/holds.c
+++ b/member/holds.c
@@ -7,6 +7,7 @@
 
 #define ASK_INTERVAL_MS 200
 #define HAND_OVER_MS 1000
+#define NOTE_UNSETTLED_MS 5000
 #define IDS_PER_ENTRY 4
 
 struct shard *holds_shard(const struct member_node *n, uint32_t i)
@@ -488,14 +489,58 @@
 	return true;
 }
 
+static void follow_settling(struct member_node *n, uint32_t i)
+{
+	struct hold *h = &n->holds[i];
+
+	if (holds_shard(n, i)->owner != n->self || holds_cleared(n, i))
+		h->unsettled_since_ms = 0;
+	else if (!h->unsettled_since_ms)
+		h->unsettled_since_ms = n->now_ms;
+}
+
+struct unsettled member_unsettled(const struct member_node *n)
+{
+	struct unsettled out = { 0 };
+	uint32_t i;
+
+	for (i = 0; n->self && i < n->n_holds; i++) {
+		int64_t since_ms = n->holds[i].unsettled_since_ms;
+
+		if (!since_ms)
+			continue;
+		out.n++;
+		if (out.since_ms && out.since_ms <= since_ms)
+			continue;
+		out.since_ms = since_ms;
+		out.shard = i;
+	}
+	return out;
+}
+
+static void note_unsettled(struct member_node *n)
+{
+	struct unsettled u;
+
+	if (n->now_ms < n->next_unsettled_ms)
+		return;
+	n->next_unsettled_ms = n->now_ms + NOTE_UNSETTLED_MS;
+	u = member_unsettled(n);
+	if (u.n && n->now_ms - u.since_ms >= NOTE_UNSETTLED_MS)
+		member_note(n, NOTE_UNSETTLED, u.shard);
+}
+
 /* Bring every hold in line with the state, the proofs and the lease. */
 void holds_tick(struct member_node *n)
 {
 	uint32_t i;
 
 	holds_resize(n);
-	for (i = 0; i < n->n_holds; i++)
+	for (i = 0; i < n->n_holds; i++) {
 		update(n, i);
+		follow_settling(n, i);
+	}
+	note_unsettled(n);
 	if (n->releases->len)
 		tell_released(n);
 	if (n->self && n->now_ms >= n->next_ask_ms) {
--- a/member/member.h
+++ b/member/member.h
@@ -68,6 +68,14 @@
 	int64_t busy_until_ms;
 	int64_t blind_since_ms; /* ids from before are not known; 0 none */
 	int64_t held_since_ms;
+	int64_t unsettled_since_ms; /* its predecessors are waited for; 0 not */
+};
+
+/* Moves to us whose predecessors have not all said that they stopped. */
+struct unsettled {
+	uint32_t n;
+	uint32_t shard; /* the one that waits longest */
+	int64_t since_ms; /* 0: none waits */
 };
 
 /* Our side of one witness of ours. */
@@ -118,6 +126,8 @@
 
 /* What member_ops.note says of a member found to have stopped. */
 #define NOTE_STOPPED "known to have stopped"
+/* What it says, every few seconds, of a shard whose move is not settled. */
+#define NOTE_UNSETTLED "move not settled of shard"
 /* And of our own lease. */
 #define NOTE_LEASE_GAINED "lease gained"
 #define NOTE_LEASE_LAPSED "lease lapsed"
@@ -181,6 +191,7 @@
 	int64_t next_join_ms;
 	int64_t next_ask_ms;
 	int64_t next_resign_ms;
+	int64_t next_unsettled_ms; /* when an unsettled move is noted again */
 	GArray *handed; /* int64_t heirs that have our ids */
 	/* int64_t earlier incarnations of this host, seen to go */
 	GArray *own_before;
@@ -362,6 +373,12 @@
  */
 bool member_holds(const struct member_node *n, uint32_t shard, int64_t *fence);
 
+/*
+ * The moves to us that are not settled. While there is one, nothing of the
+ * service is balanced.
+ */
+struct unsettled member_unsettled(const struct member_node *n);
+
 /* Whether a shard is ours by the log, and others may still be serving it. */
 bool member_awaits(const struct member_node *n, uint32_t shard);
 
--- a/node/node.c
+++ b/node/node.c
@@ -138,6 +138,24 @@
 	ids_import(&n->gate.ids, entry, clock_now_ms());
 }
 
+static void tell_unsettled(const struct node *n, uint32_t shard)
+{
+	const struct member_node *m = &n->member;
+	const struct fleet_service *s =
+		fleet_service(&m->fleet, n->settings.service);
+	const struct shard *sh = &s->shards[shard];
+	struct unsettled u = member_unsettled(m);
+
+	EVENT(move_unsettled, NULL,
+	      "\"shards\":%u,\"ms\":%" PRId64 ",\"shard\":%u"
+	      ",\"fence\":%" PRId64 ",\"state\":%d,\"cleared\":%u"
+	      ",\"from\":%" PRId64 ",\"from_successor\":%" PRId64
+	      ",\"earlier_from\":%" PRId64 ",\"earlier_successor\":%" PRId64,
+	      u.n, clock_now_ms() - u.since_ms, shard, sh->fence,
+	      m->holds[shard].state, m->holds[shard].clear, sh->from,
+	      sh->from_successor, sh->earlier_from, sh->earlier_successor);
+}
+
 static void op_note(void *user, const char *what, int64_t subject)
 {
 	struct node *n = user;
@@ -154,6 +172,8 @@
 		EVENT(member_stopped, NULL,
 		      "\"member\":%" PRId64 ",\"applied\":%" PRId64, subject,
 		      n->member.fleet.applied);
+	else if (!strcmp(what, NOTE_UNSETTLED))
+		tell_unsettled(n, (uint32_t)subject);
 	else if (!strcmp(what, NOTE_CAUGHT_UP))
 		EVENT(caught_up, NULL,
 		      "\"with\":%" PRId64 ",\"applied\":%" PRId64
--- a/node/operator.c
+++ b/node/operator.c
@@ -52,6 +52,11 @@
 	return count;
 }
 
+static int64_t unsettled_ms(const struct unsettled *u)
+{
+	return u->n ? clock_now_ms() - u->since_ms : 0;
+}
+
 static json_t *members_json(const struct node *n)
 {
 	json_t *list = json_array();
@@ -104,28 +109,32 @@
 {
 	const struct member_node *m = &n->member;
 	int64_t lease = member_lease_end_ms(m) - clock_now_ms();
+	struct unsettled unsettled = member_unsettled(m);
 
-	reply_json(r, 200,
-		   json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:b,s:b,s:i,s:i,s:i,"
-			     "s:f,s:o,s:o,s:o}",
-			     "host", n->settings.host, "data_centre",
-			     n->settings.data_centre, "service",
-			     n->settings.service, "member", (json_int_t)m->self,
-			     "applied", (json_int_t)m->fleet.applied,
-			     "configuration_version",
-			     (json_int_t)m->fleet.configuration_version,
-			     "lease", lease > 0, "log_up",
-			     log_client_up(&n->log), "shards_held", held(n),
-			     "links", peers_n_links(&n->peers), "in_flight",
-			     n->gate.load.n_running, "limit",
-			     n->gate.load.limit.now, "members", members_json(n),
-			     "data_centres", data_centres_json(n), "counters",
-			     counters_json()));
+	reply_json(
+		r, 200,
+		json_pack(
+			"{s:s,s:s,s:s,s:I,s:I,s:I,s:b,s:b,s:i,s:i,s:I,s:i,s:i,"
+			"s:f,s:o,s:o,s:o}",
+			"host", n->settings.host, "data_centre",
+			n->settings.data_centre, "service", n->settings.service,
+			"member", (json_int_t)m->self, "applied",
+			(json_int_t)m->fleet.applied, "configuration_version",
+			(json_int_t)m->fleet.configuration_version, "lease",
+			lease > 0, "log_up", log_client_up(&n->log),
+			"shards_held", held(n), "moves_unsettled", unsettled.n,
+			"moves_unsettled_ms",
+			(json_int_t)unsettled_ms(&unsettled), "links",
+			peers_n_links(&n->peers), "in_flight",
+			n->gate.load.n_running, "limit", n->gate.load.limit.now,
+			"members", members_json(n), "data_centres",
+			data_centres_json(n), "counters", counters_json()));
 }
 
 static void get_metrics(struct node *n, struct httpd_request *r)
 {
 	GString *text = g_string_new(NULL);
+	struct unsettled unsettled = member_unsettled(&n->member);
 
 	counters_text(text);
 	histograms_text(text);
@@ -137,14 +146,16 @@
 		"configuration_source %" PRId64 "\n"
 		"published_source %" PRId64 "\n"
 		"members %u\nshards_held %u\nlease %d\n"
+		"moves_unsettled %u\nmoves_unsettled_ms %" PRId64 "\n"
 		"in_flight %u\nwaiting %u\nlimit %.1f\n"
 		"backend_latency_us %.0f\n",
 		n->member.fleet.applied, n->member.fleet.configuration_version,
 		n->member.fleet.configuration.n_classes, n->member.fleet.source,
 		n->member.published_source, fleet_n_members(&n->member.fleet),
 		held(n), member_lease_end_ms(&n->member) > clock_now_ms(),
-		n->gate.load.n_running, n->gate.load.queue.heap->len,
-		n->gate.load.limit.now, n->gate.load.limit.recent_ms * 1000);
+		unsettled.n, unsettled_ms(&unsettled), n->gate.load.n_running,
+		n->gate.load.queue.heap->len, n->gate.load.limit.now,
+		n->gate.load.limit.recent_ms * 1000);
 	httpd_reply(r, 200, NULL, text->str, text->len);
 	g_string_free(text, TRUE);
 }
--- a/util/event.h
+++ b/util/event.h
@@ -36,6 +36,7 @@
 	X(lease_gained, 10, 20)              \
 	X(lease_lapsed, 10, 20)              \
 	X(member_stopped, 20, 50)            \
+	X(move_unsettled, 1, 5)              \
 	X(shards_given, 5, 10)               \
 	X(request_sent, 20, 40)              \
 	X(request_answered, 20, 40)          \
