member: who serves a shard hears its predecessors as well

Cause: a move is settled once its owner knows that those before it stopped. Taking a data centre out also renames heirs, of shards whose last move is not settled as well. The shard's fence is then a new one, what was cleared under the one before is forgotten, and the owner asks the predecessors of the earlier move once more, every 200 ms. They answer; but the answers are not looked at for a shard that is being served. The move stays unsettled for good, and no shard of a service is balanced while one is unsettled.

Ruled out: a settling that is not written down (no append is pending and the owner keeps its lease), a predecessor that does not answer (it does).

Why it works: what a release clears belongs to a fence and is as true of a shard that is served; only what tells of ids is still for those who wait. Asked again, both predecessors answer within a tick.

--- a/member/holds.c
+++ b/member/holds.c
@@ -262,16 +262,20 @@
 		let_go(n, i);
 }
 
+/* What was cleared for one move says nothing of the next. */
+static void follow_fence(struct hold *h, const struct shard *sh)
+{
+	if (h->fence == sh->fence)
+		return;
+	h->fence = sh->fence;
+	h->clear = 0;
+}
+
 static void update(struct member_node *n, uint32_t i)
 {
-	struct hold *h = &n->holds[i];
-	const struct shard *sh = holds_shard(n, i);
 	uint8_t step;
 
-	if (h->fence != sh->fence) {
-		h->fence = sh->fence;
-		h->clear = 0;
-	}
+	follow_fence(&n->holds[i], holds_shard(n, i));
 	if (entitled(n, i, &step))
 		update_entitled(n, i, step);
 	else
@@ -620,6 +624,22 @@
 	}
 }
 
+static void learn_ids(const struct shard *sh, struct hold *h,
+		      const struct member_msg *msg)
+{
+	if (!(msg->flags & RELEASE_HAS_IDS))
+		return;
+	if (msg->from == sh->from) {
+		h->has_ids = true;
+		h->blind_since_ms = 0;
+	}
+	if (msg->from == sh->owner) {
+		h->ids_from = msg->from;
+		h->ids_fence = sh->fence;
+		h->blind_since_ms = 0;
+	}
+}
+
 static void on_shard_released(struct member_node *n, uint32_t i,
 			      const struct member_msg *msg)
 {
@@ -628,27 +648,21 @@
 	struct predecessors p[MAX_PREDECESSORS];
 	uint32_t k;
 
-	if (h->fence != sh->fence) {
-		h->fence = sh->fence;
-		h->clear = 0;
-	}
+	follow_fence(h, sh);
 	/* A leaving owner's word that the record of its leaving overtook. */
 	if ((msg->flags & RELEASE_HAS_IDS) && sh->owner == n->self &&
 	    msg->from == h->owner_before) {
 		h->has_ids = true;
 		h->blind_since_ms = 0;
 	}
-	if (msg->offset < sh->fence || h->state == HOLD_HELD)
+	if (msg->offset < sh->fence)
 		return;
-	if ((msg->flags & RELEASE_HAS_IDS) && msg->from == sh->from) {
-		h->has_ids = true;
-		h->blind_since_ms = 0;
-	}
-	if ((msg->flags & RELEASE_HAS_IDS) && msg->from == sh->owner) {
-		h->ids_from = msg->from;
-		h->ids_fence = sh->fence;
-		h->blind_since_ms = 0;
-	}
+	if (h->state != HOLD_HELD)
+		learn_ids(sh, h, msg);
+	/*
+	 * Also of a shard that is served: when it is named another heir before
+	 * its move is settled, its predecessors are asked once more.
+	 */
 	predecessors_of(sh, p);
 	for (k = 0; k < MAX_PREDECESSORS; k++) {
 		if (msg->from == p[k].from)
--- a/t/test-schedules.c
+++ b/t/test-schedules.c
@@ -276,6 +276,48 @@
 	g_assert_cmpuint(without, >, 0);
 }
 
+/* Runs until the log names b as the owner of shard 0, and b serves it. */
+static void move_and_serve(struct sim *s, int64_t b, int64_t heir)
+{
+	int64_t end = s->now + 5000;
+
+	sim_append_move(s, 0, b, heir);
+	while (s->now < end && sim_server(s, 0) != sim_slot(s, b))
+		sim_step(s);
+	g_assert_cmpint(sim_server(s, 0), ==, sim_slot(s, b));
+}
+
+/* An owner is named another heir after it took a shard, and before it settled
+ * that. */
+static void test_heir_before_settling(void)
+{
+	uint32_t seed;
+
+	for (seed = 1; seed <= 20; seed++) {
+		const struct shard *sh;
+		int64_t a, heir, b, c;
+		struct sim s;
+
+		start_quietly(&s, seed, 0);
+		sh = fleet_service(sim_newest(&s), "records")->shards;
+		a = sh->owner;
+		heir = sh->successor;
+		b = sim_other_member(&s, a, heir, 0);
+		c = sim_other_member(&s, a, heir, b);
+		s.nodes[sim_slot(&s, b)].log_cut = true;
+		move_and_serve(&s, b, c);
+		sim_configure(&s,
+			      s.nodes[sim_slot(&s, c)].member.me.data_centre);
+		sim_run(&s, 1000);
+		s.nodes[sim_slot(&s, b)].log_cut = false;
+		sim_run(&s, 20000);
+		sh = fleet_service(sim_newest(&s), "records")->shards;
+		g_assert_cmpint(sh->from, ==, 0);
+		g_assert_cmpuint(s.breaches, ==, 0);
+		sim_finish(&s);
+	}
+}
+
 static void set_witnesses(struct sim *s, const struct member *m,
 			  const int64_t *ids)
 {
@@ -726,6 +768,8 @@
 	g_test_add_func("/schedule/unheard-heir", test_unheard_heir);
 	g_test_add_func("/schedule/unread-change-to-the-log",
 			test_unread_change_to_the_log);
+	g_test_add_func("/schedule/heir-before-settling",
+			test_heir_before_settling);
 	g_test_add_func("/schedule/returning-witness", test_returning_witness);
 	return g_test_run();
 }
