member, state: a change of witnesses whose new ones end is made anew

What callers would see: a node whose witnesses change while some of them are ending keeps its keys for ever where they moved away, and loses them all when the log goes away though its hosts are there; nothing of its service is balanced any more.

Cause: a change of witnesses is settled once the new ones have vouched for all that the old ones lent. When most of the new ones end before that, or have promised to give no vouch, this never comes, and while it stands no other change was taken. The member lives by its old witnesses, the log itself where it was one of the first; what it gives up it may not let go, as its witnesses can never all know of it.

Ruled out: that settling is not proposed (it is held back by the change), that the member has no lease (it has one by the old set).

Why it works: until a change is settled the member counts on the old set alone, so the new one can be replaced. Whoever takes over by a view of the set between needs stops of the old one too; before the second change is settled a majority of the old set knows of it, and a promise names what its giver knew.

--- a/member/internal.h
+++ b/member/internal.h
@@ -51,6 +51,8 @@
 void lease_prepare_settle(struct member_node *n, const struct member *m);
 bool lease_covers_lent(const struct member_node *n, const struct member *m);
 bool lease_is_lost(const struct member_node *n);
+bool lease_may_come_from(const struct member_node *n,
+			 const struct witness_set *w);
 bool lease_witnesses_applied(const struct member_node *n,
 			     const struct witness_set *w, int64_t offset);
 
--- a/member/lease.c
+++ b/member/lease.c
@@ -171,6 +171,26 @@
 	       set_is_lost(n, &m->old_witnesses);
 }
 
+/*
+ * Whether a majority of a set may yet vouch: processes that are there and have
+ * not promised to give no vouch again.
+ */
+bool lease_may_come_from(const struct member_node *n,
+			 const struct witness_set *w)
+{
+	uint32_t able = 0;
+	uint32_t i;
+
+	for (i = 0; i < w->n; i++) {
+		struct vouch *v = find_vouch(n, w->id[i]);
+
+		able += w->id[i] == LOG_WITNESS ||
+			(fleet_member_by_process(&n->fleet, w->id[i]) &&
+			 !(v && v->denied));
+	}
+	return able >= w->n / 2 + 1;
+}
+
 /*
  * Whether a majority of a set reported, while still vouching, that it applied
  * the record at offset. A successor then cannot gather a proof from that set
--- a/member/propose.c
+++ b/member/propose.c
@@ -324,7 +324,10 @@
 	const struct member *m = fleet_member(&n->fleet, n->self);
 	struct witness_set w;
 
-	if (!m || m->old_witnesses.n || n->resigning || !lease_valid(n))
+	if (!m || n->resigning || !lease_valid(n))
+		return;
+	/* The new ones have to vouch before a change is settled. */
+	if (m->old_witnesses.n && lease_may_come_from(n, &m->witnesses))
 		return;
 	if (!witness_unfit(n, m)) {
 		n->next_append_ms[APPEND_WITNESSES] =
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -467,11 +467,13 @@
 		return RESULT_INVALID;
 	/*
 	 * Until the member settles, its old set still counts beside the new
-	 * one. A second change before that would leave a third set out.
+	 * one, which is kept by a second change before that: the set between
+	 * was never served by, and goes.
 	 */
-	if (m->witness_offset != number(r, "base") || m->old_witnesses.n)
+	if (m->witness_offset != number(r, "base"))
 		return RESULT_STALE;
-	m->old_witnesses = m->witnesses;
+	if (!m->old_witnesses.n)
+		m->old_witnesses = m->witnesses;
 	m->witnesses = w;
 	m->witness_offset = offset;
 	emit_member(f, FLEET_WITNESSES_CHANGED, offset, m, r, "witnesses");
--- a/t/sim.c
+++ b/t/sim.c
@@ -674,6 +674,30 @@
 }
 
 /* Step until every shard is served; false when that takes too long. */
+/* Whether the log says of every move that nobody before still serves. */
+static bool all_settled(struct sim *s)
+{
+	struct fleet_service *sv = fleet_service(sim_newest(s), "records");
+	uint32_t i;
+
+	for (i = 0; sv && i < sv->n_shards; i++)
+		if (sv->shards[i].from)
+			return false;
+	return sv;
+}
+
+bool sim_settle(struct sim *s, int64_t max_ms)
+{
+	int64_t end = s->now + max_ms;
+
+	while (s->now < end) {
+		sim_step(s);
+		if (all_settled(s))
+			return true;
+	}
+	return false;
+}
+
 bool sim_converge(struct sim *s, int64_t max_ms)
 {
 	int64_t end = s->now + max_ms;
--- a/t/sim.h
+++ b/t/sim.h
@@ -144,6 +144,8 @@
 int sim_server(struct sim *s, uint32_t shard);
 void sim_print(struct sim *s);
 bool sim_converge(struct sim *s, int64_t max_ms);
+/* Step until every move is settled; without that nothing is balanced. */
+bool sim_settle(struct sim *s, int64_t max_ms);
 int64_t sim_local(const struct sim_node *nd);
 void sim_kill_all(struct sim *s, bool servers, int64_t down_ms);
 
--- a/t/test-member.c
+++ b/t/test-member.c
@@ -65,6 +65,9 @@
 			g_error("seed %u: %u shards unserved", first_seed + i,
 				sim_unserved(&s));
 		}
+		if (!sim_settle(&s, 60000))
+			g_error("seed %u: a move is never settled",
+				first_seed + i);
 		if (s.breaches)
 			g_error("seed %u: two owners once healed",
 				first_seed + i);
--- a/t/test-schedules.c
+++ b/t/test-schedules.c
@@ -381,6 +381,36 @@
 	}
 }
 
+/* Most of the witnesses that a member changes to end before they have vouched. */
+static void test_new_witnesses_end(void)
+{
+	uint32_t seed;
+
+	for (seed = 1; seed <= 10; seed++) {
+		const struct member *m;
+		struct sim s;
+		int64_t id, ids[3];
+
+		start_quietly(&s, seed, 0);
+		id = s.nodes[0].member.self;
+		m = fleet_member(sim_newest(&s), id);
+		other_witnesses(&s, m, ids);
+		sim_kill(&s, sim_slot_of_process(&s, ids[0]));
+		sim_kill(&s, sim_slot_of_process(&s, ids[1]));
+		sim_append(&s, record_witnesses(id, m->witness_offset,
+						&(struct witness_set){
+							.n = 3,
+							.id = { ids[0], ids[1],
+								ids[2] } }));
+		sim_run(&s, 30000);
+		m = fleet_member(sim_newest(&s), id);
+		g_assert_nonnull(m);
+		g_assert_cmpuint(m->old_witnesses.n, ==, 0);
+		g_assert_cmpuint(s.breaches, ==, 0);
+		sim_finish(&s);
+	}
+}
+
 /*
  * A member's witnesses change, as they do whenever one of their hosts restarts.
  * The new ones have not vouched yet. If that ended the lease until they are
@@ -768,6 +798,7 @@
 	g_test_add_func("/schedule/unheard-heir", test_unheard_heir);
 	g_test_add_func("/schedule/unread-change-to-the-log",
 			test_unread_change_to_the_log);
+	g_test_add_func("/schedule/new-witnesses-end", test_new_witnesses_end);
 	g_test_add_func("/schedule/heir-before-settling",
 			test_heir_before_settling);
 	g_test_add_func("/schedule/returning-witness", test_returning_witness);
