gate: a request that is set aside leaves its place when the gate stops

What callers saw: a node is stopped while requests of an entry that was killed are set aside at its gate, and its process ends by a signal; what it was still working on gets no answer.

Cause: taking a request out of where it waits stood three times, and the copy for a gate that stops did not know of those that are set aside. It counted one request less as running and left a pointer to freed memory behind, which the next tick followed.

Why it works: there is one function that knows where a request is in each of its states, and all who take one out call it.

--- a/node/gate-request.h
+++ b/node/gate-request.h
@@ -64,6 +64,8 @@
 const struct header_names *gate_names(const struct gate_request *r);
 void gate_request_free(struct gate_request *r);
 void gate_emit_for(struct gate_request *r, struct request_msg *m);
+/* Take a request from where it waits or runs, to be answered or freed. */
+void gate_take_out(struct gate_request *r);
 void gate_fail(struct gate_request *r, int result);
 
 /* node/gate-ids.c */
--- a/node/gate-stop.c
+++ b/node/gate-stop.c
@@ -10,20 +10,6 @@
 	return r->state == GATE_RUNNING && r->fetch.sent;
 }
 
-static void set_aside(struct gate_request *r)
-{
-	struct gate *g = r->gate;
-
-	if (r->state == GATE_PARKED) {
-		gate_unpark(r);
-	} else if (r->state == GATE_WAITING) {
-		queue_remove(&g->load.queue, r);
-	} else {
-		fetch_cancel(&r->fetch);
-		admission_cancelled(&g->load);
-	}
-}
-
 /* Any request that may be refused, NULL when there is none. */
 static struct gate_request *find_unbegun(const struct gate *g, bool running_too)
 {
@@ -46,7 +32,7 @@
 	struct gate_request *r;
 
 	while ((r = find_unbegun(g, running_too))) {
-		set_aside(r);
+		gate_take_out(r);
 		gate_refuse(r, RESULT_NOT_OWNER);
 	}
 }
@@ -70,7 +56,7 @@
 	refuse_unbegun(g, true);
 	while (g_hash_table_iter_init(&it, g->requests),
 	       g_hash_table_iter_next(&it, &key, NULL)) {
-		set_aside(key);
+		gate_take_out(key);
 		gate_fail(key, RESULT_CUT);
 	}
 }
--- a/node/gate-take-back.c
+++ b/node/gate-take-back.c
@@ -48,21 +48,11 @@
 	      g->node->member.self, state_name(r->state),
 	      r->repeatable ? "true" : "false", clock_now_ms() - r->arrived_ms,
 	      late_ms, r->sent_ms, r->arrived_ms);
-	if (r->state == GATE_PARKED) {
-		gate_unpark(r);
-	} else if (r->state == GATE_CUT) {
-		gate_bring_back(r);
-	} else if (r->state == GATE_WAITING) {
-		queue_remove(&g->load.queue, r);
-	} else {
-		fetch_cancel(&r->fetch);
-		admission_cancelled(&g->load);
-		if (r->seen_hash && !r->fetch.sent)
-			ids_forget(&g->ids, r->seen_hash);
-		else if (r->seen_hash)
-			ids_end(&g->ids, r->seen_hash, SEEN_UNKNOWN, 0, NULL,
-				NULL, 0);
-	}
+	if (r->state == GATE_RUNNING && r->seen_hash && !r->fetch.sent)
+		ids_forget(&g->ids, r->seen_hash);
+	else if (r->state == GATE_RUNNING && r->seen_hash)
+		ids_end(&g->ids, r->seen_hash, SEEN_UNKNOWN, 0, NULL, NULL, 0);
+	gate_take_out(r);
 	gate_request_free(r);
 	gate_pump(g);
 }
@@ -109,12 +99,7 @@
 
 		if (r->state == GATE_RUNNING || !came_from(r, address))
 			continue;
-		if (r->state == GATE_PARKED)
-			gate_unpark(r);
-		else if (r->state == GATE_CUT)
-			gate_bring_back(r);
-		else
-			queue_remove(&g->load.queue, r);
+		gate_take_out(r);
 		gate_refuse(r, RESULT_UNREACHABLE);
 	}
 	g_list_free(all);
--- a/node/gate.c
+++ b/node/gate.c
@@ -83,6 +83,27 @@
 	g_free(r);
 }
 
+void gate_take_out(struct gate_request *r)
+{
+	struct gate *g = r->gate;
+
+	switch (r->state) {
+	case GATE_WAITING:
+		queue_remove(&g->load.queue, r);
+		break;
+	case GATE_PARKED:
+		gate_unpark(r);
+		break;
+	case GATE_CUT:
+		gate_bring_back(r);
+		break;
+	case GATE_RUNNING:
+		fetch_cancel(&r->fetch);
+		admission_cancelled(&g->load);
+		break;
+	}
+}
+
 /* Those that wait and whose time is almost over get their word. */
 static void on_expiry(struct ev_loop *loop, ev_timer *w, int events)
 {
