node: a gate that stops waits until its last words have been read

What callers saw: a node stops beside a server that stands still.

Cause: the process closed its links right after its last words. Others go on sending over them, and a connection closed with unread bytes is reset. The other end's library reads 8 KiB at a time, notices the reset next, and drops what it has not read: 12 words of some 650 bytes each are what fits. And until the socket was closed requests still came in that nobody looked at.

Why it works: after the last words comes one that each entry answers, over the same link, and the process reads on until all have or half a second is over. What comes meanwhile is refused, and its entry asked to answer once more. An entry that has read it sends that process nothing more.

--- a/node/entry-attempt.c
+++ b/node/entry-attempt.c
@@ -65,6 +65,17 @@
 	send_small(e, a, REQ_CREDIT, bytes);
 }
 
+void entry_send_heard(struct entry *e, const char *address)
+{
+	struct request_msg m = { .type = REQ_HEARD, .origin = e->origin };
+	GByteArray *out = g_byte_array_sized_new(128);
+
+	request_msg_encode(&m, out);
+	peers_send(&e->node->peers, address, PLANE_REQUEST, out->data,
+		   out->len);
+	g_byte_array_unref(out);
+}
+
 void entry_note_left(struct attempt *a)
 {
 	struct entry_request *r = a->request;
@@ -197,7 +208,8 @@
 	id = a->id;
 	note_sent(r, a, now);
 	/* Our own gate may answer, and end the request, before this returns. */
-	err = deliver(e, a, &m);
+	err = chooser_view(&e->chooser, member)->ended ? RESULT_UNREACHABLE
+						       : deliver(e, a, &m);
 	if (!err)
 		return RESULT_OK;
 	a = g_hash_table_lookup(e->attempts, &id);
--- a/node/entry.c
+++ b/node/entry.c
@@ -159,6 +159,16 @@
 					 : ATTEMPT_EVENT_CUT;
 }
 
+/* All that the gate had to say came before this on its link. */
+static void on_gate_ending(struct entry *e, int64_t member)
+{
+	const struct member *m = fleet_member(&e->node->member.fleet, member);
+
+	chooser_view(&e->chooser, member)->ended = true;
+	if (m)
+		entry_send_heard(e, m->peer);
+}
+
 void entry_on_message(struct entry *e, const struct request_msg *m)
 {
 	struct attempt *a = m->origin == e->origin
@@ -171,6 +181,10 @@
 		chooser_refused(&e->chooser, m->to, m->wait_ms, clock_now_ms());
 		return;
 	}
+	if (m->type == REQ_ENDING) {
+		on_gate_ending(e, m->to);
+		return;
+	}
 	/*
 	 * Answers to attempts given up, or to an earlier process at this
 	 * address, must not reach another caller.
--- a/node/gate-request.h
+++ b/node/gate-request.h
@@ -121,6 +121,11 @@
 void gate_refill(struct gate *g);
 void gate_emit(struct gate *g, GBytes *identity, struct request_msg *m);
 
+/* node/gate-stop.c */
+
+/* An entry has read the last words to it. */
+void gate_on_heard(struct gate *g, const void *identity, size_t len);
+
 /* node/gate-health.c: stalls and signs of life of the backend server. */
 void gate_on_watch(struct ev_loop *loop, ev_timer *w, int events);
 void gate_probe(struct gate *g, int64_t now_ms);
--- a/node/gate-stop.c
+++ b/node/gate-stop.c
@@ -1,5 +1,6 @@
-#include "node/gate-request.h"
+#include "net/clock.h"
 #include "net/peer.h"
+#include "node/gate-request.h"
 #include "node/node.h"
 #include "util/result.h"
 
@@ -45,6 +46,64 @@
 	refuse_unbegun(g, false);
 }
 
+/* Links are closed after as long without use. */
+#define KNOWN_MS 30000
+
+static void say_ending(struct gate *g, GBytes *identity)
+{
+	struct request_msg m = { .type = REQ_ENDING,
+				 .to = g->node->member.self };
+
+	gate_emit(g, identity, &m);
+}
+
+/*
+ * Closed right after the last words, a connection is reset for what has come
+ * over it unread, and the other end drops what it has not read by then. So the
+ * words are followed by one that has to be answered.
+ */
+static void say_ending_to_all(struct gate *g)
+{
+	int64_t now = clock_now_ms();
+	GHashTableIter it;
+	gpointer key, value;
+
+	g->ending = true;
+	g_hash_table_iter_init(&it, g->entries);
+	while (g_hash_table_iter_next(&it, &key, &value))
+		if (now - ((struct gate_entry *)value)->heard_ms < KNOWN_MS)
+			say_ending(g, key);
+}
+
+void gate_on_heard(struct gate *g, const void *identity, size_t len)
+{
+	GBytes *key = identity ? g_bytes_new(identity, len) : NULL;
+	struct gate_entry *e = key ? g_hash_table_lookup(g->entries, key)
+				   : NULL;
+
+	if (e && e->answered_since) {
+		/* To requests that were on their way to us. */
+		e->answered_since = false;
+		say_ending(g, key);
+	} else if (e) {
+		e->unheard = false;
+	}
+	if (key)
+		g_bytes_unref(key);
+}
+
+bool gate_was_heard(const struct gate *g)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, g->entries);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if (((struct gate_entry *)value)->unheard)
+			return false;
+	return true;
+}
+
 void gate_say_last(struct gate *g)
 {
 	GHashTableIter it;
@@ -59,4 +118,5 @@
 		gate_take_out(key);
 		gate_fail(key, RESULT_CUT);
 	}
+	say_ending_to_all(g);
 }
--- a/node/gate.c
+++ b/node/gate.c
@@ -236,12 +236,24 @@
 	return !g_hash_table_size(g->requests);
 }
 
+/* Once a gate is ending, who is told anything is waited for. */
+static void note_said(struct gate *g, GBytes *identity, bool last)
+{
+	struct gate_entry *e = g_hash_table_lookup(g->entries, identity);
+
+	if (!e || !g->ending)
+		return;
+	e->answered_since = e->unheard && !last;
+	e->unheard = e->unheard || last;
+}
+
 /* Send to an entry, our own when identity is NULL. */
 void gate_emit(struct gate *g, GBytes *identity, struct request_msg *m)
 {
 	GByteArray *out;
 	gsize len;
 	const void *id;
+	int err;
 
 	m->load = admission_load(&g->load);
 	m->limit = (int64_t)g->load.limit.now;
@@ -253,9 +265,12 @@
 	request_msg_encode(m, out);
 	id = g_bytes_get_data(identity, &len);
 	link_sent(&g->load.link, out->len, clock_now_ms());
-	peers_answer(&g->node->peers, id, len, PLANE_REQUEST, out->data,
-		     out->len);
+	err = peers_answer(&g->node->peers, id, len, PLANE_REQUEST, out->data,
+			   out->len);
+	if (err)
+		COUNT(gate_answers_lost);
 	g_byte_array_unref(out);
+	note_said(g, identity, m->type == REQ_ENDING && !err);
 }
 
 void gate_emit_for(struct gate_request *r, struct request_msg *m)
@@ -453,14 +468,21 @@
 
 static void remember_entry(struct gate *g, const void *identity, size_t len)
 {
-	int64_t now = clock_now_ms();
+	GBytes *key;
+	struct gate_entry *e;
 
 	if (!identity)
 		return;
-	if (g_hash_table_size(g->entries) >= MAX_ENTRIES)
-		g_hash_table_remove_all(g->entries);
-	g_hash_table_replace(g->entries, g_bytes_new(identity, len),
-			     g_memdup2(&now, sizeof(now)));
+	key = g_bytes_new(identity, len);
+	e = g_hash_table_lookup(g->entries, key);
+	if (!e) {
+		if (g_hash_table_size(g->entries) >= MAX_ENTRIES)
+			g_hash_table_remove_all(g->entries);
+		e = g_new0(struct gate_entry, 1);
+		g_hash_table_insert(g->entries, g_bytes_ref(key), e);
+	}
+	e->heard_ms = clock_now_ms();
+	g_bytes_unref(key);
 }
 
 void gate_pump(struct gate *g)
@@ -697,6 +719,10 @@
 	struct gate_request key = { .origin = m->origin, .id = m->id };
 	struct gate_request *r = g_hash_table_lookup(g->requests, &key);
 
+	if (m->type == REQ_HEARD) {
+		gate_on_heard(g, identity, len);
+		return;
+	}
 	if (m->type == REQ_ASK) {
 		if (!r)
 			on_ask(g, identity, len, m);
--- a/node/gate.h
+++ b/node/gate.h
@@ -21,6 +21,13 @@
 
 struct node;
 
+/* An entry at the other end of a link. */
+struct gate_entry {
+	int64_t heard_ms; /* it last asked for something */
+	bool unheard; /* the last words to it are on their way */
+	bool answered_since; /* and something was said after them */
+};
+
 /* What the backend server said of itself. */
 struct backend_server {
 	bool announced;
@@ -66,7 +73,8 @@
 	ev_timer watch; /* runs while requests are in flight */
 	ev_timer expiry; /* runs while requests wait */
 	int64_t next_stall_note_ms;
-	GHashTable *entries; /* GBytes identity -> int64_t last heard */
+	GHashTable *entries; /* GBytes identity -> struct gate_entry */
+	bool ending; /* the last words have been said */
 	GRand *rand;
 };
 
@@ -110,6 +118,9 @@
  */
 void gate_say_last(struct gate *g);
 
+/* Whether all entries that are there have read what was said last. */
+bool gate_was_heard(const struct gate *g);
+
 /*
  * The process at a peer address is gone, and its callers with it: what it asked
  * for and has not begun is refused.
--- a/node/node.c
+++ b/node/node.c
@@ -12,6 +12,8 @@
 
 /* For the answers to go out before the process ends. */
 #define LAST_WORD_MS 300
+/* For the last words to be read; the platform ends us 400 ms after the limit. */
+#define HEARD_MS 500
 #define TICK_S 0.05
 #define SEED_EVERY_MS 500
 #define STAY_LIMIT_MS 10000
@@ -309,7 +311,8 @@
 		g_info("malformed request message from %s", from->address);
 		return;
 	}
-	if (m.type == REQ_ASK || m.type == REQ_CREDIT || m.type == REQ_CANCEL)
+	if (m.type == REQ_ASK || m.type == REQ_CREDIT || m.type == REQ_CANCEL ||
+	    m.type == REQ_HEARD)
 		gate_on_message(&n->gate, from->identity, from->identity_len,
 				&m);
 	else
@@ -368,13 +371,33 @@
 	return n->settings.ready_address[0] ? NOTICE_MS : 0;
 }
 
+/* Whether what is still in progress must be given up. */
+static bool time_is_up(const struct node *n, int64_t asked_ms)
+{
+	return asked_ms >= n->settings.stop_limit_ms - LAST_WORD_MS;
+}
+
 /* A connection that just ends tells its caller nothing. */
 static void answer_in_time(struct node *n, int64_t asked_ms)
 {
-	if (asked_ms >= n->settings.stop_limit_ms - LAST_WORD_MS)
+	if (time_is_up(n, asked_ms))
 		entry_answer_all(&n->entry);
 }
 
+/* Say what there is left to say; the loop ends once that has been read. */
+static void begin_ending(struct node *n, int64_t now)
+{
+	n->ending_ms = now;
+	gate_say_last(&n->gate);
+}
+
+static void tick_ending(struct node *n, int64_t now)
+{
+	if (!gate_was_heard(&n->gate) && now - n->ending_ms < HEARD_MS)
+		return;
+	ev_break(n->loop, EVBREAK_ALL);
+}
+
 /* Stop beside a backend server that goes on: end what runs, then leave. */
 static void tick_pause(struct node *n)
 {
@@ -391,12 +414,12 @@
 	entry_close(&n->entry);
 	answer_in_time(n, asked_ms);
 	idle = gate_idle(&n->gate) && entry_idle(&n->entry);
-	if (!idle && asked_ms < n->settings.stop_limit_ms)
+	if (!idle && !time_is_up(n, asked_ms))
 		return;
 	EVENT(stopped, NULL, "\"requests\":%u,\"running\":%u,\"ms\":%" PRId64,
 	      n->entry.requests->len, n->gate.load.n_running, asked_ms);
 	g_info("stopped, %s in progress", idle ? "nothing" : "something");
-	ev_break(n->loop, EVBREAK_ALL);
+	begin_ending(n, clock_now_ms());
 }
 
 /*
@@ -416,15 +439,19 @@
 {
 	int64_t now = clock_now_ms();
 
+	if (n->ending_ms) {
+		tick_ending(n, now);
+		return;
+	}
 	if (keeps_backend(n)) {
 		tick_pause(n);
 		return;
 	}
 	shut_out_callers(n, now - n->stopping_ms);
 	answer_in_time(n, now - n->stopping_ms);
-	if (now - n->stopping_ms >= n->settings.stop_limit_ms) {
+	if (time_is_up(n, now - n->stopping_ms)) {
 		g_warning("stopped at the time limit");
-		ev_break(n->loop, EVBREAK_ALL);
+		begin_ending(n, now);
 		return;
 	}
 
@@ -442,7 +469,7 @@
 	if (!gate_idle(&n->gate) || !entry_idle(&n->entry))
 		return;
 	g_info("stopped, nothing in progress");
-	ev_break(n->loop, EVBREAK_ALL);
+	begin_ending(n, now);
 }
 
 static void on_tick(struct ev_loop *loop, ev_timer *w, int events)
@@ -636,7 +663,6 @@
 void node_run(struct node *n)
 {
 	ev_run(n->loop, 0);
-	gate_say_last(&n->gate);
 }
 
 /* Release everything. */
--- a/node/node.h
+++ b/node/node.h
@@ -78,6 +78,7 @@
 	bool stopping;
 	int64_t stopping_ms;
 	int64_t left_ms; /* when all was given up, 0 not yet */
+	int64_t ending_ms; /* when the last words were said, 0 not yet */
 	int64_t next_seed_ms;
 	uint32_t next_seed;
 	int64_t started_ms;
--- a/route/choose.h
+++ b/route/choose.h
@@ -21,6 +21,7 @@
 	int64_t avoid_until_ms; /* it said so, or was silent */
 	int64_t silent_until_ms; /* it was silent, and may be lost */
 	int64_t waiting_since_ms; /* oldest without an answer, 0 none */
+	bool ended; /* it said so, and takes nothing any more */
 };
 
 struct chooser;
--- a/util/counters.h
+++ b/util/counters.h
@@ -45,6 +45,7 @@
 	X(gate_id_replayed)        \
 	X(gate_id_in_doubt)        \
 	X(gate_cancelled)          \
+	X(gate_answers_lost)       \
 	X(gate_backend_shed)       \
 	X(gate_backend_failed)     \
 	X(gate_cold_starts)        \
