gate: what may have been taken back unread is confirmed with its entry first

What callers saw: nothing; backend servers did.

Cause: what takes a request back travels behind it. A gate that resumes finds both in its sockets, and which is read first is chance: it waited 30 ms before it began anything, which a machine under load exceeds. That a request came late is told by the clock of its entry, learned from what that entry sent before; of the first message nothing can be told. Both are one gap: the gate acts on word that may be older than it knows.

Ruled out as a mend: a longer wait (no bound on it holds), refusing what comes first (a new entry's first callers would all be told to come back).

Why it works: a request that was read before a pause ended, or whose entry's clock is not known, is set aside when its turn comes, and its entry is asked. One that is not wanted any more has no answer there; one that is wanted has, after a way there and back, and the answer tells the clock as well. It costs a message both ways for the first request of an entry process at a gate, and after a pause of a quarter of a second for each that waits.

--- a/net/request-msg.h
+++ b/net/request-msg.h
@@ -18,6 +18,8 @@
 	REQ_REFUSED, /* not run; number: result, wait_ms: when to come back */
 	REQ_FAILED, /* may have run, or its id before; number: result */
 	REQ_STALLED, /* the backend server stalls; wait_ms: avoid it so long */
+	REQ_CONFIRM, /* is it still wanted? sent_ms: by the gate's clock */
+	REQ_CONFIRMED, /* it is; number: sent_ms of the question */
 	REQ_ENDING, /* to: the member whose gate has said all it had to say */
 	REQ_HEARD, /* the entry has read that, and sends nothing more */
 	REQ_N_TYPES,
--- a/node/entry-attempt.c
+++ b/node/entry-attempt.c
@@ -65,6 +65,12 @@
 	send_small(e, a, REQ_CREDIT, bytes);
 }
 
+void entry_send_confirmed(struct entry *e, const struct attempt *a,
+			  int64_t sent_ms)
+{
+	send_small(e, a, REQ_CONFIRMED, sent_ms);
+}
+
 void entry_send_heard(struct entry *e, const char *address)
 {
 	struct request_msg m = { .type = REQ_HEARD, .origin = e->origin };
--- a/node/entry-request.h
+++ b/node/entry-request.h
@@ -97,6 +97,9 @@
  */
 int entry_send_attempt(struct entry_request *r, int64_t member, bool hedge);
 void entry_send_credit(struct entry *e, const struct attempt *a, int64_t bytes);
+/* It is still wanted, to a gate that asked at sent_ms by its own clock. */
+void entry_send_confirmed(struct entry *e, const struct attempt *a,
+			  int64_t sent_ms);
 /* Answer the last words of the gate at a peer address. */
 void entry_send_heard(struct entry *e, const char *address);
 void entry_forget_attempt(struct entry *e, struct attempt *a);
--- a/node/entry.c
+++ b/node/entry.c
@@ -198,6 +198,9 @@
 	entry_note_left(a);
 	note_answer(e, a, m);
 	switch (m->type) {
+	case REQ_CONFIRM:
+		entry_send_confirmed(e, a, m->sent_ms);
+		break;
 	case REQ_HEAD:
 		entry_take_head(r, a, m);
 		break;
--- a/node/gate-cut.c
+++ b/node/gate-cut.c
@@ -35,9 +35,7 @@
 	EVENT(gate_set_aside, r->attempt_id,
 	      "\"member\":%" PRId64 ",\"left_ms\":%" PRId64,
 	      r->gate->node->member.self, r->deadline_ms - clock_now_ms());
-	/* Promised anew when it is queued again. */
-	link_withdraw(&r->gate->load.link, r->promised_bytes);
-	r->promised_bytes = 0;
+	gate_leave_link(r);
 	r->state = GATE_CUT;
 	g_ptr_array_add(r->gate->cut, r);
 	return true;
--- a/node/gate-request.h
+++ b/node/gate-request.h
@@ -12,6 +12,7 @@
 	GATE_WAITING, /* in the queue */
 	GATE_PARKED, /* for a key that is on its way to us */
 	GATE_CUT, /* set aside: nothing connects us to its entry */
+	GATE_ASKED, /* set aside: its entry is asked whether it is wanted */
 	GATE_RUNNING, /* handed to the backend server */
 };
 
@@ -33,6 +34,8 @@
 	bool traced;
 	int64_t sent_ms; /* by the entry's clock */
 	int64_t late_ms; /* on its way, beyond the fastest */
+	int64_t wanted_ms; /* its entry still wanted it then; -1 not known */
+	int64_t asked_ms; /* whether it does, last */
 	bool first_sending; /* nobody sent this request's id before */
 	bool repeatable;
 	bool keyed;
@@ -64,6 +67,10 @@
 const struct header_names *gate_names(const struct gate_request *r);
 void gate_request_free(struct gate_request *r);
 void gate_emit_for(struct gate_request *r, struct request_msg *m);
+/* Its answer is not to be expected on our link; promised anew when queued. */
+void gate_leave_link(struct gate_request *r);
+/* The clock of a message's sender is known from here on. */
+void gate_know_origin(struct gate *g, const struct request_msg *m);
 /* Take a request from where it waits or runs, to be answered or freed. */
 void gate_take_out(struct gate_request *r);
 void gate_fail(struct gate_request *r, int result);
@@ -100,6 +107,18 @@
 void gate_unpark(struct gate_request *r);
 void gate_park_tick(struct gate *g, int64_t now_ms);
 
+/* node/gate-confirm.c */
+
+/*
+ * Ask the entry of a request whether it is still wanted, where what takes it
+ * back may have come and not been read. Returns false where it may be begun.
+ */
+bool gate_confirm(struct gate_request *r);
+/* The entry says that it is. */
+void gate_on_confirmed(struct gate_request *r, const struct request_msg *m);
+void gate_end_confirm(struct gate_request *r);
+void gate_confirm_tick(struct gate *g, int64_t now_ms);
+
 /* node/gate-cut.c */
 
 /* Keep a request that could not be answered now; false when it can be. */
--- a/node/gate-take-back.c
+++ b/node/gate-take-back.c
@@ -15,9 +15,8 @@
 static const char *state_name(enum gate_state state)
 {
 	static const char *const names[] = {
-		[GATE_WAITING] = "waiting",
-		[GATE_PARKED] = "parked",
-		[GATE_CUT] = "cut",
+		[GATE_WAITING] = "waiting", [GATE_PARKED] = "parked",
+		[GATE_CUT] = "cut",	    [GATE_ASKED] = "asked",
 		[GATE_RUNNING] = "running",
 	};
 
@@ -35,8 +34,7 @@
 	 */
 	if (r->state == GATE_RUNNING && !r->repeatable && r->fetch.sent) {
 		r->unwanted = true;
-		link_withdraw(&g->load.link, r->promised_bytes);
-		r->promised_bytes = 0;
+		gate_leave_link(r);
 		fetch_resume(&r->fetch);
 		return;
 	}
--- a/node/gate.c
+++ b/node/gate.c
@@ -1,7 +1,6 @@
 #include <inttypes.h>
 #include <string.h>
 
-#include "gate/delay.h"
 #include "net/clock.h"
 #include "node/gate-request.h"
 #include "net/headers.h"
@@ -83,6 +82,12 @@
 	g_free(r);
 }
 
+void gate_leave_link(struct gate_request *r)
+{
+	link_withdraw(&r->gate->load.link, r->promised_bytes);
+	r->promised_bytes = 0;
+}
+
 void gate_take_out(struct gate_request *r)
 {
 	struct gate *g = r->gate;
@@ -97,6 +102,9 @@
 	case GATE_CUT:
 		gate_bring_back(r);
 		break;
+	case GATE_ASKED:
+		gate_end_confirm(r);
+		break;
 	case GATE_RUNNING:
 		fetch_cancel(&r->fetch);
 		admission_cancelled(&g->load);
@@ -126,6 +134,7 @@
 	g->requests = g_hash_table_new(request_hash, request_equal);
 	g->parked = g_ptr_array_new();
 	g->cut = g_ptr_array_new();
+	g->asked = g_ptr_array_new();
 	g->rand = g_rand_new();
 	g->entries = g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
 					   (GDestroyNotify)g_bytes_unref,
@@ -169,6 +178,7 @@
 	g_hash_table_unref(g->requests);
 	g_ptr_array_unref(g->parked);
 	g_ptr_array_unref(g->cut);
+	g_ptr_array_unref(g->asked);
 	admission_finish(&g->load);
 	ids_finish(&g->ids);
 	ev_timer_stop(g->node->loop, &g->watch);
@@ -429,7 +439,7 @@
 		gate_refuse(r, RESULT_TIMEOUT);
 		return;
 	}
-	if (gate_set_aside(r))
+	if (gate_set_aside(r) || gate_confirm(r))
 		return;
 	if (r->seen_hash) {
 		if (!ids_begin(&g->ids, r->seen_hash, MAX(r->shard, 0),
@@ -489,6 +499,8 @@
 {
 	struct queued q;
 
+	if (node_was_paused(g->node))
+		gate_hold(g, clock_now_ms());
 	if (clock_now_ms() < g->hold_until_ms)
 		return;
 	while (g->backend_server.announced &&
@@ -578,23 +590,35 @@
 		grants_resize(&g->grants, s->n_shards, s->key_numbers);
 }
 
+static struct gate_origin *origin_of(struct gate *g,
+				     const struct request_msg *m)
+{
+	struct gate_origin *o = g_hash_table_lookup(g->origins, &m->origin);
+
+	if (o)
+		return o;
+	if (g_hash_table_size(g->origins) >= MAX_ORIGINS)
+		g_hash_table_remove_all(g->origins);
+	o = g_new0(struct gate_origin, 1);
+	delay_init(&o->delay, m->sent_ms, clock_now_ms());
+	g_hash_table_insert(g->origins,
+			    g_memdup2(&m->origin, sizeof(m->origin)), o);
+	return o;
+}
+
 /*
  * A link can hold messages back for seconds and deliver them then, when their
  * callers have long been answered.
  */
 static int64_t delay_ms(struct gate *g, const struct request_msg *m)
 {
-	struct delay *d = g_hash_table_lookup(g->origins, &m->origin);
+	return delay_learn(&origin_of(g, m)->delay, m->sent_ms, clock_now_ms());
+}
 
-	if (d)
-		return delay_learn(d, m->sent_ms, clock_now_ms());
-	if (g_hash_table_size(g->origins) >= MAX_ORIGINS)
-		g_hash_table_remove_all(g->origins);
-	d = g_new(struct delay, 1);
-	delay_init(d, m->sent_ms, clock_now_ms());
-	g_hash_table_insert(g->origins,
-			    g_memdup2(&m->origin, sizeof(m->origin)), d);
-	return 0;
+void gate_know_origin(struct gate *g, const struct request_msg *m)
+{
+	delay_ms(g, m);
+	origin_of(g, m)->known = true;
 }
 
 static void copy_strings(struct gate_request *r, const struct request_msg *m)
@@ -638,6 +662,7 @@
 	r->shard = r->keyed ? m->shard : NO_SHARD;
 	r->arrived_ms = clock_now_ms();
 	r->late_ms = delay_ms(g, m);
+	r->wanted_ms = origin_of(g, m)->known ? r->arrived_ms : -1;
 	MEASURE(hop_ms, r->late_ms);
 	r->deadline_ms = r->arrived_ms + m->deadline_ms - r->late_ms;
 	r->answer_by_ms = r->deadline_ms - WORD_MARGIN_MS;
@@ -740,6 +765,10 @@
 		gate_take_back(r, late_ms);
 		return;
 	}
+	if (m->type == REQ_CONFIRMED) {
+		gate_on_confirmed(r, m);
+		return;
+	}
 	if (m->type == REQ_CREDIT) {
 		r->uncredited -= m->number;
 		if (r->state == GATE_RUNNING &&
@@ -780,6 +809,7 @@
 		gate_refuse(q.request, RESULT_OVERLOAD);
 	}
 	gate_cut_tick(g, now);
+	gate_confirm_tick(g, now);
 	if (!g->backend_server.announced)
 		return;
 	gate_park_tick(g, now);
--- a/node/gate.h
+++ b/node/gate.h
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "gate/admission.h"
+#include "gate/delay.h"
 #include "gate/grants.h"
 #include "gate/ids.h"
 #include "net/fetch.h"
@@ -21,6 +22,12 @@
 
 struct node;
 
+/* The process of an entry, by what it sends. */
+struct gate_origin {
+	struct delay delay;
+	bool known; /* a message of it is known to have come without delay */
+};
+
 /* An entry at the other end of a link. */
 struct gate_entry {
 	int64_t heard_ms; /* it last asked for something */
@@ -50,6 +57,7 @@
 	GHashTable *requests; /* struct gate_request, by origin and id */
 	GPtrArray *parked; /* struct gate_request */
 	GPtrArray *cut; /* the same */
+	GPtrArray *asked; /* the same */
 	uint32_t *shard_load; /* in flight or waiting, per shard */
 	uint32_t n_shards;
 	bool draining;
@@ -61,7 +69,7 @@
 	bool in_service; /* by the newest configuration */
 	int64_t version; /* configuration that the queue follows */
 	GHashTable *class_indexes; /* name -> index into its classes + 1 */
-	GHashTable *origins; /* uint64_t entry -> struct delay */
+	GHashTable *origins; /* uint64_t entry -> struct gate_origin */
 	int64_t hold_until_ms;
 	GHashTable *taken_back; /* uint64_t id -> uint64_t entry, not come yet */
 	int64_t heard_ms; /* last sign of life of the backend server */
--- a/node/node.c
+++ b/node/node.c
@@ -312,7 +312,7 @@
 		return;
 	}
 	if (m.type == REQ_ASK || m.type == REQ_CREDIT || m.type == REQ_CANCEL ||
-	    m.type == REQ_HEARD)
+	    m.type == REQ_CONFIRMED || m.type == REQ_HEARD)
 		gate_on_message(&n->gate, from->identity, from->identity_len,
 				&m);
 	else
@@ -555,6 +555,11 @@
 /* The tick wakes the loop much sooner, unless the process does not run. */
 #define FROZEN_US 250000
 
+bool node_was_paused(const struct node *n)
+{
+	return n->awake_us && clock_now_us() - n->awake_us > FROZEN_US;
+}
+
 static void on_awake(struct ev_loop *loop, ev_check *w, int events)
 {
 	struct node *n = w->data;
--- a/node/node.h
+++ b/node/node.h
@@ -93,6 +93,9 @@
 void node_run(struct node *n);
 void node_finish(struct node *n);
 
+/* Whether this round of the loop has lasted so long that it was interrupted. */
+bool node_was_paused(const struct node *n);
+
 /* Whether the gate here may take work that belongs to no shard. */
 bool node_takes_work(const struct node *n);
 
--- a/util/counters.h
+++ b/util/counters.h
@@ -36,6 +36,7 @@
 	X(gate_queued)             \
 	X(gate_parked)             \
 	X(gate_set_aside)          \
+	X(gate_confirms)           \
 	X(gate_refused_link)       \
 	X(gate_refused_overload)   \
 	X(gate_refused_overtaken)  \
