net, node: heads of requests as long as operators allow

Cause: libmicrohttpd reads a request's head into memory that is fixed when it starts, 32 KiB a connection by default; the operators' limit was never looked at. The same held for bodies beyond our own setting; both limits now follow the configuration.

Ruled out: more memory for every connection from the start.

Why it works: when the limit grows beyond what fits, a second daemon with more memory takes the listening socket over, and the one before goes on with the connections that it has until the last has ended. Limits that fit 32 KiB, as all deployments' so far, cost nothing. Heads above 4 MiB stay refused. The stand-in for a backend server is told to take long heads, as real ones do; with 32 KiB of its own it answered 431 without the request's id.

--- a/net/httpd.c
+++ b/net/httpd.c
@@ -18,21 +18,50 @@
 #define CONNECTION_LIMIT 4096
 #define IDLE_TIMEOUT_S 120
 #define STREAM_BLOCK_BYTES (64 * 1024)
+/* What libmicrohttpd takes for a connection: for the head of a request, */
+#define POOL_BYTES (32 * 1024)
+/* as much again by its share for what it notes of each line of it, */
+#define HEAD_SHARE 4
+/* and for the head of the answer. */
+#define ANSWER_BYTES (8 * 1024)
+#define MAX_HEAD_BYTES (4 * 1024 * 1024)
 #define DRAIN_IDLE_S 1u
 /* A tenth of the shortest target in use is lost on a request sent ahead. */
 #define LOOK_EVERY_S 0.01
 
+/* Those before the one that listens end with their last connection. */
+static void stop_unused(struct httpd *h)
+{
+	uint32_t i;
+
+	for (i = h->daemons->len; i-- > 0;) {
+		struct httpd_daemon *d = g_ptr_array_index(h->daemons, i);
+
+		if (d->mhd != h->daemon && !d->n_connections)
+			g_ptr_array_remove_index_fast(h->daemons, i);
+	}
+}
+
 static void run(struct httpd *h)
 {
 	MHD_UNSIGNED_LONG_LONG ms;
+	MHD_UNSIGNED_LONG_LONG least_ms = UINT64_MAX;
+	uint32_t i;
 
 	h->dirty = false;
-	MHD_run(h->daemon);
-	if (MHD_get_timeout(h->daemon, &ms) != MHD_YES) {
+	for (i = 0; i < h->daemons->len; i++) {
+		struct httpd_daemon *d = g_ptr_array_index(h->daemons, i);
+
+		MHD_run(d->mhd);
+		if (MHD_get_timeout(d->mhd, &ms) == MHD_YES)
+			least_ms = MIN(least_ms, ms);
+	}
+	stop_unused(h);
+	if (least_ms == UINT64_MAX) {
 		ev_timer_stop(h->loop, &h->timer);
 		return;
 	}
-	h->timer.repeat = MAX(ms, 1) / 1000.0;
+	h->timer.repeat = MAX(least_ms, 1) / 1000.0;
 	ev_timer_again(h->loop, &h->timer);
 }
 
@@ -307,6 +336,22 @@
 	*state = NULL;
 }
 
+static struct httpd_daemon *daemon_of(struct httpd *h, struct MHD_Connection *c)
+{
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(c, MHD_CONNECTION_INFO_DAEMON);
+	uint32_t i;
+
+	for (i = 0; i < h->daemons->len; i++) {
+		struct httpd_daemon *d = g_ptr_array_index(h->daemons, i);
+
+		if (d->mhd == info->daemon)
+			return d;
+	}
+	/* It is accepted by one of them, if need be by the one being started. */
+	return g_ptr_array_index(h->daemons, h->daemons->len - 1);
+}
+
 static void on_connection(void *user, struct MHD_Connection *c,
 			  void **socket_context,
 			  enum MHD_ConnectionNotificationCode what)
@@ -317,6 +362,7 @@
 
 	if (what == MHD_CONNECTION_NOTIFY_CLOSED) {
 		if (n) {
+			n->daemon->n_connections--;
 			ev_timer_stop(h->loop, &n->look);
 			ahead_drop(n);
 			g_ptr_array_remove_fast(h->connections, n);
@@ -329,6 +375,8 @@
 	n->httpd = h;
 	n->connection = c;
 	n->fd = info ? info->connect_fd : -1;
+	n->daemon = daemon_of(h, c);
+	n->daemon->n_connections++;
 	ev_timer_init(&n->look, on_look, 0, LOOK_EVERY_S);
 	n->look.data = n;
 	g_queue_init(&n->ahead);
@@ -336,23 +384,59 @@
 	*socket_context = n;
 }
 
-static struct MHD_Daemon *start(struct httpd *h, struct sockaddr_in *addr)
+/* Start to listen, at addr or on a socket that listens already. */
+static struct MHD_Daemon *start(struct httpd *h, struct sockaddr_in *addr,
+				MHD_socket listening)
 {
+	enum MHD_OPTION where = addr ? MHD_OPTION_SOCK_ADDR : MHD_OPTION_END;
+	unsigned int flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME |
+			     MHD_USE_TURBO;
+
 	return MHD_start_daemon(
-		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_TURBO, 0,
-		NULL, NULL, on_access, h, MHD_OPTION_SOCK_ADDR, addr,
-		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+		flags, 0, NULL, NULL, on_access, h, MHD_OPTION_LISTEN_SOCKET,
+		listening, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)h->pool_bytes,
 		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CONNECTION_LIMIT,
 		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_TIMEOUT_S,
 		MHD_OPTION_URI_LOG_CALLBACK, on_uri, h,
 		MHD_OPTION_NOTIFY_COMPLETED, on_completed, h,
-		MHD_OPTION_NOTIFY_CONNECTION, on_connection, h, MHD_OPTION_END);
+		MHD_OPTION_NOTIFY_CONNECTION, on_connection, h, where, addr,
+		MHD_OPTION_END);
+}
+
+static void daemon_free(gpointer p)
+{
+	struct httpd_daemon *d = p;
+
+	ev_io_stop(d->httpd->loop, &d->io);
+	MHD_stop_daemon(d->mhd);
+	g_free(d);
+}
+
+static int add_daemon(struct httpd *h, struct sockaddr_in *addr,
+		      MHD_socket listening)
+{
+	struct MHD_Daemon *mhd = start(h, addr, listening);
+	const union MHD_DaemonInfo *info;
+	struct httpd_daemon *d;
+
+	if (!mhd)
+		return RESULT_IO;
+	d = g_new0(struct httpd_daemon, 1);
+	d->httpd = h;
+	d->mhd = mhd;
+	info = MHD_get_daemon_info(mhd, MHD_DAEMON_INFO_EPOLL_FD);
+	ev_io_init(&d->io, on_io, info->epoll_fd, EV_READ);
+	d->io.data = h;
+	ev_io_start(h->loop, &d->io);
+	g_ptr_array_add(h->daemons, d);
+	h->daemon = mhd;
+	return RESULT_OK;
 }
 
 int httpd_init(struct httpd *h, struct ev_loop *loop, const char *address,
 	       uint64_t max_body_bytes, const struct httpd_ops *ops, void *user)
 {
-	const union MHD_DaemonInfo *info;
 	struct sockaddr_in addr;
 	int err = address_parse(address, &addr);
 
@@ -363,30 +447,48 @@
 	h->ops = ops;
 	h->user = user;
 	h->max_body_bytes = max_body_bytes;
+	h->pool_bytes = POOL_BYTES;
 	h->connections = g_ptr_array_new_with_free_func(g_free);
-	h->daemon = start(h, &addr);
-	if (!h->daemon) {
+	h->daemons = g_ptr_array_new_with_free_func(daemon_free);
+	if (add_daemon(h, &addr, MHD_INVALID_SOCKET)) {
+		g_ptr_array_unref(h->daemons);
 		g_ptr_array_unref(h->connections);
 		return RESULT_IO;
 	}
-	info = MHD_get_daemon_info(h->daemon, MHD_DAEMON_INFO_EPOLL_FD);
-	ev_io_init(&h->io, on_io, info->epoll_fd, EV_READ);
 	ev_init(&h->timer, on_timer);
 	ev_prepare_init(&h->prepare, on_prepare);
-	h->io.data = h;
 	h->timer.data = h;
 	h->prepare.data = h;
-	ev_io_start(loop, &h->io);
 	ev_prepare_start(loop, &h->prepare);
 	return RESULT_OK;
 }
 
+int httpd_accept_heads(struct httpd *h, uint64_t bytes)
+{
+	uint64_t head = MIN(bytes, MAX_HEAD_BYTES);
+	uint64_t needs = head + head / HEAD_SHARE + ANSWER_BYTES;
+	uint64_t before = h->pool_bytes;
+	MHD_socket fd;
+
+	if (h->closed || needs <= before)
+		return RESULT_OK;
+	fd = MHD_quiesce_daemon(h->daemon);
+	if (fd == MHD_INVALID_SOCKET)
+		return RESULT_IO;
+	h->pool_bytes = needs;
+	if (!add_daemon(h, NULL, fd))
+		return RESULT_OK;
+	h->pool_bytes = before;
+	if (add_daemon(h, NULL, fd))
+		g_error("cannot listen any more");
+	return RESULT_IO;
+}
+
 /* Stop listening and drop what is open. */
 void httpd_finish(struct httpd *h)
 {
 	uint32_t i;
 
-	ev_io_stop(h->loop, &h->io);
 	ev_timer_stop(h->loop, &h->timer);
 	ev_prepare_stop(h->loop, &h->prepare);
 	/* libmicrohttpd aborts where a connection is suspended at its end. */
@@ -398,8 +500,11 @@
 		if (c->current)
 			cut(c->current);
 	}
-	MHD_run(h->daemon);
-	MHD_stop_daemon(h->daemon);
+	for (i = 0; i < h->daemons->len; i++)
+		MHD_run(((struct httpd_daemon *)g_ptr_array_index(h->daemons,
+								  i))
+				->mhd);
+	g_ptr_array_unref(h->daemons);
 	h->daemon = NULL;
 	g_ptr_array_unref(h->connections);
 }
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -39,8 +39,9 @@
 
 struct httpd {
 	struct ev_loop *loop;
-	struct MHD_Daemon *daemon;
-	ev_io io;
+	struct MHD_Daemon *daemon; /* the one that listens */
+	GPtrArray *daemons; /* struct httpd_daemon, it and those before it */
+	uint64_t pool_bytes; /* what it has for the head of a request */
 	ev_timer timer;
 	ev_prepare prepare;
 	const struct httpd_ops *ops;
@@ -52,9 +53,21 @@
 	bool closed; /* takes no connections any more */
 };
 
+/*
+ * libmicrohttpd is told at its start how much memory a connection may use. One
+ * that has less than is needed goes on with the connections that it has.
+ */
+struct httpd_daemon {
+	struct httpd *httpd;
+	struct MHD_Daemon *mhd;
+	ev_io io;
+	uint32_t n_connections;
+};
+
 /* A caller's open connection. */
 struct httpd_connection {
 	struct httpd *httpd;
+	struct httpd_daemon *daemon;
 	struct MHD_Connection *connection;
 	int fd;
 	bool busy; /* a request on it has begun and is not finished */
@@ -101,6 +114,13 @@
 	       void *user);
 void httpd_finish(struct httpd *h);
 
+/*
+ * Accept requests with heads of up to so many bytes, at most 4 MiB, on
+ * connections from now on. Never less than before. Not to be called from an
+ * operation of httpd_ops. Returns RESULT_OK, or RESULT_IO when it is as before.
+ */
+int httpd_accept_heads(struct httpd *h, uint64_t bytes);
+
 /*
  * For a graceful stop: close connections after their next answer, or when idle
  * for a second. Call it again for those that were opened since.
--- a/node/entry.c
+++ b/node/entry.c
@@ -532,6 +532,7 @@
 {
 	memset(e, 0, sizeof(*e));
 	e->node = node;
+	e->version = -1;
 	e->rand = g_rand_new();
 	e->origin = (uint64_t)g_random_int() << 32 | g_random_int();
 	e->attempts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
@@ -551,6 +552,21 @@
 			  node->settings.max_body_bytes, &entry_ops, e);
 }
 
+void entry_follow_configuration(struct entry *e)
+{
+	const struct fleet *f = &e->node->member.fleet;
+	const struct caller_limits *l = &f->configuration.limits;
+
+	if (e->version == f->configuration_version)
+		return;
+	e->version = f->configuration_version;
+	e->httpd.max_body_bytes =
+		MAX(e->node->settings.max_body_bytes, l->max_body_bytes);
+	if (httpd_accept_heads(&e->httpd, l->max_header_bytes))
+		g_warning("cannot accept heads of %" PRId64 " bytes",
+			  l->max_header_bytes);
+}
+
 /* Stop listening and release; requests still open are cut. */
 void entry_finish(struct entry *e)
 {
--- a/node/entry.h
+++ b/node/entry.h
@@ -22,6 +22,7 @@
 	struct node *node;
 	GHashTable *costs; /* class -> struct class_cost */
 	struct httpd httpd;
+	int64_t version; /* of the configuration whose limits it has */
 	struct chooser chooser;
 	GHashTable *
 		moved_on; /* int64_t shard -> int64_t fence, see entry-pick.c */
@@ -37,6 +38,9 @@
 int entry_init(struct entry *e, struct node *node);
 void entry_finish(struct entry *e);
 
+/* Take over what changed in the configuration; cheap when nothing did. */
+void entry_follow_configuration(struct entry *e);
+
 /* A message from a gate. */
 void entry_on_message(struct entry *e, const struct request_msg *m);
 
--- a/node/node.c
+++ b/node/node.c
@@ -249,8 +249,10 @@
 	struct node *n = user;
 
 	audit_event(&n->audit, ev);
-	if (ev->type == FLEET_CONFIGURED)
+	if (ev->type == FLEET_CONFIGURED) {
 		tell_configured(n, ev);
+		entry_follow_configuration(&n->entry);
+	}
 	if (ev->type == FLEET_CONFIGURATION_REFUSED) {
 		COUNT(configurations_refused);
 		EVENT(configuration_refused, NULL,
@@ -482,6 +484,7 @@
 	n->member.log_up = log_client_up(&n->log);
 	member_tick(&n->member, now);
 	gate_tick(&n->gate);
+	entry_follow_configuration(&n->entry);
 	granter_tick(&n->granter);
 	backend_tick(n);
 	reload_tick(n, now);
--- a/t/platform-server.c
+++ b/t/platform-server.c
@@ -31,6 +31,7 @@
  */
 
 #define MAX_BODY (8 * 1024 * 1024)
+#define MAX_HEAD (1024 * 1024)
 #define BEAT_MS 200
 #define SOON_MS 20
 #define BEAT_LIMIT_MS 1000
@@ -688,6 +689,7 @@
 		fprintf(stderr, "cannot listen on %s\n", listen_address);
 		return 1;
 	}
+	httpd_accept_heads(&httpd, MAX_HEAD);
 	ev_init(&beat_timer, on_beat);
 	beat_in(0);
 	ev_run(loop, 0);
