util, gate: cancels that come early are forgotten one by one

Cause: what takes a request back can overtake it on a new link, and is kept until it comes, for 1,024 requests. When that was full all were forgotten at once, so one flood of cancels let what it took back be begun. They were kept by the request's number alone, which each entry counts by itself, so that two entries' cancels replaced each other. The clocks of entries were forgotten the same way.

Why it works: a table of its own drops what was added first, and knows a request by its entry and its number. /recent/drops-the-oldest, written with it; the code before had nothing to test without a node.

--- a/node/gate-take-back.c
+++ b/node/gate-take-back.c
@@ -10,8 +10,6 @@
 
 /* Requests that entries take back, or that are left of entries that are gone. */
 
-#define MAX_TAKEN_BACK 1024
-
 static const char *state_name(enum gate_state state)
 {
 	static const char *const names[] = {
@@ -61,17 +59,13 @@
  */
 void gate_note_taken_back(struct gate *g, const struct request_msg *m)
 {
-	if (g_hash_table_size(g->taken_back) >= MAX_TAKEN_BACK)
-		g_hash_table_remove_all(g->taken_back);
-	g_hash_table_insert(g->taken_back, g_memdup2(&m->id, sizeof(m->id)),
-			    g_memdup2(&m->origin, sizeof(m->origin)));
+	if (!gate_was_taken_back(g, m))
+		recent_add(&g->taken_back, m->origin, m->id, g_new0(char, 1));
 }
 
 bool gate_was_taken_back(const struct gate *g, const struct request_msg *m)
 {
-	const uint64_t *origin = g_hash_table_lookup(g->taken_back, &m->id);
-
-	return origin && *origin == m->origin;
+	return recent_get(&g->taken_back, m->origin, m->id);
 }
 
 static bool came_from(const struct gate_request *r, const char *address)
--- a/node/gate.c
+++ b/node/gate.c
@@ -17,6 +17,7 @@
 #define WATCH_S 0.003
 #define MAX_ENTRIES 2048
 #define MAX_ORIGINS 4096
+#define MAX_TAKEN_BACK 1024
 #define MAX_CLASSES_GONE 1024
 /*
  * What takes a request back comes the same way, and just as late: of one that
@@ -154,10 +155,8 @@
 	balance_init(&g->balance);
 	g->class_indexes =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	g->taken_back = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-					      g_free, g_free);
-	g->origins = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-					   g_free);
+	recent_init(&g->taken_back, MAX_TAKEN_BACK);
+	recent_init(&g->origins, MAX_ORIGINS);
 }
 
 /* Release; requests still here are dropped without an answer. */
@@ -186,8 +185,8 @@
 	grants_finish(&g->grants);
 	balance_finish(&g->balance);
 	g_hash_table_unref(g->class_indexes);
-	g_hash_table_unref(g->origins);
-	g_hash_table_unref(g->taken_back);
+	recent_finish(&g->origins);
+	recent_finish(&g->taken_back);
 	g_hash_table_unref(g->entries);
 	g_free(g->shard_load);
 	g_rand_free(g->rand);
@@ -593,16 +592,13 @@
 static struct gate_origin *origin_of(struct gate *g,
 				     const struct request_msg *m)
 {
-	struct gate_origin *o = g_hash_table_lookup(g->origins, &m->origin);
+	struct gate_origin *o = recent_get(&g->origins, m->origin, 0);
 
 	if (o)
 		return o;
-	if (g_hash_table_size(g->origins) >= MAX_ORIGINS)
-		g_hash_table_remove_all(g->origins);
 	o = g_new0(struct gate_origin, 1);
 	delay_init(&o->delay, m->sent_ms, clock_now_ms());
-	g_hash_table_insert(g->origins,
-			    g_memdup2(&m->origin, sizeof(m->origin)), o);
+	recent_add(&g->origins, m->origin, 0, o);
 	return o;
 }
 
--- a/node/gate.h
+++ b/node/gate.h
@@ -13,6 +13,7 @@
 #include "net/request-msg.h"
 #include "route/balance.h"
 #include "state/fleet.h"
+#include "util/recent.h"
 
 /*
  * The only way to the backend server beside this node. It admits, queues or
@@ -69,9 +70,9 @@
 	bool in_service; /* by the newest configuration */
 	int64_t version; /* configuration that the queue follows */
 	GHashTable *class_indexes; /* name -> index into its classes + 1 */
-	GHashTable *origins; /* uint64_t entry -> struct gate_origin */
+	struct recent origins; /* entry -> struct gate_origin */
 	int64_t hold_until_ms;
-	GHashTable *taken_back; /* uint64_t id -> uint64_t entry, not come yet */
+	struct recent taken_back; /* entry and id, of what has not come yet */
 	int64_t heard_ms; /* last sign of life of the backend server */
 	int64_t next_probe_ms;
 	uint32_t connect_failures; /* in a row */
--- a/t/test-gate.c
+++ b/t/test-gate.c
@@ -8,6 +8,7 @@
 #include "gate/limit.h"
 #include "gate/link.h"
 #include "gate/queue.h"
+#include "util/recent.h"
 #include "util/result.h"
 
 /*
@@ -558,6 +559,25 @@
 	queue_finish(&q);
 }
 
+/* A flood of what is noted must not make the newest of it forgotten. */
+static void test_recent_drops_the_oldest(void)
+{
+	struct recent r;
+	uint64_t i;
+
+	recent_init(&r, 8);
+	for (i = 0; i < 100; i++) {
+		recent_add(&r, i, i % 3, g_new0(char, 1));
+		g_assert_nonnull(recent_get(&r, i, i % 3));
+		if (i)
+			g_assert_nonnull(recent_get(&r, i - 1, (i - 1) % 3));
+		g_assert_null(recent_get(&r, i, i % 3 + 1));
+	}
+	g_assert_nonnull(recent_get(&r, 92, 92 % 3));
+	g_assert_null(recent_get(&r, 91, 91 % 3));
+	recent_finish(&r);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -586,6 +606,8 @@
 	g_test_add_func("/ids/move", test_ids_move);
 	g_test_add_func("/ids/made", test_ids_made);
 	g_test_add_func("/link/wait", test_link);
+	g_test_add_func("/recent/drops-the-oldest",
+			test_recent_drops_the_oldest);
 	g_test_add_func("/delay/follows-drift", test_delay_follows_drift);
 	return g_test_run();
 }
