--- /dev/null
+++ b/node/gate-configure.c
@@ -0,0 +1,74 @@
+#include "net/clock.h"
+#include "node/gate-request.h"
+#include "node/node.h"
+
+/* What a gate takes over from a configuration. */
+
+#define MAX_CLASSES_GONE 1024
+
+/* known: this process has seen a configuration before. */
+static void follow_service(struct gate *g, bool known)
+{
+	const struct node *n = g->node;
+	bool in = configuration_in_service(&n->member.fleet.configuration,
+					   n->settings.data_centre);
+
+	if (g->in_service && known && !in)
+		g->out_since_ms = clock_now_ms();
+	else if (in || !known)
+		g->out_since_ms = 0;
+	g->in_service = in;
+}
+
+/* A class keeps its index, and so what was learned of it, by its name. */
+static void index_classes(struct gate *g, const struct configuration *cfg)
+{
+	struct queue *q = &g->load.queue;
+	GHashTable *t = g->class_indexes;
+	uint32_t i;
+
+	if (g_hash_table_size(t) > 2 * cfg->n_classes + MAX_CLASSES_GONE) {
+		g_hash_table_remove_all(t);
+		queue_set_classes(q, 0);
+	}
+	for (i = 0; i < cfg->n_classes; i++)
+		if (!g_hash_table_contains(t, cfg->classes[i].name))
+			g_hash_table_insert(
+				t, g_strdup(cfg->classes[i].name),
+				GUINT_TO_POINTER(g_hash_table_size(t) + 1));
+	queue_set_classes(q, g_hash_table_size(t));
+	for (i = 0; i < cfg->n_classes; i++) {
+		const struct class_settings *k = &cfg->classes[i];
+		gpointer index = g_hash_table_lookup(t, k->name);
+
+		queue_set_share(q, GPOINTER_TO_UINT(index) - 1,
+				k->refused_share);
+	}
+}
+
+void gate_follow_configuration(struct gate *g)
+{
+	const struct fleet *f = &g->node->member.fleet;
+	const struct service_settings *ss;
+	struct fleet_service *s;
+
+	if (g->version == f->configuration_version)
+		return;
+	follow_service(g, g->version >= 0);
+	g->version = f->configuration_version;
+	index_classes(g, &f->configuration);
+	ss = configuration_service(&f->configuration,
+				   g->node->settings.service);
+	if (ss)
+		cold_set_rate(&g->load.cold, ss->cold_per_s);
+	s = fleet_service(f, g->node->settings.service);
+	if (s && s->n_shards != g->n_shards) {
+		g_free(g->shard_load);
+		g->shard_load = g_new0(uint32_t, s->n_shards);
+		g->n_shards = s->n_shards;
+	}
+	if (s && s->key_numbers)
+		balance_resize(&g->balance, s->n_shards);
+	if (s && g->grants.ops && s->key_numbers)
+		grants_resize(&g->grants, s->n_shards, s->key_numbers);
+}
--- a/node/gate-request.h
+++ b/node/gate-request.h
@@ -69,12 +69,22 @@
 void gate_emit_for(struct gate_request *r, struct request_msg *m);
 /* Its answer is not to be expected on our link; promised anew when queued. */
 void gate_leave_link(struct gate_request *r);
-/* The clock of a message's sender is known from here on. */
-void gate_know_origin(struct gate *g, const struct request_msg *m);
 /* Take a request from where it waits or runs, to be answered or freed. */
 void gate_take_out(struct gate_request *r);
 void gate_fail(struct gate_request *r, int result);
 
+/* node/gate-entries.c */
+
+/* An entry asked for something over a link; nothing for our own, NULL. */
+void gate_remember_entry(struct gate *g, const void *identity, size_t len);
+/* Once a gate is ending, who is told anything is waited for. */
+void gate_note_said(struct gate *g, GBytes *identity, bool last);
+/* How long a message was on its way beyond the fastest of late. */
+int64_t gate_delay_ms(struct gate *g, const struct request_msg *m);
+/* The clock of a message's sender is known from here on; and whether it is. */
+void gate_know_origin(struct gate *g, const struct request_msg *m);
+bool gate_knows_origin(struct gate *g, const struct request_msg *m);
+
 /* node/gate-ids.c */
 
 /* Deal with an idempotency key; false when the request has been answered. */
--- a/node/gate.c
+++ b/node/gate.c
@@ -15,10 +15,8 @@
 #define MAX_CONNECT_FAILURES 3
 #define NO_SHARD (-1)
 #define WATCH_S 0.003
-#define MAX_ENTRIES 2048
 #define MAX_ORIGINS 4096
 #define MAX_TAKEN_BACK 1024
-#define MAX_CLASSES_GONE 1024
 /*
  * What takes a request back comes the same way, and just as late: of one that
  * was on its way for longer than this the caller may long have left.
@@ -245,17 +243,6 @@
 	return !g_hash_table_size(g->requests);
 }
 
-/* Once a gate is ending, who is told anything is waited for. */
-static void note_said(struct gate *g, GBytes *identity, bool last)
-{
-	struct gate_entry *e = g_hash_table_lookup(g->entries, identity);
-
-	if (!e || !g->ending)
-		return;
-	e->answered_since = e->unheard && !last;
-	e->unheard = e->unheard || last;
-}
-
 /* Send to an entry, our own when identity is NULL. */
 void gate_emit(struct gate *g, GBytes *identity, struct request_msg *m)
 {
@@ -279,7 +266,7 @@
 	if (err)
 		COUNT(gate_answers_lost);
 	g_byte_array_unref(out);
-	note_said(g, identity, m->type == REQ_ENDING && !err);
+	gate_note_said(g, identity, m->type == REQ_ENDING && !err);
 }
 
 void gate_emit_for(struct gate_request *r, struct request_msg *m)
@@ -475,25 +462,6 @@
 		    false, &gate_fetch_ops, r);
 }
 
-static void remember_entry(struct gate *g, const void *identity, size_t len)
-{
-	GBytes *key;
-	struct gate_entry *e;
-
-	if (!identity)
-		return;
-	key = g_bytes_new(identity, len);
-	e = g_hash_table_lookup(g->entries, key);
-	if (!e) {
-		if (g_hash_table_size(g->entries) >= MAX_ENTRIES)
-			g_hash_table_remove_all(g->entries);
-		e = g_new0(struct gate_entry, 1);
-		g_hash_table_insert(g->entries, g_bytes_ref(key), e);
-	}
-	e->heard_ms = clock_now_ms();
-	g_bytes_unref(key);
-}
-
 void gate_pump(struct gate *g)
 {
 	struct queued q;
@@ -522,101 +490,6 @@
 	gate_pump(g);
 }
 
-/* known: this process has seen a configuration before. */
-static void follow_service(struct gate *g, bool known)
-{
-	const struct node *n = g->node;
-	bool in = configuration_in_service(&n->member.fleet.configuration,
-					   n->settings.data_centre);
-
-	if (g->in_service && known && !in)
-		g->out_since_ms = clock_now_ms();
-	else if (in || !known)
-		g->out_since_ms = 0;
-	g->in_service = in;
-}
-
-/* A class keeps its index, and so what was learned of it, by its name. */
-static void index_classes(struct gate *g, const struct configuration *cfg)
-{
-	struct queue *q = &g->load.queue;
-	GHashTable *t = g->class_indexes;
-	uint32_t i;
-
-	if (g_hash_table_size(t) > 2 * cfg->n_classes + MAX_CLASSES_GONE) {
-		g_hash_table_remove_all(t);
-		queue_set_classes(q, 0);
-	}
-	for (i = 0; i < cfg->n_classes; i++)
-		if (!g_hash_table_contains(t, cfg->classes[i].name))
-			g_hash_table_insert(
-				t, g_strdup(cfg->classes[i].name),
-				GUINT_TO_POINTER(g_hash_table_size(t) + 1));
-	queue_set_classes(q, g_hash_table_size(t));
-	for (i = 0; i < cfg->n_classes; i++) {
-		const struct class_settings *k = &cfg->classes[i];
-		gpointer index = g_hash_table_lookup(t, k->name);
-
-		queue_set_share(q, GPOINTER_TO_UINT(index) - 1,
-				k->refused_share);
-	}
-}
-
-void gate_follow_configuration(struct gate *g)
-{
-	const struct fleet *f = &g->node->member.fleet;
-	const struct service_settings *ss;
-	struct fleet_service *s;
-
-	if (g->version == f->configuration_version)
-		return;
-	follow_service(g, g->version >= 0);
-	g->version = f->configuration_version;
-	index_classes(g, &f->configuration);
-	ss = configuration_service(&f->configuration,
-				   g->node->settings.service);
-	if (ss)
-		cold_set_rate(&g->load.cold, ss->cold_per_s);
-	s = fleet_service(f, g->node->settings.service);
-	if (s && s->n_shards != g->n_shards) {
-		g_free(g->shard_load);
-		g->shard_load = g_new0(uint32_t, s->n_shards);
-		g->n_shards = s->n_shards;
-	}
-	if (s && s->key_numbers)
-		balance_resize(&g->balance, s->n_shards);
-	if (s && g->grants.ops && s->key_numbers)
-		grants_resize(&g->grants, s->n_shards, s->key_numbers);
-}
-
-static struct gate_origin *origin_of(struct gate *g,
-				     const struct request_msg *m)
-{
-	struct gate_origin *o = recent_get(&g->origins, m->origin, 0);
-
-	if (o)
-		return o;
-	o = g_new0(struct gate_origin, 1);
-	delay_init(&o->delay, m->sent_ms, clock_now_ms());
-	recent_add(&g->origins, m->origin, 0, o);
-	return o;
-}
-
-/*
- * A link can hold messages back for seconds and deliver them then, when their
- * callers have long been answered.
- */
-static int64_t delay_ms(struct gate *g, const struct request_msg *m)
-{
-	return delay_learn(&origin_of(g, m)->delay, m->sent_ms, clock_now_ms());
-}
-
-void gate_know_origin(struct gate *g, const struct request_msg *m)
-{
-	delay_ms(g, m);
-	origin_of(g, m)->known = true;
-}
-
 static void copy_strings(struct gate_request *r, const struct request_msg *m)
 {
 	uint32_t i;
@@ -657,8 +530,8 @@
 	r->keyed = m->flags & REQ_FLAG_KEYED;
 	r->shard = r->keyed ? m->shard : NO_SHARD;
 	r->arrived_ms = clock_now_ms();
-	r->late_ms = delay_ms(g, m);
-	r->wanted_ms = origin_of(g, m)->known ? r->arrived_ms : -1;
+	r->late_ms = gate_delay_ms(g, m);
+	r->wanted_ms = gate_knows_origin(g, m) ? r->arrived_ms : -1;
 	MEASURE(hop_ms, r->late_ms);
 	r->deadline_ms = r->arrived_ms + m->deadline_ms - r->late_ms;
 	r->answer_by_ms = r->deadline_ms - WORD_MARGIN_MS;
@@ -719,7 +592,7 @@
 			g_bytes_unref(id);
 		return;
 	}
-	remember_entry(g, identity, len);
+	gate_remember_entry(g, identity, len);
 	if (gate_was_taken_back(g, m))
 		return;
 	r = request_new(g, identity, len, m);
@@ -755,7 +628,7 @@
 		return;
 	}
 	if (m->type == REQ_CANCEL) {
-		int64_t late_ms = delay_ms(g, m);
+		int64_t late_ms = gate_delay_ms(g, m);
 
 		MEASURE(cancel_ms, late_ms);
 		gate_take_back(r, late_ms);
