node: who has left by the log is answered too at its end

A gate names its member in its last words, and entries found its address by that. A node whose server left is no member any more by then: no entry could answer, and its process stayed for the half second that it waits at most. The words name the address.

--- a/net/request-msg.h
+++ b/net/request-msg.h
@@ -20,7 +20,7 @@
 	REQ_STALLED, /* the backend server stalls; wait_ms: avoid it so long */
 	REQ_CONFIRM, /* is it still wanted? sent_ms: by the gate's clock */
 	REQ_CONFIRMED, /* it is; number: sent_ms of the question */
-	REQ_ENDING, /* to: the member whose gate has said all it had to say */
+	REQ_ENDING, /* the gate has said all; to: its member, key: its address */
 	REQ_HEARD, /* the entry has read that, and sends nothing more */
 	REQ_N_TYPES,
 };
--- a/node/entry.c
+++ b/node/entry.c
@@ -160,13 +160,12 @@
 }
 
 /* All that the gate had to say came before this on its link. */
-static void on_gate_ending(struct entry *e, int64_t member)
+static void on_gate_ending(struct entry *e, const struct request_msg *m)
 {
-	const struct member *m = fleet_member(&e->node->member.fleet, member);
-
-	chooser_view(&e->chooser, member)->ended = true;
-	if (m)
-		entry_send_heard(e, m->peer);
+	/* One that has left by the log already is no member any more. */
+	if (m->to)
+		chooser_view(&e->chooser, m->to)->ended = true;
+	entry_send_heard(e, m->key);
 }
 
 void entry_on_message(struct entry *e, const struct request_msg *m)
@@ -182,7 +181,7 @@
 		return;
 	}
 	if (m->type == REQ_ENDING) {
-		on_gate_ending(e, m->to);
+		on_gate_ending(e, m);
 		return;
 	}
 	/*
