--- /dev/null
+++ b/t/t0063-platform-booking-lost-with-link.sh
@@ -0,0 +1,25 @@
+#!/bin/bash
+# Gates stand for six seconds, and links to them are given up with long bookings half sent: their callers are answered soon after.
+COLD_PER_S=1000
+. "$(dirname "$0")/lib-platform.sh"
+start_platform "records bookings" "hakata tenjin kurume kitakyu"
+platform_config 7 ',{"name":"once","kind":"unsafe",
+	"goal_ms":20000,"priority":1,"match":{"path_prefix":"/once/"},
+	"action":{"service":"bookings","timeout_ms":20000,"attempts":2}}'
+wait_platform
+head -c 1000000 /dev/zero >"$DIR/long"
+before=$(counter 0 requests_received)
+for i in 1 3 5 7; do kill -STOP "${NODE_PID[$i]}"; done
+for i in {1..12}; do
+	ask --max-time 25 -X POST --data-binary @"$DIR/long" -o /dev/null \
+		-H "Host: a.example" -H "X-Mesh-Deadline-Ms: 20000" \
+		-H "X-Mesh-Request-Id: long-$i" -w '%{http_code}\n' \
+		"http://$(caller_of 0)/once/1" >"$DIR/long-$i" &
+done
+taken() { [ "$(counter 0 requests_received)" -ge $((before + 12)) ]; }
+wait_for "them to be sent" taken
+sleep 6
+for i in 1 3 5 7; do kill -CONT "${NODE_PID[$i]}"; done
+# Their own time is 20 s.
+sleep 5
+echo "of 12 answered: $(cat "$DIR"/long-* | grep -c '[1-9]')"
