--- a/t/t0049-platform-cancels-unread.sh
+++ b/t/t0049-platform-cancels-unread.sh
@@ -29,7 +29,7 @@
 for i in 1 3 5 7; do server_control $i hold=0; done
 ended() { local i s=0; for i in 1 3 5 7; do s=$((s + $(server_stat $i served))); done; [ $s -ge $work ]; }
 wait_for "the work to end" ended
-sleep 2
+sleep 1.5
 for i in 1 3 5 7; do kill -CONT "${NODE_PID[$i]}"; done; wait "${running[@]}"
 sum() { local i n=0; for i in $(seq "$2"); do n=$((n + $(ran "$1-$i"))); done; echo $n; }
 echo "of 80 that stayed ran: $(sum first 80)"
