--- a/t/t0042-platform-leaves-six-in-one.sh
+++ b/t/t0042-platform-leaves-six-in-one.sh
@@ -4,7 +4,7 @@
 start_platform "records bookings" "hakata tenjin kurume kitakyu"
 platform_config 7
 wait_platform
-for i in 1 3 5 7; do server_control $i work_ms=1000; done
+for i in 1 3 5 7; do server_control $i hold=1; done
 get() {
 	printf 'GET /list/%s HTTP/1.1\r\nHost: a.example\r\n' "$1"
 	printf 'X-Mesh-Request-Id: %s\r\nX-Mesh-Deadline-Ms: 15000\r\n\r\n' "$1"
