--- a/t/t0042-platform-leaves-six-in-one.sh
+++ b/t/t0042-platform-leaves-six-in-one.sh
@@ -2,11 +2,13 @@
 # A caller sends six lookups in one piece and leaves while the first is worked on: no other may be begun.
 . "$(dirname "$0")/lib-platform.sh"
 start_platform "records bookings" "hakata tenjin kurume kitakyu"
-platform_config 7
+platform_config 7 ',{"name":"slow","kind":"safe","goal_ms":20000,"priority":2,
+	"match":{"path_prefix":"/slow/"},"action":{"service":"bookings",
+	"timeout_ms":20000,"attempts":2}}'
 wait_platform
 for i in 1 3 5 7; do server_control $i hold=1; done
 get() {
-	printf 'GET /list/%s HTTP/1.1\r\nHost: a.example\r\n' "$1"
+	printf 'GET /slow/%s HTTP/1.1\r\nHost: a.example\r\n' "$1"
 	printf 'X-Mesh-Request-Id: %s\r\nX-Mesh-Deadline-Ms: 15000\r\n\r\n' "$1"
 }
 sum=0
