--- a/t/sim.c
+++ b/t/sim.c
@@ -686,26 +686,30 @@
 	return sv;
 }
 
-bool sim_settle(struct sim *s, int64_t max_ms)
+static bool all_served(struct sim *s)
+{
+	return !sim_unserved(s);
+}
+
+static bool step_until(struct sim *s, bool (*reached)(struct sim *s),
+		       int64_t max_ms)
 {
 	int64_t end = s->now + max_ms;
 
 	while (s->now < end) {
 		sim_step(s);
-		if (all_settled(s))
+		if (reached(s))
 			return true;
 	}
 	return false;
 }
 
-bool sim_converge(struct sim *s, int64_t max_ms)
+bool sim_settle(struct sim *s, int64_t max_ms)
 {
-	int64_t end = s->now + max_ms;
+	return step_until(s, all_settled, max_ms);
+}
 
-	while (s->now < end) {
-		sim_step(s);
-		if (!sim_unserved(s))
-			return true;
-	}
-	return false;
+bool sim_converge(struct sim *s, int64_t max_ms)
+{
+	return step_until(s, all_served, max_ms);
 }
