--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -167,6 +167,10 @@
 	admission_done(&g->admission, r->class_index, limit_outcome(r, result),
 		       ms, r->started_at_us / 1000, now);
 	gate_record_outcome(r, result);
+	if (f->head_done)
+		server_end_answered(&g->server_end, r->started_at_us / 1000);
+	else
+		gate_run_lost(r);
 	if (result == RESULT_UNREACHABLE)
 		gate_connect_failed(g, f);
 	if (r->server_refused) {
--- a/node/gate-request.h
+++ b/node/gate-request.h
@@ -131,6 +131,13 @@
 int64_t gate_sent_bytes(const struct gate_request *r);
 extern const struct fetch_ops gate_fetch_ops;
 
+/* node/gate-server-end.c */
+
+/* Identifies what the request asks for, whatever its id. */
+uint64_t gate_fingerprint(const struct gate_request *r);
+/* A request that is in flight ends without an answer. */
+void gate_run_lost(struct gate_request *r);
+
 /* node/gate-cancel.c */
 
 /*
--- a/node/gate.c
+++ b/node/gate.c
@@ -108,6 +108,7 @@
 		gate_confirm_end(r);
 		break;
 	case GATE_IN_FLIGHT:
+		gate_run_lost(r);
 		fetch_cancel(&r->fetch);
 		admission_cancelled(&g->admission);
 		break;
@@ -201,6 +202,8 @@
 {
 	g->connect_failures++;
 	g->connect_refusals += f->connection_refused;
+	if (f->connection_refused)
+		gate_server_ended(g, "connection refused");
 }
 
 void gate_connect_succeeded(struct gate *g)
@@ -213,6 +216,8 @@
 {
 	bool again = g->backend_server.announced;
 
+	if (strcmp(g->backend_server.instance_id, b->instance_id))
+		gate_server_ended(g, "a new instance");
 	g->backend_server = *b;
 	g->backend_server.announced = true;
 	g->draining = false;
@@ -381,11 +386,12 @@
 	EVENT(gate_failed, r->attempt_id,
 	      "\"why\":\"%s\",\"member\":%" PRId64 ",\"server_ms\":%" PRId64
 	      ",\"left_ms\":%" PRId64 ",\"sent_ms\":%" PRId64
-	      ",\"arrived_ms\":%" PRId64,
+	      ",\"arrived_ms\":%" PRId64 ",\"fingerprint\":\"%016" PRIx64 "\"",
 	      result_name(result), r->gate->node->member.self_id,
 	      r->started_at_us ? (clock_now_us() - r->started_at_us) / 1000
 			       : -1,
-	      r->deadline_ms - clock_now_ms(), r->sent_at_ms, r->arrived_at_ms);
+	      r->deadline_ms - clock_now_ms(), r->sent_at_ms, r->arrived_at_ms,
+	      gate_fingerprint(r));
 
 	gate_send_for(r, &m);
 	gate_request_free(r);
--- a/node/gate.h
+++ b/node/gate.h
@@ -11,6 +11,7 @@
 #include "gate/ids.h"
 #include "gate/last-messages.h"
 #include "gate/reconcile.h"
+#include "gate/server-end.h"
 #include "net/fetch.h"
 #include "net/request-msg.h"
 #include "route/balance.h"
@@ -97,6 +98,7 @@
 	int64_t next_probe_at_ms;
 	uint32_t connect_failures; /* in a row */
 	uint32_t connect_refusals; /* of those, by a port without a listener */
+	struct server_end server_end;
 	struct fetch probe;
 	bool probing;
 	ev_timer stall_timer; /* runs while admission needs it */
@@ -123,6 +125,12 @@
 /* The backend server announced itself: requests are admitted from now on. */
 void gate_backend_announced(struct gate *g, const struct backend_server *b);
 
+/*
+ * The backend server that was announced last has ended, or a new instance is
+ * about to be announced. why: how that was noticed.
+ */
+void gate_server_ended(struct gate *g, const char *why);
+
 /* The backend server left or cannot be reached: drains the gate. */
 void gate_backend_left(struct gate *g);
 
--- a/util/counters.h
+++ b/util/counters.h
@@ -63,6 +63,8 @@
 	X(gate_backend_failed)     \
 	X(gate_cold_starts)        \
 	X(gate_probes)             \
+	X(servers_ended)           \
+	X(runs_ended_with_server)  \
 	X(grants_given)            \
 	X(grants_renewed)          \
 	X(grants_taken_back)       \
