t: a request that ends each server that runs it (BUDGET), red

The stand-in ends with all that it runs 80 ms after it has begun a request whose path contains a text, and starts again as a new instance.

--- a/t/platform-server.c
+++ b/t/platform-server.c
@@ -1,7 +1,9 @@
+#define _GNU_SOURCE /* for close_range() */
 #include <getopt.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 #include <curl/curl.h>
 #include <jansson.h>
 
@@ -19,7 +21,10 @@
  * answer, and counts in a ledger how often it ran each attempt. With --grants
  * call it is granted keys by calls instead of by the answers to its heartbeats.
  * --address sets the address in its heartbeats if that is not the one that it
- * listens on, but that of a proxy before it.
+ * listens on, but that of a proxy before it. --end-on TEXT makes it end 80 ms
+ * after it has begun a request whose path contains TEXT, with all that it runs;
+ * it starts again, as a new instance, after 700 ms. It prints a line for each
+ * such request that arrives, and one when it ends.
  *
  * POST /control takes:
  *   work_ms=N    duration of a request
@@ -54,6 +59,8 @@
 #define N_KEYS 65536
 #define LATE_GRANT_S 1.0
 #define HOLD_POLL_S 0.01
+#define END_AFTER_S 0.08
+#define DOWN_US 700000
 #define STALLED_HALF_BYTES (256 * 1024)
 #define US_PER_MS 1000
 
@@ -72,6 +79,9 @@
 static ev_timer heartbeat_timer;
 static const char *node_address, *listen_address, *own_address;
 static const char *service = "records", *data_centre = "hakata";
+static const char *end_on; /* part of a path, or NULL */
+static char **own_argv;
+static ev_timer end_timer;
 static char id[32];
 static int64_t started_at_ms, heartbeat_number, heartbeat_sent_at_ms;
 static bool draining, mute, by_call;
@@ -405,6 +415,34 @@
 	answer(r, 200, true);
 }
 
+/* Closes all connections at once, as the end of the process does. */
+static void on_end(struct ev_loop *l, ev_timer *w, int events)
+{
+	(void)l;
+	(void)w;
+	(void)events;
+	fprintf(stderr, "%" G_GINT64_FORMAT " ended %s\n",
+		(gint64)clock_now_ms(), id);
+	close_range(STDERR_FILENO + 1, ~0U, 0);
+	usleep(DOWN_US);
+	execv("/proc/self/exe", own_argv);
+	_exit(1);
+}
+
+/* Whether the server ends by this request, which then gets no answer. */
+static bool ends_by(const struct httpd_request *r, const char *sent)
+{
+	if (!end_on || !strstr(r->path, end_on))
+		return false;
+	fprintf(stderr, "%" G_GINT64_FORMAT " arrived %s\n",
+		(gint64)clock_now_ms(), sent ? sent : "-");
+	if (!ev_is_active(&end_timer)) {
+		ev_timer_init(&end_timer, on_end, END_AFTER_S, 0);
+		ev_timer_start(loop, &end_timer);
+	}
+	return true;
+}
+
 static void on_work(struct httpd_request *r)
 {
 	const char *key = httpd_header(r, "X-Mesh-Shard-Key");
@@ -437,6 +475,8 @@
 			GINT_TO_POINTER(GPOINTER_TO_INT(g_hash_table_lookup(
 						ledger, sent)) +
 					1));
+	if (ends_by(r, sent))
+		return;
 	j = g_new0(struct job, 1);
 	j->r = r;
 	ev_timer_init(&j->timer, on_job_done, work_ms / 1000.0, 0);
@@ -689,10 +729,12 @@
 		{ "service", required_argument, NULL, 's' },
 		{ "data-centre", required_argument, NULL, 'd' },
 		{ "grants", required_argument, NULL, 'g' },
+		{ "end-on", required_argument, NULL, 'e' },
 		{ 0 }
 	};
 	int c;
 
+	own_argv = argv;
 	while ((c = getopt_long(argc, argv, "", options, NULL)) != -1) {
 		if (c == 'l')
 			listen_address = optarg;
@@ -706,6 +748,8 @@
 			data_centre = optarg;
 		else if (c == 'g')
 			by_call = !strcmp(optarg, "call");
+		else if (c == 'e')
+			end_on = optarg;
 		else
 			return 2;
 	}
--- /dev/null
+++ b/t/t0069-platform-request-ends-servers.sh
@@ -0,0 +1,60 @@
+#!/bin/bash
+# A lookup that ends each server that runs it is sent again and again, at all
+# nodes in turn, beside ordinary lookups. Three servers may end by it.
+. "$(dirname "$0")/lib-platform.sh"
+END_ON=/ends/
+start_platform "records bookings" "hakata tenjin kurume kitakyu"
+platform_config 7
+wait_platform
+
+# ended: number of times that a server has ended.
+ended() { cat "$DIR"/backend-*.log | grep -c " ended "; }
+# arrived: number of times that the request has reached a server.
+arrived() { cat "$DIR"/backend-*.log | grep -c " arrived "; }
+send_it() {
+	local path=$1
+	shift
+	call $((RANDOM % N)) GET "$path" -o /dev/null "$@" --max-time 2 2>/dev/null
+}
+# play PATH [CURL OPTION...]: sends the request until it has been refused 40
+# times in a row without reaching a server, or 150 times.
+play() {
+	local i n=0 before=-1
+	for ((i = 0; i < 150 && n < 40; i++)); do
+		send_it "$@" >/dev/null
+		[ "$(arrived)" = "$before" ] && n=$((n + 1)) || n=0
+		before=$(arrived)
+		sleep 0.05
+	done
+}
+# told_at_once PATH [CURL OPTION...]: what a caller is told once it is refused.
+told_at_once() {
+	local head
+	head=$(call 1 GET "$@" -D - -o /dev/null)
+	echo "told: $(tail -n 1 <<<"$head"), Retry-After: $(grep -qi '^retry-after: [0-9]' <<<"$head" && echo yes)"
+}
+at_most() { [ "$1" -le "$2" ] && echo "at most $2" || echo "$1"; }
+
+echo "# a request with a key, which its owner must run"
+key="X-Mesh-Shard-Key: 12345"
+play /look/ends/a -H "$key"
+echo "servers ended: $(at_most "$(ended)" 3)"
+told_at_once /look/ends/a -H "$key"
+begun=$(ended)
+
+echo "# one without, which every server of its service may run"
+play /list/ends/b
+echo "servers ended: $(at_most $(($(ended) - begun)) 3)"
+told_at_once /list/ends/b
+
+echo "# others are served"
+wait_for "all keys" all_keys_held
+served() { [ "$(call 0 GET "$1" -H "$key" -o /dev/null)" = 200 ]; }
+wait_for "the same key" served /look/other
+wait_for "another path" served /list/other
+listed() {
+	local i
+	for i in $NODES; do ask "http://$(operator_of "$i")/metrics"; done |
+		awk '$1 == "servers_ended" { s += $2 } END { print s + 0 }'
+}
+[ "$(listed)" -ge 2 ] && echo "endings counted: yes"
