--- a/audit/audit.c
+++ b/audit/audit.c
@@ -166,6 +166,17 @@
 		add_line(a, g_strdup_printf("offset %" G_GINT64_FORMAT
 					    ": configuration refused: %s",
 					    (gint64)ev->offset, ev->reason));
+	else if (ev->type == FLEET_REQUEST_BLOCKED ||
+		 ev->type == FLEET_REQUEST_CLEARED)
+		add_line(a, g_strdup_printf("offset %" G_GINT64_FORMAT
+					    ": request %016" G_GINT64_MODIFIER
+					    "x %s, %u servers ended: %s, by %s",
+					    (gint64)ev->offset, ev->fingerprint,
+					    ev->type == FLEET_REQUEST_BLOCKED
+						    ? "blocked"
+						    : "cleared",
+					    ev->endings, ev->reason,
+					    ev->written_by));
 	else if (ev->result != RESULT_DUPLICATE)
 		add_line(a, g_strdup_printf("offset %" G_GINT64_FORMAT
 					    ": %s record dropped: %s%s%s",
--- a/briargrade.c
+++ b/briargrade.c
@@ -23,6 +23,8 @@
 	{ "trace", cmd_trace, "print one request's way from logs" },
 	{ "model", cmd_model, "work out what a fleet serves under a load" },
 	{ "audit", cmd_audit, "print the trail of changes" },
+	{ "quarantine", cmd_quarantine,
+	  "show or clear requests that end their servers" },
 };
 
 static void print_help(FILE *out)
--- a/builtin/builtin.h
+++ b/builtin/builtin.h
@@ -18,6 +18,7 @@
 int cmd_trace(int argc, char **argv);
 int cmd_model(int argc, char **argv);
 int cmd_audit(int argc, char **argv);
+int cmd_quarantine(int argc, char **argv);
 
 #define EXIT_OK 0
 #define EXIT_FAILED 1
--- a/member/internal.h
+++ b/member/internal.h
@@ -45,6 +45,15 @@
 void member_note(struct member_node *n, const char *what, int64_t subject);
 struct fleet_service *member_service(const struct member_node *n);
 
+/* suspects.c */
+void suspects_init(struct suspects *s);
+void suspects_on_blocked(struct member_node *n, uint64_t fingerprint);
+void suspects_append_done(struct member_node *n, enum append_kind kind,
+			  int result);
+/* Records that are due to be appended, or NULL. */
+json_t *suspects_ending_record(struct member_node *n);
+json_t *suspects_cleared_record(struct member_node *n);
+
 /* lease.c */
 void lease_tick(struct member_node *n);
 void lease_request_soon(struct member_node *n);
--- a/member/member.c
+++ b/member/member.c
@@ -56,6 +56,7 @@
 	n->relays = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	n->snapshot_parts = g_ptr_array_new_with_free_func(json_decref_p);
 	n->cache = g_queue_new();
+	suspects_init(&n->suspects);
 }
 
 /* Free everything that n has allocated. */
@@ -182,6 +183,9 @@
 	case FLEET_SUCCESSOR_REMOVED:
 		holds_on_successor_removed(n, ev);
 		break;
+	case FLEET_REQUEST_BLOCKED:
+		suspects_on_blocked(n, ev->fingerprint);
+		break;
 	default:
 		break;
 	}
--- a/member/member.h
+++ b/member/member.h
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "member/msg.h"
+#include "member/suspects.h"
 #include "state/fleet.h"
 
 /*
@@ -145,6 +146,8 @@
 	APPEND_MOVE,
 	APPEND_PLACE,
 	APPEND_PUBLISHED,
+	APPEND_SUSPECTS,
+	APPEND_CLEARED,
 	N_APPEND_KINDS,
 };
 
@@ -330,6 +333,7 @@
 					       sent */
 	int64_t next_follower_keepalive_at_ms; /* the same to followers */
 	GArray *unsent_releases; /* int64_t shards; releases to be sent */
+	struct suspects suspects;
 	uint32_t disabled_rules; /* enum member_rule, tests only */
 	fleet_event_fn on_event; /* for the audit; may be NULL */
 	void *on_event_user;
@@ -533,6 +537,44 @@
 				 const struct fleet_service *s, uint32_t shard,
 				 int64_t *out, uint32_t max);
 
+/*
+ * The backend server instance beside this node has ended while requests ran. A
+ * record tells the fleet; until that is applied, this node alone counts the
+ * ending.
+ */
+void member_server_ended(struct member_node *n, const char *instance,
+			 const uint64_t *fingerprints, uint32_t count);
+
+/*
+ * The backend server answered a request well. If it was a suspect, a record
+ * clears it.
+ */
+void member_request_answered(struct member_node *n, uint64_t fingerprint);
+
+/* Whether the fleet or this node knows of any suspect. */
+bool member_has_suspects(const struct member_node *n);
+
+/* Whether a server has ended while the request ran. */
+bool member_is_suspect(const struct member_node *n, uint64_t fingerprint);
+
+/*
+ * What to do with a request. One under which several servers have ended may
+ * run at one node only. A blocked request that is due to be tried again is
+ * not blocked on the one node of the service that tries it, or where may_try is
+ * set: at the owner of its key, and in an entry, which leaves that to the gate.
+ * Sets *wait_ms, if it is blocked, to the time until it is due.
+ */
+enum suspect_verdict member_judge_request(struct member_node *n,
+					  uint64_t fingerprint, bool may_try,
+					  int64_t now_ms, int64_t *wait_ms);
+
+/*
+ * A suspect is sent to the backend server. If it was blocked, the wait before
+ * it is tried again begins anew.
+ */
+void member_suspect_sent(struct member_node *n, uint64_t fingerprint,
+			 int64_t now_ms);
+
 /*
  * Whether another member names this process as its witness. A process that
  * stops earlier leaves each such member with one vouch fewer, so it should run
@@ -590,6 +632,12 @@
 	/* New witnesses count once the settling of their change begins. */
 	RULE_NEW_WITNESSES_COUNT = 1 << 15,
 	N_MEMBER_RULES = 16,
+	/* Rules about requests that end servers; see t/test-quarantine.c. */
+	RULE_BLOCK = 1 << 16, /* two endings block a request */
+	RULE_SUSPECT_ALONE = 1 << 17, /* a suspect runs beside no other */
+	RULE_ANSWER_CLEARS = 1 << 18, /* a good answer clears a suspect */
+	RULE_ONE_TRIES = 1 << 19, /* one node tries a blocked request again */
+	RULE_TRIALS_END = 1 << 20, /* after some trials only operators clear */
 };
 
 #endif
--- a/member/propose.c
+++ b/member/propose.c
@@ -95,6 +95,7 @@
 {
 	n->now_ms = MAX(n->now_ms, now_ms);
 	n->append_pending[kind] = false;
+	suspects_append_done(n, kind, result);
 	if (kind == APPEND_SNAPSHOT && n->snapshot_parts->len) {
 		n->snapshot_partly_written = n->snapshot_partly_written ||
 					     result == RESULT_OK;
@@ -709,6 +710,23 @@
 				     n->self_id));
 }
 
+/* The records are appended by non-members too: a server's end ends membership. */
+static void propose_suspects(struct member_node *n)
+{
+	json_t *record;
+
+	if (may_append(n, APPEND_SUSPECTS)) {
+		record = suspects_ending_record(n);
+		if (record)
+			member_append(n, APPEND_SUSPECTS, record);
+	}
+	if (may_append(n, APPEND_CLEARED)) {
+		record = suspects_cleared_record(n);
+		if (record)
+			member_append(n, APPEND_CLEARED, record);
+	}
+}
+
 /* Propose each record that is due by this node's rank and state. */
 void propose_tick(struct member_node *n)
 {
@@ -718,6 +736,7 @@
 	propose_settle(n);
 	propose_place(n);
 	propose_published(n);
+	propose_suspects(n);
 	propose_balance(n);
 	propose_snapshot(n);
 }
--- a/node/entry-answer.c
+++ b/node/entry-answer.c
@@ -5,6 +5,7 @@
 #include "net/headers.h"
 #include "node/entry-request.h"
 #include "node/node.h"
+#include "route/fingerprint.h"
 #include "util/counters.h"
 #include "util/event.h"
 #include "util/histogram.h"
@@ -49,6 +50,22 @@
 	return out;
 }
 
+/*
+ * A further field with the fingerprint, "" if it was not needed. Valid until
+ * the next call.
+ */
+static const char *fingerprint_field(const struct entry_request *r)
+{
+	static char out[40];
+
+	out[0] = '\0';
+	if (r->fingerprint != FINGERPRINT_NONE)
+		g_snprintf(out, sizeof(out),
+			   ",\"fingerprint\":\"%016" PRIx64 "\"",
+			   r->fingerprint);
+	return out;
+}
+
 /* Emits the event of a final answer that no gate sent, with its reason. */
 static void emit_outcome(struct entry_request *r, enum event e, const char *why,
 			 int64_t wait_ms)
@@ -62,12 +79,13 @@
 		    "\"class\":\"%s\",\"service\":\"%s\",\"version\":%" PRId64
 		    ",\"shard\":%" PRId64 ",\"why\":\"%s\",\"age_ms\":%" PRId64
 		    ",\"left_ms\":%" PRId64 ",\"wait_ms\":%" PRId64
-		    ",\"tries\":%u,\"reached\":%u,\"attempts\":[%s]",
+		    ",\"tries\":%u,\"reached\":%u,\"attempts\":[%s]%s",
 		    event_text(r->class_name), event_text(r->service),
 		    r->configuration_version, p->keyed ? (int64_t)r->shard : -1,
 		    event_text(why), now - p->received_at_ms,
 		    p->deadline_ms - now, wait_ms, p->tries,
-		    plan_n_servers_reached(p), past_attempts_text(r));
+		    plan_n_servers_reached(p), past_attempts_text(r),
+		    fingerprint_field(r));
 }
 
 /* Time since the request was received. */
--- a/node/entry-request.h
+++ b/node/entry-request.h
@@ -59,6 +59,7 @@
 	uint32_t shard;
 	uint32_t priority; /* 0 first */
 	GPtrArray *headers; /* for the backend server */
+	uint64_t fingerprint; /* FINGERPRINT_NONE if it was not needed */
 	int64_t target_ms;
 	int64_t resend_window_ms;
 	int64_t last_member; /* whose gate the last attempt was sent to */
--- a/node/entry.c
+++ b/node/entry.c
@@ -5,6 +5,7 @@
 #include "net/headers.h"
 #include "node/entry.h"
 #include "node/entry-request.h"
+#include "node/fingerprint.h"
 #include "node/node.h"
 #include "util/counters.h"
 #include "util/event.h"
@@ -130,6 +131,11 @@
 	int64_t now = clock_now_ms();
 
 	r->refused_at_us = clock_now_us();
+	if (m->number == RESULT_QUARANTINED) {
+		entry_take_step(r, plan_refused_by_all(&r->plan, number,
+						       m->wait_ms));
+		return;
+	}
 	if (m->number == RESULT_NOT_OWNER && r->plan.keyed)
 		entry_record_not_owner(r);
 	else if (m->number == RESULT_NOT_OWNER)
@@ -484,6 +490,22 @@
 	return !e->node->stopping && entry_is_repeatable(e, http);
 }
 
+/*
+ * Whether servers have ended by this request. Every gate would refuse it; so it
+ * is refused here.
+ */
+static bool is_blocked(struct entry_request *r)
+{
+	struct member_node *n = &r->entry->node->member;
+
+	if (!member_has_suspects(n))
+		return false;
+	r->fingerprint = node_fingerprint(r->http->method, r->http->url, r->key,
+					  r->headers, r->http->body);
+	return member_judge_request(n, r->fingerprint, true, clock_now_ms(),
+				    &r->plan.wait_ms) == SUSPECT_BLOCKED;
+}
+
 static void on_request(void *user, struct httpd_request *http)
 {
 	struct entry *e = user;
@@ -514,6 +536,11 @@
 	copy_headers(r);
 	r->traced = event_should_trace();
 	retry_budget_deposit(entry_retry_budget(e, r->service));
+	if (is_blocked(r)) {
+		COUNT(requests_quarantined);
+		entry_reply_not_run(r, "quarantined, not run\n");
+		return;
+	}
 	if (!ev_is_active(&e->tick))
 		ev_timer_again(e->node->loop, &e->tick);
 	send_next_attempt(r);
--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -171,6 +171,10 @@
 		server_end_answered(&g->server_end, r->started_at_us / 1000);
 	else
 		gate_run_lost(r);
+	if (result == RESULT_CUT && !f->head_done)
+		gate_connection_lost(g);
+	if (!result && !r->server_refused)
+		gate_suspect_answered(r, f->status);
 	if (result == RESULT_UNREACHABLE)
 		gate_connect_failed(g, f);
 	if (r->server_refused) {
--- a/node/gate-cancel.c
+++ b/node/gate-cancel.c
@@ -13,9 +13,9 @@
 static const char *state_name(enum gate_state state)
 {
 	static const char *const names[] = {
-		[GATE_QUEUED] = "waiting",    [GATE_SHARD_WAIT] = "parked",
-		[GATE_LINK_WAIT] = "cut",     [GATE_CONFIRM_WAIT] = "asked",
-		[GATE_IN_FLIGHT] = "running",
+		[GATE_QUEUED] = "waiting",     [GATE_SHARD_WAIT] = "parked",
+		[GATE_LINK_WAIT] = "cut",      [GATE_CONFIRM_WAIT] = "asked",
+		[GATE_SUSPECT_WAIT] = "apart", [GATE_IN_FLIGHT] = "running",
 	};
 
 	return names[state];
--- a/node/gate-request.h
+++ b/node/gate-request.h
@@ -13,6 +13,7 @@
 	GATE_SHARD_WAIT, /* until our server may serve its shard */
 	GATE_LINK_WAIT, /* until its entry is connected again */
 	GATE_CONFIRM_WAIT, /* until its entry confirms that it is wanted */
+	GATE_SUSPECT_WAIT, /* until no other suspect is at the server */
 	GATE_IN_FLIGHT, /* handed to the backend server */
 };
 
@@ -37,6 +38,8 @@
 	uint32_t class_index; /* UINT32_MAX: class not in our configuration */
 	const char *attempt_id; /* that the answer has to repeat, or NULL */
 	bool traced;
+	uint64_t fingerprint; /* FINGERPRINT_NONE until it is needed */
+	int64_t blocked_ms; /* how long it stays blocked; 0: not blocked */
 	int64_t sent_at_ms; /* by the entry's clock */
 	int64_t excess_delay_ms; /* transit time beyond the fastest message's */
 	/* Latest time at which its entry is known to have wanted it; -1: none. */
@@ -134,9 +137,31 @@
 /* node/gate-server-end.c */
 
 /* Identifies what the request asks for, whatever its id. */
-uint64_t gate_fingerprint(const struct gate_request *r);
+uint64_t gate_fingerprint(struct gate_request *r);
 /* A request that is in flight ends without an answer. */
 void gate_run_lost(struct gate_request *r);
+/* A connection was refused: the server announced last has ended. */
+void gate_server_refuses(struct gate *g);
+/* A new instance is about to be announced: the one before has ended. */
+void gate_server_replaced(struct gate *g);
+/* A run was lost with its connection. Checks whether the server has ended. */
+void gate_connection_lost(struct gate *g);
+void gate_server_end_init(struct gate *g);
+void gate_server_end_finish(struct gate *g);
+
+/* node/gate-suspect.c */
+
+/*
+ * Whether a request may be sent to the backend server now: it is no suspect, or
+ * no other suspect is there. Otherwise it is refused or made to wait.
+ */
+bool gate_suspect_admit(struct gate_request *r);
+/* Removes a request from the waiting ones; the caller queues or refuses it. */
+void gate_suspect_wait_end(struct gate_request *r);
+/* Queues the next waiting request; refuses expired ones. */
+void gate_suspect_tick(struct gate *g, int64_t now_ms);
+/* The server has answered a request; status: of the answer. */
+void gate_suspect_answered(struct gate_request *r, long status);
 
 /* node/gate-cancel.c */
 
--- a/node/gate.c
+++ b/node/gate.c
@@ -107,6 +107,9 @@
 	case GATE_CONFIRM_WAIT:
 		gate_confirm_end(r);
 		break;
+	case GATE_SUSPECT_WAIT:
+		gate_suspect_wait_end(r);
+		break;
 	case GATE_IN_FLIGHT:
 		gate_run_lost(r);
 		fetch_cancel(&r->fetch);
@@ -138,6 +141,7 @@
 	g->shard_waiters = g_ptr_array_new();
 	g->link_waiters = g_ptr_array_new();
 	g->confirm_waiters = g_ptr_array_new();
+	g->suspect_waiters = g_ptr_array_new();
 	g->rand = g_rand_new();
 	g->entries = g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
 					   (GDestroyNotify)g_bytes_unref,
@@ -161,6 +165,7 @@
 	fifo_cache_init(&g->early_cancels, MAX_EARLY_CANCELS);
 	fifo_cache_init(&g->origins, MAX_ORIGINS);
 	gate_init_last_messages(g);
+	gate_server_end_init(g);
 }
 
 /* Frees the gate's resources; remaining requests are dropped unanswered. */
@@ -182,10 +187,12 @@
 	g_ptr_array_unref(g->shard_waiters);
 	g_ptr_array_unref(g->link_waiters);
 	g_ptr_array_unref(g->confirm_waiters);
+	g_ptr_array_unref(g->suspect_waiters);
 	admission_finish(&g->admission);
 	ids_finish(&g->ids);
 	ev_timer_stop(g->node->loop, &g->stall_timer);
 	ev_timer_stop(g->node->loop, &g->expiry_timer);
+	gate_server_end_finish(g);
 	grants_finish(&g->grants);
 	balance_finish(&g->balance);
 	g_hash_table_unref(g->class_indexes);
@@ -203,7 +210,7 @@
 	g->connect_failures++;
 	g->connect_refusals += f->connection_refused;
 	if (f->connection_refused)
-		gate_server_ended(g, "connection refused");
+		gate_server_refuses(g);
 }
 
 void gate_connect_succeeded(struct gate *g)
@@ -217,7 +224,7 @@
 	bool again = g->backend_server.announced;
 
 	if (strcmp(g->backend_server.instance_id, b->instance_id))
-		gate_server_ended(g, "a new instance");
+		gate_server_replaced(g);
 	g->backend_server = *b;
 	g->backend_server.announced = true;
 	g->draining = false;
@@ -335,7 +342,7 @@
 	      ",\"running\":%u,\"waiting\":%u,\"limit\":%.0f,\"cold\":%s"
 	      ",\"draining\":%s,\"by_server\":%s,\"left_ms\":%" PRId64
 	      ",\"wait_ms\":%" PRId64 ",\"sent_ms\":%" PRId64
-	      ",\"arrived_ms\":%" PRId64,
+	      ",\"arrived_ms\":%" PRId64 ",\"fingerprint\":\"%016" PRIx64 "\"",
 	      result_name(result), n->self_id, r->keyed ? r->shard : -1,
 	      ours ? "true" : "false",
 	      r->keyed && grants_server_holds(&g->grants, r->shard, fence, now)
@@ -348,7 +355,7 @@
 								  : "false",
 	      g->draining ? "true" : "false",
 	      r->server_refused ? "true" : "false", r->deadline_ms - now,
-	      wait_ms, r->sent_at_ms, r->arrived_at_ms);
+	      wait_ms, r->sent_at_ms, r->arrived_at_ms, r->fingerprint);
 }
 
 void gate_refuse(struct gate_request *r, int result)
@@ -362,8 +369,12 @@
 			clock_now_ms())
 	};
 
+	if (r->blocked_ms)
+		m.wait_ms = r->blocked_ms;
 	if (result == RESULT_NOT_OWNER)
 		COUNT(gate_refused_not_owner);
+	else if (result == RESULT_QUARANTINED)
+		COUNT(gate_refused_quarantined);
 	else if (result == RESULT_TIMEOUT)
 		COUNT(gate_refused_deadline);
 	else
@@ -474,7 +485,8 @@
 		gate_refuse(r, RESULT_TIMEOUT);
 		return;
 	}
-	if (gate_link_wait_begin(r) || gate_confirm_begin(r))
+	if (gate_link_wait_begin(r) || gate_confirm_begin(r) ||
+	    !gate_suspect_admit(r))
 		return;
 	if (r->id_hash) {
 		if (!ids_begin(&g->ids, r->id_hash, MAX(r->shard, 0),
@@ -536,6 +548,7 @@
 {
 	/* Cancels that have arrived are handled before requests are started. */
 	peers_receive(&g->node->peers);
+	gate_suspect_tick(g, clock_now_ms());
 	gate_start_queued(g);
 }
 
@@ -753,6 +766,7 @@
 	if (!g->fetcher_ready)
 		return;
 	gate_apply_configuration(g);
+	gate_suspect_tick(g, now);
 	last_messages_expire(&g->last_messages[0], now);
 	last_messages_expire(&g->last_messages[1], now);
 	while (admission_pop_overtaken(&g->admission, now, &q)) {
--- a/node/gate.h
+++ b/node/gate.h
@@ -13,6 +13,7 @@
 #include "gate/reconcile.h"
 #include "gate/server-end.h"
 #include "net/fetch.h"
+#include "net/port-check.h"
 #include "net/request-msg.h"
 #include "route/balance.h"
 #include "state/fleet.h"
@@ -57,6 +58,17 @@
 	char id[SERVER_INSTANCE_ID_MAX_LEN + 1];
 };
 
+/* The last end of a backend server that was noticed. */
+struct ended_server {
+	char instance_id[SERVER_INSTANCE_ID_MAX_LEN + 1];
+	int64_t at_ms; /* 0: none */
+	const char *why; /* how it was noticed */
+	bool reported; /* to the fleet */
+	ev_timer report_timer; /* runs until it is */
+	struct port_check check;
+	int64_t next_check_at_ms;
+};
+
 struct gate {
 	struct node *node;
 	struct fetcher fetcher;
@@ -99,6 +111,8 @@
 	uint32_t connect_failures; /* in a row */
 	uint32_t connect_refusals; /* of those, by a port without a listener */
 	struct server_end server_end;
+	struct ended_server ended;
+	GPtrArray *suspect_waiters; /* requests in GATE_SUSPECT_WAIT */
 	struct fetch probe;
 	bool probing;
 	ev_timer stall_timer; /* runs while admission needs it */
@@ -125,12 +139,6 @@
 /* The backend server announced itself: requests are admitted from now on. */
 void gate_backend_announced(struct gate *g, const struct backend_server *b);
 
-/*
- * The backend server that was announced last has ended, or a new instance is
- * about to be announced. why: how that was noticed.
- */
-void gate_server_ended(struct gate *g, const char *why);
-
 /* The backend server left or cannot be reached: drains the gate. */
 void gate_backend_left(struct gate *g);
 
--- a/node/node.c
+++ b/node/node.c
@@ -102,7 +102,7 @@
 {
 	struct node *n = user;
 
-	G_STATIC_ASSERT(COUNTER_appends_published - COUNTER_appends_join ==
+	G_STATIC_ASSERT(COUNTER_appends_cleared - COUNTER_appends_join ==
 			N_APPEND_KINDS - 1);
 	counters[COUNTER_appends_join + kind]++;
 	if (kind == APPEND_PUBLISHED)
--- a/node/node.h
+++ b/node/node.h
@@ -179,5 +179,6 @@
 /* Kinds of append by operators, in addition to enum append_kind. */
 #define APPEND_OPERATOR N_APPEND_KINDS
 #define APPEND_DECLARE_LOST (N_APPEND_KINDS + 1)
+#define APPEND_CLEAR_REQUEST (N_APPEND_KINDS + 2)
 
 #endif
--- a/node/operator.c
+++ b/node/operator.c
@@ -457,6 +457,52 @@
 	json_decref(o);
 }
 
+static void get_quarantine(struct node *n, struct httpd_request *r)
+{
+	const struct quarantine *q = &n->member.fleet.quarantine;
+	json_t *list = json_array();
+	uint32_t i;
+
+	for (i = 0; i < q->n; i++) {
+		const struct quarantined_request *e = &q->requests[i];
+		g_autofree char *text =
+			g_strdup_printf("%016" PRIx64, e->fingerprint);
+
+		json_array_append_new(
+			list, json_pack("{s:s,s:s,s:i,s:i,s:I}", "fingerprint",
+					text, "state",
+					e->endings >= QUARANTINE_BLOCK_ENDINGS
+						? "blocked"
+						: "suspect",
+					"endings", e->endings, "servers_ended",
+					e->n_instances, "offset",
+					(json_int_t)e->offset));
+	}
+	reply_json(r, 200, json_pack("{s:o}", "requests", list));
+}
+
+static void post_quarantine(struct node *n, struct httpd_request *r)
+{
+	json_t *o = read_body(r);
+	uint64_t fingerprint;
+
+	if (!o)
+		return;
+	fingerprint = g_ascii_strtoull(get_string_or(o, "clear", ""), NULL, 16);
+	if (!quarantine_find(&n->member.fleet.quarantine, fingerprint)) {
+		reply_problem(r, 404, "no request with this fingerprint");
+		json_decref(o);
+		return;
+	}
+	log_client_append(
+		&n->log, APPEND_CLEAR_REQUEST, true, NULL,
+		record_cleared(json_string(get_string_or(o, "by", "")),
+			       get_string_or(o, "reason", ""), &fingerprint,
+			       1));
+	reply_json(r, 202, json_pack("{s:s}", "outcome", "sent"));
+	json_decref(o);
+}
+
 static void post_cut(struct node *n, struct httpd_request *r)
 {
 	const char *peer = httpd_argument(r, "peer");
@@ -486,6 +532,8 @@
 	{ "POST", "/announce", post_announce },
 	{ "POST", "/leave", post_leave },
 	{ "POST", "/declare-lost", post_declare_lost },
+	{ "GET", "/quarantine", get_quarantine },
+	{ "POST", "/quarantine", post_quarantine },
 	{ "POST", "/test/cut", post_cut },
 };
 
--- a/route/fingerprint.c
+++ b/route/fingerprint.c
@@ -20,7 +20,6 @@
 	add_string(&h, p->host);
 	add_string(&h, p->url);
 	add_string(&h, p->key);
-	add_string(&h, p->caller);
 	XXH64_update(&h, p->body, p->len);
 	value = XXH64_digest(&h);
 	return value == FINGERPRINT_NONE ? 1 : value;
--- a/route/fingerprint.h
+++ b/route/fingerprint.h
@@ -15,7 +15,6 @@
 	const char *host; /* the Host header */
 	const char *url; /* path and query */
 	const char *key; /* of its service */
-	const char *caller; /* service of the node that received it */
 	const void *body;
 	size_t len;
 };
--- a/route/plan.c
+++ b/route/plan.c
@@ -288,6 +288,14 @@
 	return PLAN_SEND;
 }
 
+enum plan_step plan_refused_by_all(struct plan *p, uint32_t attempt,
+				   int64_t wait_ms)
+{
+	plan_attempt_event(p, attempt, ATTEMPT_EVENT_REFUSED);
+	p->wait_ms = MAX(p->wait_ms, wait_ms);
+	return plan_n_open(p) ? PLAN_PENDING : final_step(p);
+}
+
 /* The attempt was not sent, or not read: another attempt is not a retry. */
 static enum plan_step not_sent(struct plan *p, double jitter, int64_t now_ms)
 {
--- a/route/plan.h
+++ b/route/plan.h
@@ -189,6 +189,10 @@
 			    struct retry_budget *b, double jitter,
 			    int64_t now_ms);
 
+/* A gate refused an attempt, and so would every other gate. */
+enum plan_step plan_refused_by_all(struct plan *p, uint32_t attempt,
+				   int64_t wait_ms);
+
 /* An attempt ended by another event than a refusal. */
 enum plan_step plan_attempt_ended(struct plan *p, uint32_t attempt,
 				  enum attempt_event why,
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -681,6 +681,79 @@
 	return err;
 }
 
+/* Reads the fingerprints of a record. Returns RESULT_OK or RESULT_INVALID. */
+static int read_fingerprints(const json_t *r,
+			     uint64_t out[QUARANTINE_MAX_IN_RECORD],
+			     uint32_t *n)
+{
+	const json_t *list = json_object_get(r, "requests");
+	const json_t *v;
+	size_t i;
+
+	*n = json_array_size(list);
+	if (!*n || *n > QUARANTINE_MAX_IN_RECORD)
+		return RESULT_INVALID;
+	json_array_foreach(list, i, v)
+	{
+		if (!json_is_integer(v))
+			return RESULT_INVALID;
+		out[i] = (uint64_t)json_integer_value(v);
+	}
+	return RESULT_OK;
+}
+
+struct ending {
+	struct fleet *fleet;
+	int64_t offset;
+	const json_t *record;
+};
+
+static void emit_if_blocked(void *user, const struct quarantined_request *r)
+{
+	const struct ending *e = user;
+	struct fleet_event ev = { .type = FLEET_REQUEST_BLOCKED,
+				  .offset = e->offset,
+				  .fingerprint = r->fingerprint,
+				  .endings = r->endings };
+
+	if (r->endings < QUARANTINE_BLOCK_ENDINGS)
+		return;
+	ev.reason = get_text(e->record, "life");
+	emit_event(e->fleet, &ev, e->record);
+}
+
+static int apply_suspects(struct fleet *f, int64_t offset, const json_t *r)
+{
+	struct ending e = { f, offset, r };
+	uint64_t fingerprints[QUARANTINE_MAX_IN_RECORD];
+	const char *instance = get_text(r, "life");
+	uint32_t n;
+	int err = read_fingerprints(r, fingerprints, &n);
+
+	if (err || !instance[0])
+		return RESULT_INVALID;
+	return quarantine_add_ending(&f->quarantine, hash_string(instance),
+				     fingerprints, n, offset, emit_if_blocked,
+				     &e);
+}
+
+static int apply_cleared(struct fleet *f, int64_t offset, const json_t *r)
+{
+	uint64_t fingerprints[QUARANTINE_MAX_IN_RECORD];
+	struct fleet_event ev = { .type = FLEET_REQUEST_CLEARED,
+				  .offset = offset };
+	uint32_t i, n;
+	int err = read_fingerprints(r, fingerprints, &n);
+
+	for (i = 0; !err && i < n; i++) {
+		ev.fingerprint = fingerprints[i];
+		ev.endings = quarantine_clear(&f->quarantine, fingerprints[i]);
+		if (ev.endings >= QUARANTINE_BLOCK_ENDINGS)
+			emit_event(f, &ev, r);
+	}
+	return err;
+}
+
 static int apply_snapshot(struct fleet *f, int64_t offset, const json_t *r)
 {
 	int64_t upto = get_number(r, "upto");
@@ -712,6 +785,8 @@
 	{ "witnesses", apply_witnesses },
 	{ "configuration", apply_configuration },
 	{ "changes", apply_changes },
+	{ "suspects", apply_suspects },
+	{ "cleared", apply_cleared },
 	{ "snapshot", apply_snapshot },
 };
 
--- a/state/fleet.h
+++ b/state/fleet.h
@@ -7,6 +7,7 @@
 #include <jansson.h>
 
 #include "settings/configuration.h"
+#include "state/quarantine.h"
 
 /*
  * The replicated state that every node replays from the platform's log: the
@@ -125,6 +126,8 @@
 	FLEET_CONFIGURATION_REFUSED,
 	FLEET_WITNESSES_CHANGED,
 	FLEET_MEMBER_SETTLED,
+	FLEET_REQUEST_BLOCKED, /* again, if more servers have ended by it */
+	FLEET_REQUEST_CLEARED, /* it was blocked */
 	FLEET_RECORD_DROPPED,
 };
 
@@ -138,6 +141,8 @@
 	int64_t from; /* moved: previous owner; successor removed: its id */
 	int64_t to; /* moved: new owner */
 	int64_t fence_before; /* moved: the previous owner's fence */
+	uint64_t fingerprint; /* blocked, cleared */
+	uint32_t endings; /* blocked, cleared: server endings counted so far */
 	/* Writer of the record: an operator's name or "member ID". */
 	const char *written_by;
 	const char *reason; /* refused: the first error; dropped: record type */
@@ -173,6 +178,7 @@
 	 * See member/holds.c.
 	 */
 	bool log_witnessed_removed;
+	struct quarantine quarantine;
 	/* Ring of hashes of the ids of the last appends. */
 	uint64_t recent_append_hashes[FLEET_RECENT_APPENDS];
 	uint32_t recent_append_next;
--- a/state/records.c
+++ b/state/records.c
@@ -190,6 +190,46 @@
 	return r;
 }
 
+static json_t *fingerprints_to_json(const uint64_t *fingerprints, uint32_t n)
+{
+	json_t *list = json_array();
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		json_array_append_new(list,
+				      json_integer((int64_t)fingerprints[i]));
+	return list;
+}
+
+/* A backend server instance has ended while requests ran there. */
+json_t *record_suspects(int64_t by, const char *instance,
+			const uint64_t *fingerprints, uint32_t n)
+{
+	json_t *r = new_record("suspects");
+
+	set_number(r, "by", by);
+	set_text(r, "life", instance);
+	json_object_set_new(r, "requests",
+			    fingerprints_to_json(fingerprints, n));
+	return r;
+}
+
+/*
+ * Requests are no suspects, and not blocked, any more. by: a member's id or an
+ * operator's name; its reference is taken over.
+ */
+json_t *record_cleared(json_t *by, const char *reason,
+		       const uint64_t *fingerprints, uint32_t n)
+{
+	json_t *r = new_record("cleared");
+
+	json_object_set_new(r, "by", by);
+	set_text(r, "reason", reason);
+	json_object_set_new(r, "requests",
+			    fingerprints_to_json(fingerprints, n));
+	return r;
+}
+
 /* One part, of parts, of a snapshot of the state after the record at upto. */
 json_t *record_snapshot(int64_t upto, uint32_t part, uint32_t parts,
 			const char *data, size_t len)
--- a/state/records.h
+++ b/state/records.h
@@ -23,6 +23,10 @@
 			     const char *reason);
 json_t *record_changes(int64_t base, json_t *changes, int64_t source,
 		       bool complete, int64_t by);
+json_t *record_suspects(int64_t by, const char *instance,
+			const uint64_t *fingerprints, uint32_t n);
+json_t *record_cleared(json_t *by, const char *reason,
+		       const uint64_t *fingerprints, uint32_t n);
 json_t *record_snapshot(int64_t upto, uint32_t part, uint32_t parts,
 			const char *data, size_t len);
 
--- a/state/snapshot.c
+++ b/state/snapshot.c
@@ -91,6 +91,9 @@
 			    json_integer(f->snapshot_upto));
 	json_object_set_new(out, "log_witnessed_gone",
 			    json_boolean(f->log_witnessed_removed));
+	if (f->quarantine.n_instances)
+		json_object_set_new(out, "quarantine",
+				    quarantine_to_json(&f->quarantine));
 	return out;
 }
 
@@ -195,6 +198,10 @@
 	f->applied = json_integer_value(json_object_get(o, "applied"));
 	f->log_witnessed_removed =
 		json_is_true(json_object_get(o, "log_witnessed_gone"));
+	err = quarantine_from_json(&f->quarantine,
+				   json_object_get(o, "quarantine"));
+	if (err)
+		return err;
 	json_array_foreach(json_object_get(o, "members"), i, item)
 	{
 		err = load_member(f, item);
--- a/t/t0069-platform-request-ends-servers.sh
+++ b/t/t0069-platform-request-ends-servers.sh
@@ -49,8 +49,8 @@
 
 echo "# others are served"
 wait_for "all keys" all_keys_held
-served() { [ "$(call 0 GET "$1" -H "$key" -o /dev/null)" = 200 ]; }
-wait_for "the same key" served /look/other
+served() { [ "$(call 0 GET "$@" -o /dev/null)" = 200 ]; }
+wait_for "the same key" served /look/other -H "$key"
 wait_for "another path" served /list/other
 listed() {
 	local i
@@ -58,3 +58,15 @@
 		awk '$1 == "servers_ended" { s += $2 } END { print s + 0 }'
 }
 [ "$(listed)" -ge 2 ] && echo "endings counted: yes"
+
+echo "# what operators see and clear"
+quarantine() { briargrade quarantine --node "$(operator_of 0)" "$@"; }
+blocked() { quarantine | jq -r '.requests[] | select(.state == "blocked").fingerprint'; }
+echo "blocked: $(blocked | wc -l)"
+first=$(blocked | head -n 1)
+quarantine --reason cured "$first" | jq -c .
+cleared() { ! blocked | grep -q "$first"; }
+wait_for "it to be cleared" cleared
+audit() { ask "http://$(operator_of 0)/audit" | grep -c "request $first $1"; }
+echo "in the audit trail: blocked $(audit blocked), cleared $(audit cleared)"
+quarantine 0123456789abcdef | jq -c .
--- a/util/result.c
+++ b/util/result.c
@@ -4,11 +4,11 @@
 const char *result_name(int code)
 {
 	static const char *const names[] = {
-		"ok",	       "invalid",   "io",	 "unknown-field",
-		"stale",       "duplicate", "no-such",	 "gap",
-		"not-owner",   "overload",  "timeout",	 "conflict",
-		"unreachable", "cut",	    "cancelled", "trimmed",
-		"mixed",
+		"ok",	       "invalid",     "io",	   "unknown-field",
+		"stale",       "duplicate",   "no-such",   "gap",
+		"not-owner",   "overload",    "timeout",   "conflict",
+		"unreachable", "cut",	      "cancelled", "trimmed",
+		"mixed",       "quarantined",
 	};
 	int n = sizeof(names) / sizeof(names[0]);
 
--- a/util/result.h
+++ b/util/result.h
@@ -25,6 +25,7 @@
 	RESULT_CANCELLED = -14, /* the caller or the entry gave up */
 	RESULT_TRIMMED = -15, /* the log no longer holds the offset */
 	RESULT_MIXED = -16, /* the answer belongs to another request */
+	RESULT_QUARANTINED = -17, /* servers have ended by this request */
 };
 
 const char *result_name(int code);
