--- a/t/platform-server.c
+++ b/t/platform-server.c
@@ -42,6 +42,10 @@
  *   refuse=N     refuses the next N such calls as if it had seen a higher fence
  *   stall=N      stops halfway through each of the next N answers, which are
  *                long ones
+ *   limit=TEXT   names this limit of requests a second in all answers, until
+ *                limit= without a text
+ *   leaving=0|1  says in all answers that it leaves, but not in its heartbeats
+ *   window=1     begins to count anew for most_in_4s of GET /stats
  *
  * GET /holdings?from=N returns the changes of what it holds, from line N on:
  * time of the change, first key, last key, and the time until which the keys
@@ -59,6 +63,7 @@
 #define N_KEYS 65536
 #define LATE_GRANT_S 1.0
 #define HOLD_POLL_S 0.01
+#define WINDOW_MS 4000 /* of the most requests in a row of milliseconds */
 #define END_AFTER_S 0.08
 #define DOWN_US 700000
 #define STALLED_HALF_BYTES (256 * 1024)
@@ -85,6 +90,10 @@
 static char id[32];
 static int64_t started_at_ms, heartbeat_number, heartbeat_sent_at_ms;
 static bool draining, mute, by_call;
+static char *limit; /* NULL: no limit is named */
+static bool leaving;
+static GArray *arrivals; /* int64_t, times of the requests, newest last */
+static uint32_t most_in_window;
 static int64_t n_late_grants, n_to_refuse, n_to_stall;
 static double work_ms = 1;
 static int64_t hold; /* no request ends before this is 0 */
@@ -98,7 +107,8 @@
 static GString *released;
 static GPtrArray *holdings; /* lines of GET /holdings */
 static GHashTable *ledger;
-static uint64_t n_served, n_misdirected, n_cancelled, n_released, n_instances;
+static uint64_t n_arrived, n_served, n_misdirected, n_cancelled, n_released,
+	n_instances;
 
 static void add_holding(int64_t from, int64_t to, int64_t until_ms)
 {
@@ -362,6 +372,25 @@
 	g_ptr_array_unref(headers);
 }
 
+static void add_state_headers(GPtrArray *headers)
+{
+	if (limit)
+		header_add(headers, "Server-Limit", limit);
+	if (leaving)
+		header_add(headers, "Server-Leaving", "1");
+}
+
+static void count_arrival(void)
+{
+	int64_t now = clock_now_ms();
+
+	while (arrivals->len &&
+	       g_array_index(arrivals, int64_t, 0) <= now - WINDOW_MS)
+		g_array_remove_index(arrivals, 0);
+	g_array_append_val(arrivals, now);
+	most_in_window = MAX(most_in_window, arrivals->len);
+}
+
 static void answer(struct httpd_request *r, uint32_t status, bool ran)
 {
 	GPtrArray *headers = headers_new();
@@ -378,6 +407,7 @@
 		header_add(headers, headers_platform.signature, "ab.cd");
 	n_wrong_id -= ran;
 	n_unsigned -= ran;
+	add_state_headers(headers);
 	text = g_strdup_printf("%s %s for %s, %s set\n", r->method, r->url,
 			       httpd_header(r, headers_platform.caller_service),
 			       httpd_header(r, headers_platform.deadline_ms)
@@ -450,6 +480,8 @@
 	const char *sent = httpd_header(r, headers_platform.attempt_id);
 	struct job *j;
 
+	n_arrived++;
+	count_arrival();
 	if (expect && strcmp(expect, id)) {
 		/*
 		 * Meant for another instance. The status alone shows that: the
@@ -539,9 +571,11 @@
 	text = g_strdup_printf(
 		"served %" G_GUINT64_FORMAT "\nmisdirected %" G_GUINT64_FORMAT
 		"\ncancelled %" G_GUINT64_FORMAT "\nlet_go %" G_GUINT64_FORMAT
-		"\nkeys %" G_GINT64_FORMAT "\nbeats %" G_GINT64_FORMAT "\n",
+		"\nkeys %" G_GINT64_FORMAT "\nbeats %" G_GINT64_FORMAT
+		"\narrived %" G_GUINT64_FORMAT "\nmost_in_4s %u\n",
 		(guint64)n_served, (guint64)n_misdirected, (guint64)n_cancelled,
-		(guint64)n_released, (gint64)n_keys, (gint64)heartbeat_number);
+		(guint64)n_released, (gint64)n_keys, (gint64)heartbeat_number,
+		(guint64)n_arrived, most_in_window);
 	httpd_reply_text(r, 200, text);
 }
 
@@ -577,6 +611,18 @@
 	n_late_grants = int_argument(r, "late", n_late_grants);
 	n_to_refuse = int_argument(r, "refuse", n_to_refuse);
 	n_to_stall = int_argument(r, "stall", n_to_stall);
+	leaving = int_argument(r, "leaving", leaving);
+	if (httpd_argument(r, "limit")) {
+		g_free(limit);
+		limit = g_strdup(httpd_argument(r, "limit"));
+		if (!limit[0])
+			g_clear_pointer(&limit, g_free);
+	}
+	/* The window begins anew. */
+	if (int_argument(r, "window", 0)) {
+		g_array_set_size(arrivals, 0);
+		most_in_window = 0;
+	}
 	if (int_argument(r, "crash", 0)) {
 		cancel_heartbeat();
 		start_instance();
@@ -757,6 +803,7 @@
 		own_address = listen_address;
 	loop = ev_default_loop(0);
 	holdings = g_ptr_array_new();
+	arrivals = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	held_rows = g_array_new(FALSE, TRUE, sizeof(struct grant_row));
 	released = g_string_new(NULL);
 	heartbeat_answer = g_string_new(NULL);
