gate: hold to the limit that a server names in its answers (LIMIT)

Callers were served, but a server that had named 5.7 requests a second got 73 in 4 s, where 39 are allowed.

Cause: no code read the header. The gate limited what a server had in flight (nine at 160 ms, 56 a second) and the rate of a cold start, no other rate.

Admission now has a bucket of tokens at nine tenths of the rate that the last answer named, where all that goes to the server passes. What cannot start in time behind it is refused at once, with a time to come back; entries and the balance of keys see a server as loaded as its rate makes it. Entries remember by server instance what answers said and tell a restarted gate with each request.

Ruled out: health checks (none are sent) and calls (they pass the same gate).

--- a/gate/admission.c
+++ b/gate/admission.c
@@ -57,6 +57,17 @@
 	       (in->due_ms - now_ms) * LINK_TARGET_SHARE;
 }
 
+/* Whether the rate that the server names lets it start early enough. */
+static bool rate_allows_in_time(const struct admission *a,
+				const struct queued *in, int64_t now_ms)
+{
+	double wait_ms =
+		rate_limit_wait_ms(&a->rate_limit, a->queue.heap->len, now_ms);
+
+	return wait_ms <= 0 ||
+	       now_ms + wait_ms + a->queue.service_ms <= in->due_ms;
+}
+
 int admission_offer(struct admission *a, const struct queued *in,
 		    bool has_alternative, int64_t now_ms,
 		    struct queued **victim)
@@ -67,9 +78,16 @@
 	 * for the end of the stall, or until the rate limit of a cold start
 	 * allows one more.
 	 */
+	rate_limit_record_offer(&a->rate_limit, now_ms);
 	if (has_alternative &&
-	    (a->limit.stalled || !cold_start_allows(&a->cold_start, now_ms)))
+	    (a->limit.stalled || !cold_start_allows(&a->cold_start, now_ms) ||
+	     rate_limit_wait_ms(&a->rate_limit, a->queue.heap->len, now_ms) >
+		     0))
+		return RESULT_OVERLOAD;
+	if (!rate_allows_in_time(a, in, now_ms)) {
+		COUNT(gate_refused_rate);
 		return RESULT_OVERLOAD;
+	}
 	/* It would be late. Refused now, its caller can still try elsewhere. */
 	if (!queue_can_finish_in_time(&a->queue, now_ms, in, a->n_in_flight,
 				      a->limit.allowed))
@@ -98,6 +116,7 @@
 {
 	return a->queue.heap->len && limit_allows(&a->limit, a->n_in_flight) &&
 	       cold_start_allows(&a->cold_start, now_ms) &&
+	       rate_limit_allows(&a->rate_limit, now_ms) &&
 	       queue_next(&a->queue, now_ms, a->limit.allowed, out);
 }
 
@@ -112,6 +131,7 @@
 {
 	a->n_in_flight++;
 	cold_start_record_send(&a->cold_start, now_ms);
+	rate_limit_record_send(&a->rate_limit, now_ms);
 }
 
 void admission_done(struct admission *a, uint32_t class_index,
@@ -136,7 +156,8 @@
 	if (a->limit.ops->check_stall && a->n_in_flight)
 		return true;
 	return a->queue.heap->len &&
-	       cold_start_is_active(&a->cold_start, now_ms);
+	       (cold_start_is_active(&a->cold_start, now_ms) ||
+		rate_limit_is_active(&a->rate_limit));
 }
 
 uint32_t admission_load(const struct admission *a)
@@ -144,6 +165,12 @@
 	return a->n_in_flight + a->queue.heap->len;
 }
 
+double admission_utilization(const struct admission *a, int64_t now_ms)
+{
+	return MAX(admission_load(a) / MAX(a->limit.allowed, 1.0),
+		   rate_limit_utilization(&a->rate_limit, now_ms));
+}
+
 int64_t admission_retry_after_ms(const struct admission *a, double jitter,
 				 int64_t now_ms)
 {
@@ -151,5 +178,7 @@
 		       MAX(a->limit.allowed, 1.0);
 	double wait = MAX(drain, link_wait_ms(&a->link, 0, now_ms));
 
+	wait = MAX(wait, rate_limit_wait_ms(&a->rate_limit, a->queue.heap->len,
+					    now_ms));
 	return (int64_t)((MIN_RETRY_AFTER_MS + wait) * (1 + jitter));
 }
--- a/gate/admission.h
+++ b/gate/admission.h
@@ -9,6 +9,7 @@
 #include "gate/limit.h"
 #include "gate/link.h"
 #include "gate/queue.h"
+#include "gate/rate-limit.h"
 
 /*
  * Admission control: decides whether a request is queued or refused, which
@@ -21,6 +22,7 @@
 	struct limit limit;
 	struct queue queue;
 	struct cold_start cold_start;
+	struct rate_limit rate_limit; /* that the backend server names */
 	struct link link;
 	uint32_t n_in_flight; /* sent to the backend server, not yet ended */
 };
@@ -101,6 +103,12 @@
 /* The number of requests in flight and queued. */
 uint32_t admission_load(const struct admission *a);
 
+/*
+ * Load divided by limit, or requests offered divided by the rate that the
+ * server names, whichever is higher.
+ */
+double admission_utilization(const struct admission *a, int64_t now_ms);
+
 /*
  * After how many milliseconds the caller of a refused request should retry: a
  * minimum plus the time that the queue or the link takes to drain, whichever is
--- a/net/headers.c
+++ b/net/headers.c
@@ -26,6 +26,8 @@
 	.shard = "Briargrade-Shard",
 	.grant_ms = "Briargrade-Grant-Ms",
 	.not_run = "Briargrade-Not-Run",
+	.server_limit = "Briargrade-Server-Limit",
+	.server_leaving = "Briargrade-Server-Leaving",
 	.outcome = "Briargrade-Outcome",
 	.replayed = "Briargrade-Replayed",
 };
--- a/net/headers.h
+++ b/net/headers.h
@@ -31,6 +31,8 @@
 	const char *not_run; /* present when the request did not run */
 	const char *signature; /* present on each complete successful answer */
 	const char *load;
+	const char *server_limit; /* requests a second that it takes */
+	const char *server_leaving; /* "1": it takes no new requests soon */
 	/* To callers. */
 	const char *outcome;
 	const char *replayed;
--- a/net/request-msg.h
+++ b/net/request-msg.h
@@ -54,13 +54,18 @@
 	int64_t sent_at_ms; /* submit: the entry's clock when it was sent */
 	int64_t deadline_ms; /* submit: time left at sent_at_ms */
 	int64_t flags;
+	/* submit: hash of the server instance that limit is about, or 0 */
 	int64_t status;
 	int64_t number; /* submit: connection; data: its place in the answer */
 	int64_t wait_ms;
 	int64_t body_length; /* last part: length of the whole body */
 	uint64_t body_digest; /* last part: XXH64 of the whole body */
 	int64_t load; /* the gate's requests, in flight and queued */
-	int64_t limit; /* the gate's limit of requests in flight */
+	/*
+	 * The gate's limit of requests in flight. submit: requests in 1,000 s
+	 * that the gate's server took by its last answer, or 0
+	 */
+	int64_t limit;
 	const char *method;
 	const char *url;
 	const char *class_name;
--- /dev/null
+++ b/node/entry-server-says.c
@@ -0,0 +1,54 @@
+#include <string.h>
+
+#include "net/server-says.h"
+#include "node/entry-request.h"
+#include "node/node.h"
+#include "util/hash.h"
+
+/*
+ * What backend servers said of themselves in answers that this entry passed on,
+ * by instance. The gate beside a server forgets it when its process restarts.
+ */
+
+static struct server_says *find(struct entry *e, const struct member *m)
+{
+	if (!m || !m->server_instance_id[0])
+		return NULL;
+	return fifo_cache_get(&e->server_says,
+			      hash_string(m->server_instance_id), 0);
+}
+
+void entry_on_server_says(struct entry *e, int64_t member,
+			  const GPtrArray *answer_headers)
+{
+	const struct member *m = fleet_member(&e->node->member.fleet, member);
+	struct server_says says;
+	struct server_says *known;
+
+	server_says_read(&says, e->node->settings.headers, answer_headers);
+	if (says.limit == SERVER_LIMIT_UNREADABLE)
+		return;
+	known = find(e, m);
+	if (!known && says.limit == SERVER_LIMIT_NONE)
+		return;
+	if (!m || !m->server_instance_id[0])
+		return;
+	if (!known) {
+		known = g_new0(struct server_says, 1);
+		fifo_cache_add(&e->server_says,
+			       hash_string(m->server_instance_id), 0, known);
+	}
+	known->limit = says.limit;
+	known->limit_milli = says.limit_milli;
+}
+
+void entry_tell_gate(struct entry *e, const struct member *to,
+		     struct request_msg *m)
+{
+	const struct server_says *known = find(e, to);
+
+	if (!known)
+		return;
+	m->status = (int64_t)hash_string(to->server_instance_id);
+	m->limit = known->limit == SERVER_LIMIT_NAMED ? known->limit_milli : 0;
+}
--- a/node/entry.c
+++ b/node/entry.c
@@ -13,6 +13,8 @@
 
 #define TICK_S 0.02
 #define MAX_REQUESTS 8192
+/* Servers that name a limit or leave, of which this entry has passed answers. */
+#define MAX_SERVERS_KNOWN 4096
 /* A gate that refused a request for load or draining is avoided this long. */
 #define REFUSED_AVOID_MS 50
 /*
@@ -626,6 +628,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	e->prev_owner_refusals = g_hash_table_new_full(
 		g_int64_hash, g_int64_equal, g_free, g_free);
+	fifo_cache_init(&e->server_says, MAX_SERVERS_KNOWN);
 	chooser_init(&e->chooser, node->settings.choice, g_random_int());
 	ev_init(&e->tick, on_tick);
 	e->tick.repeat = TICK_S;
@@ -663,6 +666,7 @@
 	g_ptr_array_unref(e->requests);
 	g_hash_table_unref(e->to_reconcile);
 	g_hash_table_unref(e->sent_cancels);
+	fifo_cache_finish(&e->server_says);
 	g_rand_free(e->rand);
 }
 
--- a/node/entry.h
+++ b/node/entry.h
@@ -9,6 +9,8 @@
 #include "route/budget.h"
 #include "route/choose.h"
 #include "route/cost.h"
+#include "state/fleet.h"
+#include "util/fifo-cache.h"
 
 /*
  * The callers' side of a node: finds the class and key of each request, sends
@@ -34,6 +36,8 @@
 	GHashTable *to_reconcile;
 	/* address -> struct sent_cancel, the last one sent there */
 	GHashTable *sent_cancels;
+	/* hash of a server instance -> struct server_says, if it says any */
+	struct fifo_cache server_says;
 	GRand *rand;
 	uint64_t origin; /* random id of this process in messages to gates */
 	uint64_t next_id; /* id of the last attempt */
--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -115,6 +115,9 @@
 	r->server_refused =
 		header_find(f->answer_headers, gate_header_names(r)->not_run) ||
 		f->status == STATUS_MISDIRECTED;
+	/* It may be from another instance of the server. */
+	if (f->status != STATUS_MISDIRECTED)
+		gate_on_server_says(r, f->answer_headers);
 }
 
 static bool on_data(struct fetch *f, const void *data, size_t len)
--- a/node/gate-move.c
+++ b/node/gate-move.c
@@ -53,9 +53,7 @@
 
 	if (!g->balance.n_shards || !n->self_id)
 		return;
-	balance_update(&g->balance,
-		       admission_load(&g->admission) /
-			       MAX(g->admission.limit.allowed, 1.0),
+	balance_update(&g->balance, admission_utilization(&g->admission, now),
 		       now);
 	shards = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	list = list_move_candidates(g, now);
--- a/node/gate.c
+++ b/node/gate.c
@@ -223,8 +223,11 @@
 {
 	bool again = g->backend_server.announced;
 
-	if (strcmp(g->backend_server.instance_id, b->instance_id))
+	if (strcmp(g->backend_server.instance_id, b->instance_id)) {
 		gate_server_replaced(g);
+		rate_limit_reset(&g->admission.rate_limit);
+		g->backend_announced_at_ms = clock_now_ms();
+	}
 	g->backend_server = *b;
 	g->backend_server.announced = true;
 	g->draining = false;
@@ -265,8 +268,13 @@
 /* Fills in what every message to an entry reports of the gate's load. */
 static void set_load(const struct gate *g, struct request_msg *m)
 {
-	m->load = admission_load(&g->admission);
-	m->limit = (int64_t)g->admission.limit.allowed;
+	const struct admission *a = &g->admission;
+
+	m->limit = (int64_t)a->limit.allowed;
+	/* To entries, a limited server is one that is as loaded. */
+	m->load = MAX(
+		admission_load(a),
+		(int64_t)(admission_utilization(a, clock_now_ms()) * m->limit));
 }
 
 /* Encodes and sends a message. Returns it, and in *err a result. */
@@ -676,6 +684,7 @@
 		refuse_message(g, identity, len, m, RESULT_NOT_OWNER);
 		return;
 	}
+	gate_on_told(g, m);
 	gate_record_entry(g, identity, len);
 	if (gate_has_early_cancel(g, m))
 		return;
--- a/util/counters.h
+++ b/util/counters.h
@@ -53,6 +53,8 @@
 	X(gate_answers_resent)      \
 	X(gate_refused_outdated)    \
 	X(gate_refused_quarantined) \
+	X(gate_refused_rate)        \
+	X(servers_limited)          \
 	X(gate_suspects_waited)     \
 	X(reconcile_asked)          \
 	X(reconcile_unknown)        \
--- a/util/event.h
+++ b/util/event.h
@@ -35,6 +35,7 @@
 	X(server_leaves, 10, 20)             \
 	X(server_refused, 2, 10)             \
 	X(server_ended, 10, 20)              \
+	X(server_limit, 5, 10)               \
 	X(lease_gained, 10, 20)              \
 	X(lease_lapsed, 10, 20)              \
 	X(member_stopped, 20, 50)            \
