node: a server that says in its answers that it leaves is left (DRAIN)

Requests went on to a server that had said in its answers that it leaves: only its heartbeats counted, and they may go on saying ready.

Cause: no code read the header, the same gap as for a limit that is named.

Such an answer now has the effect of a heartbeat that says so: the gate refuses what waits, the node resigns, keys move with their handovers. Heartbeats of the same instance do not bring it back, a new instance does. An entry that passed such an answer on sends that instance nothing more without a key, and tells the gate with keyed requests, which may have forgotten it by a restart.

--- a/net/request-msg.h
+++ b/net/request-msg.h
@@ -41,6 +41,8 @@
 #define REQ_FLAG_BY_SERVER 16 /* refused: by the backend server */
 #define REQ_FLAG_TRACED 32 /* submit: log each event of the request */
 #define REQ_FLAG_STARTED 64 /* failed: it was sent to a backend server */
+/* submit: the server instance that status names has said that it leaves */
+#define REQ_FLAG_SERVER_LEAVING 128
 
 struct request_msg {
 	enum request_msg_type type;
--- a/node/backend.c
+++ b/node/backend.c
@@ -61,16 +61,23 @@
 	node_backend_left(n);
 }
 
+void backend_said_leaving(struct node *n)
+{
+	n->server_said_leaving = true;
+	on_backend_leaving(n, "says in its answers that it leaves");
+}
+
 static void update_state(struct node *n, const struct announcement *a,
 			 enum instance_check check)
 {
 	if (check == INSTANCE_NEW) {
+		n->server_said_leaving = false;
 		grants_new_instance(&n->gate.grants);
 		/* The grants of the previous instance ended with it. */
 		if (n->member.self_id)
 			node_backend_left(n);
 		announce_instance(n, a);
-	} else if (!a->draining && n->backend_left) {
+	} else if (!a->draining && n->backend_left && !n->server_said_leaving) {
 		announce_instance(n, a);
 	}
 	if (a->draining)
--- a/node/backend.h
+++ b/node/backend.h
@@ -17,6 +17,12 @@
 int backend_init(struct node *n);
 void backend_finish(struct node *n);
 
+/*
+ * The backend server has said in an answer that it leaves: resigns, until
+ * another instance announces itself.
+ */
+void backend_said_leaving(struct node *n);
+
 /* Resigns once the backend server has sent no heartbeat for a lease. */
 void backend_tick(struct node *n);
 
--- a/node/entry-pick.c
+++ b/node/entry-pick.c
@@ -32,7 +32,10 @@
 	for_each_member (&n->fleet, m, i)
 		if (!strcmp(m->service, r->service) &&
 		    fleet_member_in_service(&n->fleet, m) &&
-		    !member_known_stopped(n, m->id) && count < MAX_MEMBERS) {
+		    !member_known_stopped(n, m->id) &&
+		    !chooser_gate_view(&r->entry->chooser, m->id)
+			     ->server_leaving &&
+		    count < MAX_MEMBERS) {
 			out[count].member = m->id;
 			out[count].extra_ms =
 				strcmp(m->data_centre, local) ? remote_ms : 0;
--- a/node/entry-server-says.c
+++ b/node/entry-server-says.c
@@ -29,7 +29,7 @@
 	if (says.limit == SERVER_LIMIT_UNREADABLE)
 		return;
 	known = find(e, m);
-	if (!known && says.limit == SERVER_LIMIT_NONE)
+	if (!known && !says.leaving && says.limit == SERVER_LIMIT_NONE)
 		return;
 	if (!m || !m->server_instance_id[0])
 		return;
@@ -40,6 +40,16 @@
 	}
 	known->limit = says.limit;
 	known->limit_milli = says.limit_milli;
+	known->leaving = known->leaving || says.leaving;
+	chooser_gate_view(&e->chooser, member)->server_leaving = known->leaving;
+}
+
+void entry_on_member_joined(struct entry *e, const struct member *m)
+{
+	const struct server_says *known = find(e, m);
+
+	if (known && known->leaving)
+		chooser_gate_view(&e->chooser, m->id)->server_leaving = true;
 }
 
 void entry_tell_gate(struct entry *e, const struct member *to,
@@ -51,4 +61,6 @@
 		return;
 	m->status = (int64_t)hash_string(to->server_instance_id);
 	m->limit = known->limit == SERVER_LIMIT_NAMED ? known->limit_milli : 0;
+	if (known->leaving)
+		m->flags |= REQ_FLAG_SERVER_LEAVING;
 }
--- a/node/entry.h
+++ b/node/entry.h
@@ -56,6 +56,9 @@
 /* Handles a message from a gate. */
 void entry_on_message(struct entry *e, const struct request_msg *m);
 
+/* A member has joined; its backend server may be known here. */
+void entry_on_member_joined(struct entry *e, const struct member *m);
+
 /*
  * To be called when a member's process has certainly ended. The requests sent
  * to its gate ended with it, so their attempts are ended without waiting.
--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -212,6 +212,7 @@
 		gate_fail(r, result);
 	}
 	gate_check_connect_failures(g);
+	gate_check_leaving(g);
 	gate_read_and_start(g);
 }
 
--- a/node/gate-request.h
+++ b/node/gate-request.h
@@ -156,6 +156,8 @@
 			 const GPtrArray *answer_headers);
 /* Takes in what an entry remembers of it, sent with a request. */
 void gate_on_told(struct gate *g, const struct request_msg *m);
+/* Drains the gate if the server has said that it leaves. */
+void gate_check_leaving(struct gate *g);
 
 /* node/gate-suspect.c */
 
--- a/node/gate-server-says.c
+++ b/node/gate-server-says.c
@@ -3,6 +3,7 @@
 
 #include "net/clock.h"
 #include "net/server-says.h"
+#include "node/backend.h"
 #include "node/gate-request.h"
 #include "node/node.h"
 #include "util/counters.h"
@@ -11,7 +12,7 @@
 
 /*
  * What the backend server says of itself in its answers: how many requests a
- * second it takes.
+ * second it takes, and that it leaves.
  */
 
 #define MILLI 1000.0
@@ -48,6 +49,9 @@
 				     r->started_at_us / 1000, clock_now_ms());
 	if (before != l->per_s)
 		emit_limit(g, "answer");
+	/* Acted on later: this may be called while libcurl is. */
+	if (says.leaving)
+		g->server_said_leaving = true;
 }
 
 void gate_on_told(struct gate *g, const struct request_msg *m)
@@ -62,4 +66,16 @@
 		rate_limit_on_told(l, m->limit / MILLI, clock_now_ms());
 	if (before != l->per_s)
 		emit_limit(g, "entry");
+	if (m->flags & REQ_FLAG_SERVER_LEAVING) {
+		g->server_said_leaving = true;
+		gate_check_leaving(g);
+	}
+}
+
+void gate_check_leaving(struct gate *g)
+{
+	if (!g->server_said_leaving)
+		return;
+	g->server_said_leaving = false;
+	backend_said_leaving(g->node);
 }
--- a/node/gate.c
+++ b/node/gate.c
@@ -226,6 +226,7 @@
 	if (strcmp(g->backend_server.instance_id, b->instance_id)) {
 		gate_server_replaced(g);
 		rate_limit_reset(&g->admission.rate_limit);
+		g->server_said_leaving = false;
 		g->backend_announced_at_ms = clock_now_ms();
 	}
 	g->backend_server = *b;
@@ -775,6 +776,7 @@
 	if (!g->fetcher_ready)
 		return;
 	gate_apply_configuration(g);
+	gate_check_leaving(g);
 	gate_suspect_tick(g, now);
 	last_messages_expire(&g->last_messages[0], now);
 	last_messages_expire(&g->last_messages[1], now);
--- a/node/gate.h
+++ b/node/gate.h
@@ -108,6 +108,7 @@
 	struct fifo_cache early_cancels;
 	int64_t backend_alive_at_ms; /* last answer or announcement */
 	int64_t backend_announced_at_ms; /* its present instance, first */
+	bool server_said_leaving; /* in an answer, not acted on yet */
 	int64_t next_probe_at_ms;
 	uint32_t connect_failures; /* in a row */
 	uint32_t connect_refusals; /* of those, by a port without a listener */
--- a/node/node.c
+++ b/node/node.c
@@ -283,6 +283,7 @@
 		gate_entry_stopped(&n->gate, ev->member->peer);
 	if (ev->type == FLEET_MEMBER_JOINED) {
 		remember_address(n, ev->member->id, ev->member->peer);
+		entry_on_member_joined(&n->entry, ev->member);
 		report_replaced_process(n, ev->member);
 	}
 	operator_on_event(n, ev);
--- a/route/choose.h
+++ b/route/choose.h
@@ -25,6 +25,8 @@
 	int64_t no_progress_since_ms;
 	/* The gate's stop notice was received; no requests are sent to it. */
 	bool stop_announced;
+	/* Its backend server has said that it leaves. */
+	bool server_leaving;
 };
 
 struct chooser;
--- a/t/t0071-platform-server-leaving.sh
+++ b/t/t0071-platform-server-leaving.sh
@@ -32,15 +32,15 @@
 
 echo "# a server without keys"
 server_control 1 leaving=1
-wait_for "an answer that says so" tells 2 POST /book/a
+wait_for "an answer that says so" tells 3 POST /book/a
 sleep 2
-sent 1 2 POST /book/b
+sent 1 3 POST /book/b
 
 echo "# the owner of a key"
 server_control "$owner" leaving=1
-wait_for "an answer that says so" tells 2 GET /look/a -H "$key"
+wait_for "an answer that says so" tells 3 GET /look/a -H "$key"
 sleep 2
-sent "$owner" 2 GET /look/b -H "$key"
+sent "$owner" 3 GET /look/b -H "$key"
 other_owner() { [ "$(owner_of_key)" != "$owner" ] && [ -n "$(owner_of_key)" ]; }
 wait_for "another owner" other_owner
 
@@ -51,12 +51,12 @@
 	wait_for "it to answer" ask -f "http://$(ready_of "$i")/-/readyz"
 done
 wait_heartbeats 1 2
-sent 1 2 POST /book/c
-sent "$owner" 2 GET /look/c -H "$key"
+sent 1 3 POST /book/c
+sent "$owner" 3 GET /look/c -H "$key"
 
 echo "# another instance of one of them"
 server_control 1 "crash=1&leaving=0"
-gets_some() { call 2 POST /book/d -o /dev/null; [ "$(server_stat 1 served)" -gt "$BEFORE" ]; }
+gets_some() { call 3 POST /book/d -o /dev/null; [ "$(server_stat 1 served)" -gt "$BEFORE" ]; }
 BEFORE=$(server_stat 1 served)
 wait_for "it to be sent requests" gets_some
 echo "gets requests again"
