gate, node, net: names of what servers state in their answers (LIMIT, DRAIN)

Names only: server_status for what an answer's headers state, entry_status for what an entry passes on of it, blocked for the refusal of a blocked request.

--- a/gate/rate-limit.c
+++ b/gate/rate-limit.c
@@ -78,7 +78,7 @@
 		l->per_s = 0;
 }
 
-void rate_limit_on_told(struct rate_limit *l, double per_s, int64_t now_ms)
+void rate_limit_on_reported(struct rate_limit *l, double per_s, int64_t now_ms)
 {
 	if (l->known)
 		return;
--- a/gate/rate-limit.h
+++ b/gate/rate-limit.h
@@ -45,7 +45,7 @@
  * An entry remembers that the server named a rate. Has no effect once an answer
  * was received here.
  */
-void rate_limit_on_told(struct rate_limit *l, double per_s, int64_t now_ms);
+void rate_limit_on_reported(struct rate_limit *l, double per_s, int64_t now_ms);
 
 /* Whether a rate is named. */
 bool rate_limit_is_active(const struct rate_limit *l);
--- a/net/server-says.c
+++ b/net/server-status.c
@@ -2,13 +2,13 @@
 #include <strings.h>
 
 #include "gate/rate-limit.h"
-#include "net/server-says.h"
+#include "net/server-status.h"
 
 #define MILLI 1000.0
 /* Higher limits count as this one, which no server reaches. */
 #define MAX_LIMIT_PER_S 1e9
 
-static void read_limit(struct server_says *s, const char *value)
+static void read_limit(struct server_status *s, const char *value)
 {
 	double per_s;
 	int64_t milli;
@@ -29,8 +29,9 @@
 	return name && !strcasecmp(header, name);
 }
 
-void server_says_read(struct server_says *s, const struct header_names *names,
-		      const GPtrArray *answer_headers)
+void server_status_read(struct server_status *s,
+			const struct header_names *names,
+			const GPtrArray *answer_headers)
 {
 	uint32_t i;
 
--- a/node/entry-answer.c
+++ b/node/entry-answer.c
@@ -268,7 +268,7 @@
 		return;
 	}
 	plan_attempt_event(&r->plan, a->number, ATTEMPT_EVENT_ANSWERED);
-	entry_on_server_says(e, a->member, m->headers);
+	entry_on_server_status(e, a->member, m->headers);
 	entry_cancel_others(r, a);
 	emit_answered(r, a, m->status);
 	if (a->hedge)
--- a/node/entry-attempt.c
+++ b/node/entry-attempt.c
@@ -248,7 +248,7 @@
 	fill_request_msg(r, member, now, &m);
 	m.id = a->id;
 	m.number = (int64_t)a->connection;
-	entry_tell_gate(e, to, &m);
+	entry_add_server_status(e, to, &m);
 	id = a->id;
 	record_sent(r, a, now);
 	/*
--- a/node/entry-request.h
+++ b/node/entry-request.h
@@ -166,14 +166,14 @@
 int entry_send(struct entry *e, const char *address,
 	       const struct request_msg *m);
 
-/* node/entry-server-says.c */
+/* node/entry-server-status.c */
 
 /* Takes in what a member's server says of itself in an answer passed on. */
-void entry_on_server_says(struct entry *e, int64_t member,
-			  const GPtrArray *answer_headers);
+void entry_on_server_status(struct entry *e, int64_t member,
+			    const GPtrArray *answer_headers);
 /* Adds what is known of the member's server to a request sent to its gate. */
-void entry_tell_gate(struct entry *e, const struct member *to,
-		     struct request_msg *m);
+void entry_add_server_status(struct entry *e, const struct member *to,
+			     struct request_msg *m);
 
 /* node/entry-reconcile.c */
 
--- a/node/entry.c
+++ b/node/entry.c
@@ -628,7 +628,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	e->prev_owner_refusals = g_hash_table_new_full(
 		g_int64_hash, g_int64_equal, g_free, g_free);
-	fifo_cache_init(&e->server_says, MAX_SERVERS_KNOWN);
+	fifo_cache_init(&e->server_status, MAX_SERVERS_KNOWN);
 	chooser_init(&e->chooser, node->settings.choice, g_random_int());
 	ev_init(&e->tick, on_tick);
 	e->tick.repeat = TICK_S;
@@ -666,7 +666,7 @@
 	g_ptr_array_unref(e->requests);
 	g_hash_table_unref(e->to_reconcile);
 	g_hash_table_unref(e->sent_cancels);
-	fifo_cache_finish(&e->server_says);
+	fifo_cache_finish(&e->server_status);
 	g_rand_free(e->rand);
 }
 
--- a/node/entry.h
+++ b/node/entry.h
@@ -36,8 +36,8 @@
 	GHashTable *to_reconcile;
 	/* address -> struct sent_cancel, the last one sent there */
 	GHashTable *sent_cancels;
-	/* hash of a server instance -> struct server_says, if it says any */
-	struct fifo_cache server_says;
+	/* hash of a server instance -> struct server_status, if it says any */
+	struct fifo_cache server_status;
 	GRand *rand;
 	uint64_t origin; /* random id of this process in messages to gates */
 	uint64_t next_id; /* id of the last attempt */
--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -117,7 +117,7 @@
 		f->status == STATUS_MISDIRECTED;
 	/* It may be from another instance of the server. */
 	if (f->status != STATUS_MISDIRECTED)
-		gate_on_server_says(r, f->answer_headers);
+		gate_on_server_status(r, f->answer_headers);
 }
 
 static bool on_data(struct fetch *f, const void *data, size_t len)
--- a/node/gate-request.h
+++ b/node/gate-request.h
@@ -149,13 +149,13 @@
 void gate_server_end_init(struct gate *g);
 void gate_server_end_finish(struct gate *g);
 
-/* node/gate-server-says.c */
+/* node/gate-server-status.c */
 
 /* Takes in what the server says of itself in the head of an answer. */
-void gate_on_server_says(struct gate_request *r,
-			 const GPtrArray *answer_headers);
+void gate_on_server_status(struct gate_request *r,
+			   const GPtrArray *answer_headers);
 /* Takes in what an entry remembers of it, sent with a request. */
-void gate_on_told(struct gate *g, const struct request_msg *m);
+void gate_on_entry_status(struct gate *g, const struct request_msg *m);
 /* Drains the gate if the server has said that it leaves. */
 void gate_check_leaving(struct gate *g);
 
--- a/node/gate-server-says.c
+++ b/node/gate-server-status.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "net/clock.h"
-#include "net/server-says.h"
+#include "net/server-status.h"
 #include "node/backend.h"
 #include "node/gate-request.h"
 #include "node/node.h"
@@ -30,31 +30,32 @@
 		COUNT(servers_limited);
 }
 
-void gate_on_server_says(struct gate_request *r,
-			 const GPtrArray *answer_headers)
+void gate_on_server_status(struct gate_request *r,
+			   const GPtrArray *answer_headers)
 {
 	struct gate *g = r->gate;
 	struct rate_limit *l = &g->admission.rate_limit;
 	double before = l->per_s;
 	double per_s = 0;
-	struct server_says says;
+	struct server_status status;
 
 	/* The answer is from the instance that the request was sent to. */
 	if (r->started_at_us / 1000 < g->backend_announced_at_ms)
 		return;
-	server_says_read(&says, gate_header_names(r), answer_headers);
-	per_s = says.limit_milli / MILLI;
-	if (says.limit != SERVER_LIMIT_UNREADABLE)
-		rate_limit_on_answer(l, says.limit == SERVER_LIMIT_NAMED, per_s,
-				     r->started_at_us / 1000, clock_now_ms());
+	server_status_read(&status, gate_header_names(r), answer_headers);
+	per_s = status.limit_milli / MILLI;
+	if (status.limit != SERVER_LIMIT_UNREADABLE)
+		rate_limit_on_answer(l, status.limit == SERVER_LIMIT_NAMED,
+				     per_s, r->started_at_us / 1000,
+				     clock_now_ms());
 	if (before != l->per_s)
 		emit_limit(g, "answer");
 	/* Acted on later: this may be called while libcurl is. */
-	if (says.leaving)
+	if (status.leaving)
 		g->server_said_leaving = true;
 }
 
-void gate_on_told(struct gate *g, const struct request_msg *m)
+void gate_on_entry_status(struct gate *g, const struct request_msg *m)
 {
 	struct rate_limit *l = &g->admission.rate_limit;
 	double before = l->per_s;
@@ -63,7 +64,7 @@
 	    (uint64_t)m->status != hash_string(g->backend_server.instance_id))
 		return;
 	if (m->limit > 0)
-		rate_limit_on_told(l, m->limit / MILLI, clock_now_ms());
+		rate_limit_on_reported(l, m->limit / MILLI, clock_now_ms());
 	if (before != l->per_s)
 		emit_limit(g, "entry");
 	if (m->flags & REQ_FLAG_SERVER_LEAVING) {
--- a/node/gate.c
+++ b/node/gate.c
@@ -383,7 +383,7 @@
 	if (result == RESULT_NOT_OWNER)
 		COUNT(gate_refused_not_owner);
 	else if (result == RESULT_QUARANTINED)
-		COUNT(gate_refused_quarantined);
+		COUNT(gate_refused_blocked);
 	else if (result == RESULT_TIMEOUT)
 		COUNT(gate_refused_deadline);
 	else
@@ -685,7 +685,7 @@
 		refuse_message(g, identity, len, m, RESULT_NOT_OWNER);
 		return;
 	}
-	gate_on_told(g, m);
+	gate_on_entry_status(g, m);
 	gate_record_entry(g, identity, len);
 	if (gate_has_early_cancel(g, m))
 		return;
--- a/t/test-rate-limit.c
+++ b/t/test-rate-limit.c
@@ -5,7 +5,7 @@
 #include "gate/admission.h"
 #include "gate/rate-limit.h"
 #include "net/headers.h"
-#include "net/server-says.h"
+#include "net/server-status.h"
 #include "platform/request.h"
 #include "route/balance.h"
 #include "util/result.h"
@@ -101,12 +101,12 @@
 
 	for (i = 0; i < G_N_ELEMENTS(header_table); i++) {
 		GPtrArray *headers = headers_new();
-		struct server_says s;
+		struct server_status s;
 
 		for (j = 0; header_table[i].headers[j]; j += 2)
 			header_add(headers, header_table[i].headers[j],
 				   header_table[i].headers[j + 1]);
-		server_says_read(&s, &headers_platform, headers);
+		server_status_read(&s, &headers_platform, headers);
 		g_assert_cmpint(s.limit, ==, header_table[i].limit);
 		g_assert_cmpint(s.limit_milli, ==, header_table[i].milli);
 		g_assert_cmpint(s.leaving, ==, header_table[i].leaving);
@@ -151,7 +151,7 @@
 			int64_t at_ms = answer_table[i].answers[j].at_ms;
 
 			if (per_s == -2)
-				rate_limit_on_told(&l, 3, at_ms);
+				rate_limit_on_reported(&l, 3, at_ms);
 			else
 				rate_limit_on_answer(
 					&l, per_s >= 0, MAX(per_s, 0),
@@ -289,8 +289,8 @@
 		struct answer a = { w->now_ms, w->now_ms + draw(w, 20, 250) };
 
 		if (w->remembered_per_s > 0)
-			rate_limit_on_told(&w->limit, w->remembered_per_s,
-					   w->now_ms);
+			rate_limit_on_reported(&w->limit, w->remembered_per_s,
+					       w->now_ms);
 		if (!rate_limit_allows(&w->limit, w->now_ms))
 			return;
 		rate_limit_record_send(&w->limit, w->now_ms);
