--- a/node/operator.c
+++ b/node/operator.c
@@ -268,6 +268,11 @@
 	if (c.n_errors) {
 		reply_problem(r, 400, c.errors->str);
 	} else {
+		/* It announces itself once, when it starts. */
+		g_snprintf(b.instance_id, sizeof(b.instance_id),
+			   "%s/%" G_GINT64_FORMAT, n->settings.host,
+			   (gint64)g_get_real_time());
+		n->backend_left = false;
 		gate_backend_announced(&n->gate, &b);
 		node_backend_announced(n);
 		reply_json(r, 200, json_pack("{s:b}", "announced", 1));
