--- a/gate/admission.c
+++ b/gate/admission.c
@@ -6,8 +6,6 @@
 
 #define QUEUE_PER_SLOT 4
 #define MIN_RETRY_AFTER_MS 100
-/* Of the rate that a server names, the share that is left to it. */
-#define RATE_TARGET_SHARE 0.8
 /* Share of the time to the target that the link may use; the rest is for work. */
 #define LINK_TARGET_SHARE 0.4
 /* Refusing shorter answers would not noticeably free the link for others. */
@@ -173,13 +171,6 @@
 		   rate_limit_utilization(&a->rate_limit, now_ms));
 }
 
-double admission_surplus(const struct admission *a, int64_t now_ms)
-{
-	double utilization = rate_limit_utilization(&a->rate_limit, now_ms);
-
-	return utilization > 1 ? 1 - RATE_TARGET_SHARE / utilization : 0;
-}
-
 int64_t admission_retry_after_ms(const struct admission *a, double jitter,
 				 int64_t now_ms)
 {
--- a/gate/admission.h
+++ b/gate/admission.h
@@ -109,12 +109,6 @@
  */
 double admission_utilization(const struct admission *a, int64_t now_ms);
 
-/*
- * The share of the requests offered that the server does not take by the rate
- * that it names; 0 if it takes them all.
- */
-double admission_surplus(const struct admission *a, int64_t now_ms);
-
 /*
  * After how many milliseconds the caller of a refused request should retry: a
  * minimum plus the time that the queue or the link takes to drain, whichever is
--- a/node/gate-move.c
+++ b/node/gate-move.c
@@ -55,7 +55,6 @@
 		return;
 	balance_update(&g->balance, admission_utilization(&g->admission, now),
 		       now);
-	balance_set_surplus(&g->balance, admission_surplus(&g->admission, now));
 	shards = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	list = list_move_candidates(g, now);
 	if (balance_choose_shards(&g->balance, list, can_move_shard, n, now,
--- a/route/balance.c
+++ b/route/balance.c
@@ -22,8 +22,6 @@
  */
 #define MAX_SHARDS_PER_MOVE 96
 #define MAX_MOVED_SHARE 0.4
-/* Limit of a move of what a server does not take. */
-#define MAX_SURPLUS_SHARDS 512
 /*
  * Shards with a smaller share of the owner's requests do not move: they hardly
  * change the load, while their keys are not served for a second.
@@ -79,11 +77,6 @@
 						    : b->shard_rates[i] * decay;
 }
 
-void balance_set_surplus(struct balance *b, double share)
-{
-	b->surplus = share;
-}
-
 static const struct balance_candidate *find_least_utilized(const GArray *others)
 {
 	const struct balance_candidate *best = NULL;
@@ -132,44 +125,6 @@
 	return list;
 }
 
-/*
- * Chooses shards whose rates add up to remaining, neighbours as far as
- * possible: together they are few ranges at the receiver.
- */
-static void choose_neighbours(const struct balance *b,
-			      bool (*may_move)(void *user, uint32_t shard),
-			      void *user, double remaining, GArray *shards)
-{
-	uint32_t i;
-
-	for (i = 0; i < b->n_shards && remaining > 0 &&
-		    shards->len < MAX_SURPLUS_SHARDS;
-	     i++) {
-		if (!may_move(user, i))
-			continue;
-		remaining -= b->shard_rates[i];
-		g_array_append_val(shards, i);
-	}
-}
-
-static void choose_busiest(const GArray *list, double total, double remaining,
-			   GArray *shards)
-{
-	uint32_t i;
-
-	for (i = 0; i < list->len && shards->len < MAX_SHARDS_PER_MOVE; i++) {
-		const struct shard_rate *s =
-			&g_array_index(list, struct shard_rate, i);
-
-		if (s->rate < total * MIN_SHARD_SHARE)
-			break;
-		if (s->rate > remaining)
-			continue;
-		remaining -= s->rate;
-		g_array_append_val(shards, s->shard);
-	}
-}
-
 bool balance_choose_shards(struct balance *b, const GArray *others,
 			   bool (*may_move)(void *user, uint32_t shard),
 			   void *user, int64_t now_ms, int64_t *target,
@@ -178,6 +133,7 @@
 	const struct balance_candidate *o = find_least_utilized(others);
 	GArray *list;
 	double total, remaining;
+	uint32_t i;
 
 	if (now_ms < b->next_move_at_ms || !o ||
 	    b->utilization < MIN_UTILIZATION ||
@@ -192,11 +148,17 @@
 	remaining = total * MIN((b->utilization - o->utilization) /
 					(2 * b->utilization),
 				MAX_MOVED_SHARE);
-	if (total * b->surplus > remaining)
-		choose_neighbours(b, may_move, user, total * b->surplus,
-				  shards);
-	else
-		choose_busiest(list, total, remaining, shards);
+	for (i = 0; i < list->len && shards->len < MAX_SHARDS_PER_MOVE; i++) {
+		const struct shard_rate *s =
+			&g_array_index(list, struct shard_rate, i);
+
+		if (s->rate < total * MIN_SHARD_SHARE)
+			break;
+		if (s->rate > remaining)
+			continue;
+		remaining -= s->rate;
+		g_array_append_val(shards, s->shard);
+	}
 	g_array_unref(list);
 	if (!shards->len)
 		return false;
--- a/route/balance.h
+++ b/route/balance.h
@@ -24,8 +24,6 @@
 	uint32_t n_shards;
 	/* Moving average of load divided by limit; queued requests included. */
 	double utilization;
-	/* Share of the requests that the server does not take by its limit. */
-	double surplus;
 	int64_t decayed_at_ms; /* last balance_update() */
 	int64_t next_move_at_ms; /* no shard is moved before this time */
 };
@@ -50,13 +48,6 @@
  */
 void balance_update(struct balance *b, double utilization, int64_t now_ms);
 
-/*
- * Sets the share of the requests that the owner's server does not take, as it
- * names a limit that is lower than what comes; 0 if it takes them all. That
- * share is refused where it is, so a move of all of it loses nothing.
- */
-void balance_set_surplus(struct balance *b, double share);
-
 /*
  * Chooses the shards to move and one of the other owners, an array of struct
  * balance_candidate, to receive them. may_move(user, shard) returns whether a
--- a/t/test-rate-limit.c
+++ b/t/test-rate-limit.c
@@ -7,7 +7,6 @@
 #include "net/headers.h"
 #include "net/server-status.h"
 #include "platform/request.h"
-#include "route/balance.h"
 #include "util/result.h"
 
 /*
@@ -191,74 +190,6 @@
 	admission_finish(&a);
 }
 
-#define N_SHARDS 512
-
-static bool may_move_all(void *user, uint32_t shard)
-{
-	(void)user;
-	(void)shard;
-	return true;
-}
-
-static uint32_t n_ranges(const GArray *shards)
-{
-	uint32_t n = shards->len > 0;
-	uint32_t i;
-
-	for (i = 1; i < shards->len; i++)
-		n += g_array_index(shards, uint32_t, i) !=
-		     g_array_index(shards, uint32_t, i - 1) + 1;
-	return n;
-}
-
-/*
- * An owner gets 20 requests a second for 512 shards. How many shards it gives
- * away in its first move, and in how many ranges.
- */
-static const struct {
-	double surplus;
-	uint32_t least, most, ranges;
-} surplus_table[] = {
-	{ 0.7, 300, 420, 1 },
-	{ 0.3, 0, 96, 96 },
-	{ 0, 0, 96, 96 },
-};
-
-static void test_surplus_is_given_away(void)
-{
-	struct balance_candidate other = { .member = 7, .utilization = 0.3 };
-	GArray *others = g_array_new(FALSE, FALSE, sizeof(other));
-	uint32_t i, j;
-
-	g_array_append_val(others, other);
-	for (i = 0; i < G_N_ELEMENTS(surplus_table); i++) {
-		GArray *shards = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-		struct balance b;
-		int64_t target = 0;
-
-		balance_init(&b);
-		balance_resize(&b, N_SHARDS);
-		for (j = 0; j < 10000; j += 50) {
-			balance_count_request(&b, j / 50 * 61 % N_SHARDS);
-			balance_update(&b, 2, j + 1);
-		}
-		balance_set_surplus(&b, surplus_table[i].surplus);
-		g_assert_true(balance_choose_shards(&b, others, may_move_all,
-						    NULL, 10000, &target,
-						    shards));
-		g_assert_cmpint(target, ==, 7);
-		g_test_message("surplus %.1f: %u shards in %u ranges",
-			       surplus_table[i].surplus, shards->len,
-			       n_ranges(shards));
-		g_assert_cmpuint(shards->len, >=, surplus_table[i].least);
-		g_assert_cmpuint(shards->len, <=, surplus_table[i].most);
-		g_assert_cmpuint(n_ranges(shards), <=, surplus_table[i].ranges);
-		balance_finish(&b);
-		g_array_unref(shards);
-	}
-	g_array_unref(others);
-}
-
 struct world {
 	GRand *rand;
 	struct rate_limit limit;
@@ -422,7 +353,6 @@
 	g_test_add_func("/rate-limit/headers", test_headers);
 	g_test_add_func("/rate-limit/answers", test_answers);
 	g_test_add_func("/rate-limit/refused-at-once", test_refused_at_once);
-	g_test_add_func("/rate-limit/surplus", test_surplus_is_given_away);
 	g_test_add_func("/rate-limit/random-load", test_random_load);
 	g_test_add_data_func("/rate-limit/rule-is-needed/burst",
 			     GUINT_TO_POINTER(RATE_LIMIT_RULE_BURST),
