--- a/member/suspects.c
+++ b/member/suspects.c
@@ -155,7 +155,10 @@
 		set_blocked(&n->suspects, fingerprint, now_ms);
 }
 
-/* Time until a blocked request is tried again; INT64_MAX: never. */
+/*
+ * Time until a blocked request is tried again. Where that never is, the whole
+ * wait, as operators may clear it.
+ */
 static int64_t trial_due_in_ms(struct member_node *n, uint64_t fingerprint,
 			       int64_t now_ms)
 {
@@ -164,7 +167,7 @@
 
 	if (count_instances(n, fingerprint) > SUSPECT_MAX_TRIAL_INSTANCES &&
 	    rule_enabled(n, RULE_TRIALS_END))
-		return INT64_MAX;
+		return s->trial_ms;
 	/* A state that was loaded does not tell since when. */
 	if (!b) {
 		set_blocked(s, fingerprint, now_ms);
@@ -215,8 +218,10 @@
 			       ? SUSPECT_ALONE
 			       : SUSPECT_ELSEWHERE;
 	*wait_ms = trial_due_in_ms(n, fingerprint, now_ms);
-	if (*wait_ms <= 0 && (may_try || tries_again(n, fingerprint)))
+	if (*wait_ms <= 0 && (may_try || tries_again(n, fingerprint))) {
+		*wait_ms = 0;
 		return SUSPECT_ALONE;
+	}
 	*wait_ms = MAX(*wait_ms, 1);
 	return SUSPECT_BLOCKED;
 }
--- a/t/test-quarantine.c
+++ b/t/test-quarantine.c
@@ -566,10 +566,16 @@
 	int64_t wait_ms;
 	uint32_t i;
 
-	for (i = 0; i < N_SERVERS; i++)
-		count += member_judge_request(&w->servers[i].node, fingerprint,
-					      false, now_ms,
-					      &wait_ms) == SUSPECT_ALONE;
+	for (i = 0; i < N_SERVERS; i++) {
+		enum suspect_verdict v =
+			member_judge_request(&w->servers[i].node, fingerprint,
+					     false, now_ms, &wait_ms);
+
+		count += v == SUSPECT_ALONE;
+		/* Callers are told to come back after a part of it. */
+		if (v == SUSPECT_BLOCKED)
+			g_assert_cmpint(wait_ms, <=, TRIAL_MS);
+	}
 	return count;
 }
 
