node: log and measure each step of an operators' change

Of a change that came late nobody could tell which step was late: how often its append was refused as another record had come first, how long it was under way, and since when a host knew of a record that it still had to read. New lines change_appended and record_announced, more fields in configured, histograms change_wait_ms, change_append_ms, change_back_ms, announced_ms.

--- a/member/member.h
+++ b/member/member.h
@@ -179,6 +179,11 @@
  * The subject is the configuration version.
  */
 #define NOTE_CURRENT "current"
+/*
+ * A peer has applied a record that it did not send, as it is long. The subject
+ * is the offset. Not written as a line of text.
+ */
+#define NOTE_ANNOUNCED "announced"
 
 struct member_ops {
 	/* Send to a member. The message remains the sender's to free. */
--- a/member/sync.c
+++ b/member/sync.c
@@ -467,10 +467,12 @@
 	 * The message announced records that it does not contain, or others
 	 * before them are missing here. Read them from the log.
 	 */
-	if (n->fleet.applied < msg->applied && n->fleet.applied == before)
+	if (n->fleet.applied < msg->applied && n->fleet.applied == before) {
 		n->log_read_due = true;
-	else
+		member_note(n, NOTE_ANNOUNCED, msg->applied);
+	} else {
 		check_caught_up(n, msg);
+	}
 }
 
 /*
--- a/net/log-client.c
+++ b/net/log-client.c
@@ -212,6 +212,7 @@
 	int kind = a->kind;
 	void *user = a->user;
 
+	c->ended_conflicts = a->n_conflicts;
 	append_free(a);
 	c->handlers->on_appended(c->user, kind, user, result);
 }
--- a/net/log-client.h
+++ b/net/log-client.h
@@ -55,6 +55,7 @@
 	void *user;
 	bool any_offset; /* may follow records that are not read yet */
 	uint32_t n_offset_retries; /* times resent after a conflict */
+	uint32_t n_conflicts; /* times another record came first */
 	bool in_doubt; /* sent, but the answer was lost */
 	int64_t in_doubt_since_ms;
 };
@@ -111,6 +112,7 @@
 	int64_t n_failures; /* failed reads in succession */
 	ev_timer timer;
 	GPtrArray *appends; /* struct log_append */
+	uint32_t ended_conflicts; /* while on_appended runs: of that append */
 };
 
 extern const struct log_ops log_http_ops;
--- a/node/node.c
+++ b/node/node.c
@@ -80,6 +80,8 @@
 {
 	const json_t *changes = n->member.changes;
 
+	MEASURE(change_wait_ms,
+		clock_now_ms() - n->member.published_wait_since_ms);
 	EVENT(configuration_proposed, NULL,
 	      "\"source\":%" PRId64 ",\"base\":%" PRId64
 	      ",\"classes\":%zu,\"removed\":%zu,\"whole\":%s"
@@ -105,8 +107,10 @@
 	G_STATIC_ASSERT(COUNTER_appends_cleared - COUNTER_appends_join ==
 			N_APPEND_KINDS - 1);
 	counters[COUNTER_appends_join + kind]++;
-	if (kind == APPEND_PUBLISHED)
+	if (kind == APPEND_PUBLISHED) {
 		emit_proposed(n);
+		n->change_proposed_at_ms = clock_now_ms();
+	}
 	log_client_append(&n->log, kind, member_append_may_follow(kind), NULL,
 			  record);
 }
@@ -170,10 +174,64 @@
 	      sh->older_successor);
 }
 
+/* Time since a moment, -1 if there was none. */
+static int64_t ms_since(int64_t at_ms)
+{
+	return at_ms ? clock_now_ms() - at_ms : -1;
+}
+
+static void emit_configured(struct node *n, const struct fleet_event *ev)
+{
+	const struct member_node *m = &n->member;
+
+	if (n->change_proposed_at_ms)
+		MEASURE(change_back_ms, ms_since(n->change_proposed_at_ms));
+	EVENT(configured, NULL,
+	      "\"version\":%" PRId64 ",\"source\":%" PRId64
+	      ",\"operators_version\":%" PRId64
+	      ",\"classes\":%u,\"by\":\"%s\",\"read_ago_ms\":%" PRId64
+	      ",\"proposed_ago_ms\":%" PRId64 ",\"announced_ago_ms\":%" PRId64,
+	      ev->offset, m->fleet.source_offset,
+	      (int64_t)json_integer_value(
+		      json_object_get(m->fleet.document, "source")),
+	      m->fleet.configuration.n_classes, event_text(ev->written_by),
+	      ms_since(m->published_wait_since_ms),
+	      ms_since(n->change_proposed_at_ms), ms_since(n->announced_at_ms));
+	n->change_proposed_at_ms = 0;
+}
+
+/*
+ * A peer has applied a record that it did not send: this node has to read it
+ * from the log.
+ */
+static void on_announced(struct node *n, int64_t offset)
+{
+	if (n->announced_at_ms)
+		return;
+	n->announced_at_ms = clock_now_ms();
+	n->announced_offset = offset;
+	EVENT(record_announced, NULL,
+	      "\"offset\":%" PRId64 ",\"applied\":%" PRId64, offset,
+	      n->member.fleet.applied);
+}
+
+static void check_announced(struct node *n)
+{
+	if (!n->announced_at_ms ||
+	    n->member.fleet.applied < n->announced_offset)
+		return;
+	MEASURE(announced_ms, ms_since(n->announced_at_ms));
+	n->announced_at_ms = 0;
+}
+
 static void op_note(void *user, const char *what, int64_t subject)
 {
 	struct node *n = user;
 
+	if (!strcmp(what, NOTE_ANNOUNCED)) {
+		on_announced(n, subject);
+		return;
+	}
 	if (!strcmp(what, NOTE_LEASE_GAINED))
 		EVENT(lease_gained, NULL, "\"member\":%" PRId64,
 		      n->member.self_id);
@@ -244,22 +302,6 @@
 	old->id = 0;
 }
 
-static void emit_configured(const struct node *n, const struct fleet_event *ev)
-{
-	const struct member_node *m = &n->member;
-	int64_t since = m->published_wait_since_ms;
-
-	EVENT(configured, NULL,
-	      "\"version\":%" PRId64 ",\"source\":%" PRId64
-	      ",\"operators_version\":%" PRId64
-	      ",\"classes\":%u,\"read_ago_ms\":%" PRId64,
-	      ev->offset, m->fleet.source_offset,
-	      (int64_t)json_integer_value(
-		      json_object_get(m->fleet.document, "source")),
-	      m->fleet.configuration.n_classes,
-	      since ? clock_now_ms() - since : -1);
-}
-
 static void on_event(void *user, const struct fleet_event *ev)
 {
 	struct node *n = user;
@@ -523,6 +565,7 @@
 
 	(void)loop;
 	(void)events;
+	check_announced(n);
 	n->member.log_up = log_client_up(&n->log);
 	member_tick(&n->member, now);
 	gate_tick(&n->gate);
--- a/node/node.h
+++ b/node/node.h
@@ -75,6 +75,11 @@
 	 */
 	int64_t source_ahead_since_ms;
 	int64_t next_wait_update_at_ms; /* of how long reads wait */
+	/* When this node last proposed an operators' change; 0: not in force. */
+	int64_t change_proposed_at_ms;
+	/* Since when a record is known that peers announced; 0: none. */
+	int64_t announced_at_ms;
+	int64_t announced_offset;
 	struct audit audit;
 	GPtrArray *publishes; /* struct publish */
 	GHashTable *addresses; /* last peer address of each member seen */
--- a/node/streams.c
+++ b/node/streams.c
@@ -6,6 +6,7 @@
 #include "node/read-plan.h"
 #include "platform/store.h"
 #include "util/event.h"
+#include "util/histogram.h"
 #include "util/result.h"
 
 /*
@@ -156,10 +157,25 @@
 	log_client_scan(&n->log, first);
 }
 
+static void emit_change_appended(struct node *n, int result)
+{
+	int64_t ms = clock_now_ms() - n->change_proposed_at_ms;
+
+	if (!result)
+		MEASURE(change_append_ms, ms);
+	EVENT(change_appended, NULL,
+	      "\"source\":%" PRId64 ",\"base\":%" PRId64
+	      ",\"result\":\"%s\",\"conflicts\":%u,\"ms\":%" PRId64,
+	      n->member.changes_source, n->member.changes_base,
+	      result_name(result), n->log.ended_conflicts, ms);
+}
+
 static void on_appended(void *user, int kind, void *append_user, int result)
 {
 	struct node *n = user;
 
+	if (kind == APPEND_PUBLISHED)
+		emit_change_appended(n, result);
 	if (kind == APPEND_OPERATOR)
 		operator_appended(n, append_user, result);
 	else if (kind < N_APPEND_KINDS)
--- a/util/event.h
+++ b/util/event.h
@@ -23,6 +23,8 @@
 	X(reloaded, 10, 10)                  \
 	X(published, 10, 20)                 \
 	X(configuration_proposed, 10, 20)    \
+	X(change_appended, 10, 20)           \
+	X(record_announced, 5, 20)           \
 	X(configured, 10, 20)                \
 	X(configuration_refused, 10, 20)     \
 	X(store_lost, 2, 10)                 \
--- a/util/histogram.h
+++ b/util/histogram.h
@@ -27,7 +27,11 @@
 	X(cancel_ms) /* as hop_ms, for cancellations */                \
 	X(loop_ms) /* an iteration of the event loop, no waiting */    \
 	X(grant_ms) /* duration of grants in heartbeat answers */      \
-	X(store_append_ms) /* an append to the log, to its answer */
+	X(store_append_ms) /* an append to the log, to its answer */   \
+	X(change_wait_ms) /* operators' change: read to proposed */    \
+	X(change_append_ms) /* proposed to accepted by the log */      \
+	X(change_back_ms) /* proposed to applied here */               \
+	X(announced_ms) /* a record: announced to applied here */
 
 enum histogram {
 #define HISTOGRAM_ENUM(name) HISTOGRAM_##name,
