t: changes while the store answers late or other records come first (CONFIG), red

The store's stand-in learns answer_ms and overtake, the simulated fleet a stream of operators whose reads, like those of the log, are answered late.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 
 PROGRAMS = briargrade log-standin backend-standin platform-store \
 	platform-server load slope
-TESTS = test-published test-grants test-member test-schedules test-recovery test-start test-readers test-log-client test-state test-gate test-reconcile test-quarantine test-rate-limit test-route test-settings test-net
+TESTS = test-changes test-published test-grants test-member test-schedules test-recovery test-start test-readers test-log-client test-state test-gate test-reconcile test-quarantine test-rate-limit test-route test-settings test-net
 BINARIES = $(PROGRAMS:%=$(OUT)/bin/%) $(TESTS:%=$(OUT)/bin/%) \
 	$(OUT)/bin/fault-soak
 SOURCES = $(wildcard *.c builtin/*.[ch] t/*.[ch] t/soak/*.[ch] \
@@ -58,9 +58,10 @@
 	@mkdir -p $(@D)
 	@echo "  CC $@"; $(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
-SIM_TESTS = test-member test-schedules test-recovery test-start test-readers
+SIM_TESTS = test-changes test-member test-schedules test-recovery test-start test-readers
 $(SIM_TESTS:%=$(OUT)/bin/%): $(OUT)/bin/%: $(OUT)/t/%.o $(OUT)/t/sim.o \
-		$(OUT)/t/sim-backend.o $(OUT)/t/sim-faults.o $(RULE_OBJ) \
+		$(OUT)/t/sim-backend.o $(OUT)/t/sim-faults.o \
+		$(OUT)/t/sim-operators.o $(RULE_OBJ) \
 		$(OTHER_OBJ)
 	@mkdir -p $(@D)
 	@echo "  CC $@"; $(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
--- a/member/member.c
+++ b/member/member.c
@@ -303,6 +303,11 @@
 	return n->published_in_force || n->peer_caught_up;
 }
 
+int64_t member_source_in_force(const struct member_node *n)
+{
+	return n->fleet.source_offset;
+}
+
 bool member_is_behind(const struct member_node *n)
 {
 	return n->published_source > n->fleet.source_offset ||
--- a/member/member.h
+++ b/member/member.h
@@ -459,6 +459,12 @@
  */
 bool member_is_behind(const struct member_node *n);
 
+/*
+ * The offset in the operators' stream up to which its changes are in force for
+ * requests at this node; -1: none are.
+ */
+int64_t member_source_in_force(const struct member_node *n);
+
 /*
  * Whether this node must read the log itself. Most members need not: a few read
  * it and send the records to the others.
--- a/t/platform-store.c
+++ b/t/platform-store.c
@@ -25,6 +25,10 @@
  *   deaf=1        never answers the reads that wait at this moment, and leaves
  *                 their connections open
  *   hold=0|1      answers reads of the newest records only after hold=0
+ *   answer_ms=N   sends every answer N ms after it was made, to operators too
+ *   overtake=N    appends another record just before each record of the fleet
+ *                 that is longer than N bytes (0: off), so that its condition
+ *                 fails
  *   trickle_ms=N  spreads an answer with the newest records of the fleet's
  *                 topic over N ms
  */
@@ -73,6 +77,14 @@
 	GBytes *body;
 };
 
+/* An answer that is sent at due_at_ms. */
+struct late_answer {
+	struct httpd_request *r;
+	uint32_t status;
+	int64_t due_at_ms;
+	GBytes *body;
+};
+
 static struct ev_loop *loop;
 static struct httpd httpd;
 static struct topic topics[] = { { "keyed.fleet", NULL, 0 },
@@ -84,6 +96,8 @@
 static GPtrArray *slow_answers; /* struct slow_answer */
 static GPtrArray *held_reads; /* struct reader, for /-/log-newest */
 static int64_t n_to_lose, late_ms;
+static int64_t answer_ms, overtake_bytes;
+static GPtrArray *late_answers; /* struct late_answer */
 static uint64_t n_appends, n_conflicts, n_reads, n_newest;
 
 static struct topic *find_topic(struct httpd_request *r)
@@ -97,6 +111,56 @@
 	return NULL;
 }
 
+static void late_answer_free(struct late_answer *a)
+{
+	g_ptr_array_remove_fast(late_answers, a);
+	g_bytes_unref(a->body);
+	g_free(a);
+}
+
+/* Answers a call of the store, answer_ms later. */
+static void send_answer(struct httpd_request *r, uint32_t status,
+			const void *data, size_t len)
+{
+	struct late_answer *a;
+
+	if (!answer_ms) {
+		httpd_reply(r, status, NULL, data, len);
+		return;
+	}
+	a = g_new0(struct late_answer, 1);
+	a->r = r;
+	a->status = status;
+	a->due_at_ms = clock_now_ms() + answer_ms;
+	a->body = g_bytes_new(data, len);
+	r->user = a;
+	g_ptr_array_add(late_answers, a);
+}
+
+static void send_answer_text(struct httpd_request *r, uint32_t status,
+			     const char *text)
+{
+	send_answer(r, status, text, strlen(text));
+}
+
+static void send_late_answers(void)
+{
+	int64_t now = clock_now_ms();
+	uint32_t i;
+
+	for (i = late_answers->len; i-- > 0;) {
+		struct late_answer *a = g_ptr_array_index(late_answers, i);
+		gsize len;
+		const void *data = g_bytes_get_data(a->body, &len);
+
+		if (now < a->due_at_ms)
+			continue;
+		a->r->user = NULL;
+		httpd_reply(a->r, a->status, NULL, data, len);
+		late_answer_free(a);
+	}
+}
+
 static void append_big_endian(GByteArray *out, uint64_t v, uint32_t n)
 {
 	while (n--) {
@@ -135,7 +199,7 @@
 		g_byte_array_append(out, (guint8 *)rec->key, key_len);
 		g_byte_array_append(out, value, len);
 	}
-	httpd_reply(w->r, w->from_offset < t->first_offset ? 410 : 200, NULL,
+	send_answer(w->r, w->from_offset < t->first_offset ? 410 : 200,
 		    out->data, out->len);
 	g_byte_array_unref(out);
 }
@@ -195,7 +259,7 @@
 				",\"end_offset\":%" G_GINT64_FORMAT "}",
 				(gint64)offset, (gint64)end);
 
-	httpd_reply(r, status, NULL, text, strlen(text));
+	send_answer_text(r, status, text);
 }
 
 static void lose_answer(struct httpd_request *r)
@@ -204,11 +268,26 @@
 	httpd_stream_end(r, false);
 }
 
+/* Appends a record without effect. */
+static void append_filler(struct topic *t)
+{
+	g_autofree char *value = g_strdup_printf(
+		"{\"id\":\"filler-%u\",\"record\":{\"type\":\"filler\"}}",
+		t->records->len);
+	g_autofree char *key = g_strdup_printf("%03x", t->records->len % 256);
+
+	add_record(t, key, strlen(key), value, strlen(value));
+	answer_readers();
+}
+
 static void on_append(struct httpd_request *r, struct topic *t)
 {
 	int64_t at = int_argument(r, "at", t->records->len);
-	int64_t offset = t->records->len;
+	int64_t offset;
 
+	if (overtake_bytes && t == &topics[0] && r->body->len > overtake_bytes)
+		append_filler(t);
+	offset = t->records->len;
 	if (at != offset) {
 		n_conflicts++;
 		reply_offsets(r, 412, offset, offset);
@@ -227,12 +306,12 @@
 		return;
 	}
 	if (r->body->len > LENGTH_BYTES + MAX_RECORD_BYTES) {
-		httpd_reply_text(r, 400, "the record is too long\n");
+		send_answer_text(r, 400, "the record is too long\n");
 		return;
 	}
 	n_appends++;
 	if (!add_framed_records(t, r->body->data, r->body->len)) {
-		httpd_reply_text(r, 400, "malformed\n");
+		send_answer_text(r, 400, "malformed\n");
 	} else if (n_to_lose > 0) {
 		n_to_lose--;
 		lose_answer(r);
@@ -339,7 +418,7 @@
 		g_ptr_array_add(slow_answers, w);
 		httpd_stream_begin(r, 200, NULL, w->len);
 	} else {
-		httpd_reply(r, 200, NULL, text, strlen(text));
+		send_answer(r, 200, text, strlen(text));
 	}
 	free(text);
 	json_decref(answer);
@@ -403,7 +482,7 @@
 	const char *key = httpd_argument(r, "key");
 
 	add_record(&topics[1], key, strlen(key), r->body->data, r->body->len);
-	httpd_reply_text(r, 200, "lies in the store\n");
+	send_answer_text(r, 200, "lies in the store\n");
 	answer_readers();
 }
 
@@ -416,6 +495,8 @@
 	refuse = int_argument(r, "refuse", refuse);
 	hold = int_argument(r, "hold", hold);
 	trickle_ms = int_argument(r, "trickle_ms", trickle_ms);
+	answer_ms = int_argument(r, "answer_ms", answer_ms);
+	overtake_bytes = int_argument(r, "overtake", overtake_bytes);
 	n_to_lose = int_argument(r, "lose", n_to_lose);
 	late_ms = int_argument(r, "late_ms", late_ms);
 	for (i = 0; int_argument(r, "deaf", 0) && i < readers->len; i++)
@@ -473,6 +554,10 @@
 	(void)user;
 	if (!r->user)
 		return;
+	if (g_ptr_array_find(late_answers, r->user, NULL)) {
+		late_answer_free(r->user);
+		return;
+	}
 	if (g_ptr_array_find(slow_answers, r->user, NULL)) {
 		slow_answer_free(r->user);
 		return;
@@ -491,6 +576,7 @@
 	(void)w;
 	(void)events;
 	apply_late_appends();
+	send_late_answers();
 	send_slow_answers();
 	answer_readers();
 }
@@ -517,6 +603,7 @@
 	late_appends = g_ptr_array_new();
 	held_reads = g_ptr_array_new();
 	slow_answers = g_ptr_array_new();
+	late_answers = g_ptr_array_new();
 	if (httpd_init(&httpd, loop, address, MAX_BODY, &ops, NULL)) {
 		fprintf(stderr, "cannot listen on %s\n", address);
 		return 1;
--- a/t/sim.c
+++ b/t/sim.c
@@ -96,15 +96,18 @@
 	struct sim *s = nd->sim;
 	struct sim_append *a = g_new0(struct sim_append, 1);
 	bool down = s->log_down_until_ms > s->now_ms || nd->log_unreachable;
+	int result = down ? RESULT_UNREACHABLE : RESULT_OK;
 	g_autofree char *id = g_strdup_printf("%u-%" G_GUINT64_FORMAT, nd->slot,
 					      s->n_appends);
 
-	a->answer_at_ms = s->now_ms + 10;
+	if (kind == APPEND_PUBLISHED && s->changes_refused_until_ms > s->now_ms)
+		result = RESULT_CONFLICT;
+	a->answer_at_ms = s->now_ms + 10 + s->answer_ms;
 	a->slot = nd->slot;
 	a->process_number = s->process_number[nd->slot];
 	a->kind = kind;
-	a->result = down ? RESULT_UNREACHABLE : RESULT_OK;
-	if (!down) {
+	a->result = result;
+	if (!result) {
 		sim_add_record(s, id, record);
 		if (s->loss > 0 && random_double(s) < 0.1) {
 			/*
@@ -149,6 +152,9 @@
 	struct sim_node *nd = user;
 
 	(void)in_force;
+	if (nd->published_next)
+		return json_incref((json_t *)sim_published_document(
+			nd->sim, nd->published_next - 1));
 	return json_incref(nd->sim->published);
 }
 
@@ -195,6 +201,12 @@
 	member_init(&nd->member, &me, &timing, &ops, nd, sim_node_now_ms(nd),
 		    g_rand_int(s->rand));
 	nd->member.disabled_rules = s->disabled_rules;
+	memset(&nd->operators_read, 0, sizeof(nd->operators_read));
+	memset(&nd->log_read, 0, sizeof(nd->log_read));
+	nd->published_next = 0;
+	nd->source = -1;
+	if (s->operators)
+		member_expect_operator_stream(&nd->member);
 	nd->up = true;
 	nd->configuration_version = -1;
 	nd->paused_until_ms = 0;
@@ -227,7 +239,7 @@
 	s->nodes[slot].paused_until_ms = s->now_ms + ms;
 }
 
-static json_t *configuration_document(const struct sim *s, const char *out)
+json_t *sim_configuration_document(const struct sim *s, const char *out)
 {
 	json_t *dcs = json_array();
 	json_t *doc;
@@ -255,7 +267,7 @@
 
 void sim_configure(struct sim *s, const char *out_of_service)
 {
-	json_t *doc = configuration_document(s, out_of_service);
+	json_t *doc = sim_configuration_document(s, out_of_service);
 	int64_t base = -1;
 	json_t *r;
 	uint32_t i;
@@ -353,6 +365,8 @@
 		g_free(r);
 	}
 	g_ptr_array_unref(s->log);
+	if (s->operators)
+		g_ptr_array_unref(s->operators);
 	g_queue_free_full(s->append_answers, g_free);
 	g_rand_free(s->rand);
 }
@@ -402,18 +416,22 @@
 static void read_log(struct sim_node *nd)
 {
 	struct sim *s = nd->sim;
-	int64_t first, next;
+	int64_t first, next, end;
 
 	nd->member.log_up = s->log_down_until_ms <= s->now_ms &&
 			    !nd->log_unreachable &&
 			    nd->no_records_until_ms <= s->now_ms;
 	if (!nd->member.log_up || skips_log_read(nd))
 		return;
+	first = nd->member.fleet.applied + 1;
+	end = s->log->len;
+	if (s->answer_ms &&
+	    !sim_read_step(&nd->log_read, s, first, s->log->len, &end))
+		return;
 	nd->log_read_at_ms = s->now_ms;
 	nd->member.log_read_due = false;
-	first = nd->member.fleet.applied + 1;
 	next = first;
-	while (next < s->log->len) {
+	while (next < end) {
 		struct sim_log_record *r = g_ptr_array_index(s->log, next);
 
 		member_on_record(&nd->member, next, r->id, r->record,
@@ -641,6 +659,7 @@
 			continue;
 		deliver_packets(nd);
 		read_log(nd);
+		sim_operators_step(nd);
 		member_tick(&nd->member, sim_node_now_ms(nd));
 		start_requests(nd);
 		if (s->grant_ops == &grant_by_call && sim_has_backend(nd))
--- a/t/sim.h
+++ b/t/sim.h
@@ -58,6 +58,15 @@
 	GArray *calls; /* struct sim_call, with grants by call */
 };
 
+/* A read of a stream whose answer comes late. */
+struct sim_read {
+	int64_t sent_at_ms; /* 0: none in flight */
+	int64_t decided_at_ms; /* 0: waits for a record */
+	int64_t next_at_ms; /* earliest time of the next read */
+	int64_t from; /* offsets */
+	int64_t upto;
+};
+
 struct sim_node {
 	struct sim *sim;
 	uint32_t slot;
@@ -85,6 +94,13 @@
 	/* Server instance that sent the last heartbeat to it, 0: none. */
 	uint32_t known_instance;
 
+	/* With operators only: */
+	struct sim_read operators_read;
+	int64_t published_next; /* offset of the next record to read */
+	int64_t source; /* of the newest change that was in force */
+	int64_t disturbed_until_ms; /* stopped, paused or cut off until then */
+
+	struct sim_read log_read; /* if answers come late */
 	int64_t log_read_at_ms; /* the last read */
 	uint64_t n_nonempty_log_reads; /* reads that returned records */
 	uint64_t n_log_reads;
@@ -140,6 +156,10 @@
 	uint64_t n_appends;
 	bool verbose;
 	json_t *published; /* by the operators, NULL: none */
+	int64_t answer_ms; /* how late the answers of the store come */
+	/* The log refuses changes until then, as other records come first. */
+	int64_t changes_refused_until_ms;
+	GPtrArray *operators; /* struct sim_published; NULL: no such stream */
 };
 
 /*
@@ -244,8 +264,34 @@
 /* Prints the members and shards that each node knows, for a failing seed. */
 void sim_print_nodes(struct sim *s);
 
+/* t/sim-operators.c: */
+
+/*
+ * Gives the operators a stream of their own. Call it before processes are
+ * started that are to read the stream from its beginning.
+ */
+void sim_start_operators(struct sim *s);
+
+/* Publishes the next version and returns its offset in the stream. */
+int64_t sim_publish(struct sim *s);
+
+int64_t sim_written_at_ms(const struct sim *s, int64_t source);
+const json_t *sim_published_document(const struct sim *s, int64_t source);
+
+/* Reads the operators' stream for a node. */
+void sim_operators_step(struct sim_node *nd);
+
+/*
+ * Advances a read of a stream whose next record is next and whose end is end.
+ * Returns whether an answer has arrived, with the records before *upto.
+ */
+bool sim_read_step(struct sim_read *r, const struct sim *s, int64_t next,
+		   int64_t end, int64_t *upto);
+
 /* For the other files of the simulation: */
 
+json_t *sim_configuration_document(const struct sim *s, const char *out);
+
 extern const char *const sim_data_centres[SIM_DATA_CENTRES];
 
 /* Whether the node is beside a backend server that holds shards by grants. */
