member, state, node: operators' changes act before the log has them (CONFIG)

Cause: a change acted only once it was a record of the fleet's log and each node had read that record. With a store that answers late, the read of the operators' stream and that of the log add up to 4 times the lateness. Class: what is bounded in time goes through two calls of the store in a row, one of them a race.

The log gets each change as before. A new member reads the operators' stream for 10 s more, as members that would offer to it learn of it from the log only.

Ruled out: that the store was slow (appends of one node 11 ms apart).

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 # as not run never runs. They are compiled a second
 # time with -DRULE_SWITCHES, so that tests can disable single safety rules.
 RULE_SRC = $(wildcard member/*.c) gate/grant-call.c gate/reconcile.c \
-	gate/rate-limit.c state/quarantine.c
+	gate/rate-limit.c state/quarantine.c state/early.c
 RULE_OBJ = $(RULE_SRC:%.c=$(OUT)/rules/%.o)
 OTHER_OBJ = $(filter-out $(RULE_SRC:%.c=$(OUT)/%.o),$(LIB_OBJ))
 
--- a/member/internal.h
+++ b/member/internal.h
@@ -124,6 +124,36 @@
 void sync_on_state(struct member_node *n, const struct member_msg *msg);
 void cached_record_free(gpointer p);
 
+/* Compress a long text for a message, in place. */
+void member_text_compress(GString *text);
+/*
+ * The JSON of a text that may be compressed, as a new reference; NULL if it is
+ * malformed.
+ */
+json_t *member_text_parse(const GString *text);
+
+/* published.c */
+void published_init(struct member_node *n);
+void published_finish(struct member_node *n);
+void published_tick(struct member_node *n);
+/* More of the operators' stream was read, up to published_source. */
+void published_on_read(struct member_node *n);
+/* The state of the log has changed. */
+void published_on_log(struct member_node *n);
+void published_on_offer(struct member_node *n, const struct member_msg *msg);
+void published_on_request(struct member_node *n, const struct member_msg *msg);
+void published_on_change(struct member_node *n, const struct member_msg *msg);
+/* Offers the early configuration, if there is one, to one member. */
+void published_offer_to(struct member_node *n, int64_t peer);
+/*
+ * The document that operators published, parsed once for all that need it; NULL
+ * if there is none. Not a new reference.
+ */
+json_t *published_load_document(struct member_node *n);
+
+/* propose.c */
+int64_t publish_rank_step_ms(const struct member_node *n);
+
 /* member.c */
 void member_end_incarnation(struct member_node *n);
 void member_on_state_replaced(struct member_node *n);
--- a/member/member.c
+++ b/member/member.c
@@ -34,6 +34,7 @@
 	n->published_source = -1;
 	n->changes_source = -1;
 	n->required_source_offset = n->fleet.source_offset;
+	n->peer_required_source = -1;
 	n->rand = g_rand_new_with_seed(seed);
 	/*
 	 * When a record that is read at the start was appended is unknown, so a
@@ -57,6 +58,7 @@
 	n->snapshot_parts = g_ptr_array_new_with_free_func(json_decref_p);
 	n->cache = g_queue_new();
 	suspects_init(&n->suspects);
+	published_init(n);
 }
 
 /* Free everything that n has allocated. */
@@ -78,6 +80,7 @@
 	g_free(n->holds);
 	json_decref(n->changes);
 	json_decref(n->operators_document);
+	published_finish(n);
 	memset(n, 0, sizeof(*n));
 }
 
@@ -208,6 +211,7 @@
 	n->cache_bytes = 0;
 	holds_resize(n);
 	witness_update_subjects(n);
+	published_on_log(n);
 }
 
 int member_on_record(struct member_node *n, int64_t offset,
@@ -240,6 +244,7 @@
 		 */
 		n->published_wait_since_ms = n->now_ms;
 	}
+	published_on_log(n);
 	sync_cache_record(n, offset, append_id, record);
 	if (n->fleet.snapshot_offset != snapshot)
 		n->snapshot_seen_at_ms = n->now_ms;
@@ -267,6 +272,8 @@
 	bool pending = n->published_source > n->fleet.source_offset;
 
 	n->now_ms = MAX(n->now_ms, now_ms);
+	if (n->published_source <= member_source_in_force(n))
+		n->early_wait_since_ms = n->now_ms;
 	n->published_source = source;
 	n->published_bytes = bytes;
 	/*
@@ -277,6 +284,7 @@
 	 */
 	if (!pending)
 		n->published_wait_since_ms = n->now_ms;
+	published_on_read(n);
 }
 
 void member_set_server_instance(struct member_node *n, const char *instance)
@@ -300,17 +308,18 @@
 
 bool member_is_current(const struct member_node *n)
 {
-	return n->published_in_force || n->peer_caught_up;
-}
-
-int64_t member_source_in_force(const struct member_node *n)
-{
-	return n->fleet.source_offset;
+	return n->published_in_force ||
+	       (n->peer_caught_up &&
+		(n->peer_required_source <= member_source_in_force(n) ||
+		 !rule_enabled(n, RULE_CURRENT_WHEN_IN_FORCE)));
 }
 
 bool member_is_behind(const struct member_node *n)
 {
-	return n->published_source > n->fleet.source_offset ||
+	int64_t source = member_source_in_force(n);
+
+	return n->published_source > source ||
+	       spread_newest_known(&n->spread) > source ||
 	       n->ahead_applied > n->fleet.applied;
 }
 
@@ -324,7 +333,8 @@
 {
 	if (n->published_in_force || !n->log_caught_up ||
 	    n->operator_stream_pending ||
-	    n->required_source_offset > n->fleet.source_offset)
+	    (n->required_source_offset > member_source_in_force(n) &&
+	     rule_enabled(n, RULE_CURRENT_WHEN_IN_FORCE)))
 		return;
 	n->published_in_force = true;
 	member_note(n, NOTE_CURRENT, n->fleet.configuration_version);
@@ -424,6 +434,7 @@
 	holds_tick(n);
 	resign_tick(n);
 	sync_tick(n);
+	published_tick(n);
 	check_published_in_force(n);
 	propose_tick(n);
 }
@@ -455,6 +466,9 @@
 	[MSG_RELEASE_REQUEST] = holds_on_release_request,
 	[MSG_RELEASE] = holds_on_release,
 	[MSG_IDS_ACK] = holds_on_ids_ack,
+	[MSG_CHANGE_OFFER] = published_on_offer,
+	[MSG_CHANGE_REQUEST] = published_on_request,
+	[MSG_CHANGE] = published_on_change,
 };
 
 void member_on_message(struct member_node *n, const struct member_msg *msg,
--- a/member/member.h
+++ b/member/member.h
@@ -6,7 +6,9 @@
 #include <glib.h>
 
 #include "member/msg.h"
+#include "member/spread.h"
 #include "member/suspects.h"
+#include "state/early.h"
 #include "state/fleet.h"
 
 /*
@@ -179,6 +181,11 @@
  * The subject is the configuration version.
  */
 #define NOTE_CURRENT "current"
+/*
+ * A change of the operators is in force that the log lacks. The subject is its
+ * source.
+ */
+#define NOTE_EARLY "in force before the log has it: change"
 /*
  * A peer has applied a record that it did not send, as it is long. The subject
  * is the offset. Not written as a line of text.
@@ -249,6 +256,8 @@
 	 * its end.
 	 */
 	int64_t required_source_offset;
+	/* The newest change that the peer had which peer_caught_up is about. */
+	int64_t peer_required_source;
 	/*
 	 * Everything up to required_source_offset is in force, and
 	 * log_caught_up.
@@ -310,6 +319,18 @@
 	 */
 	json_t *operators_document;
 	int64_t operators_document_source;
+	/* What operators published, while the log lacks it. */
+	struct early_configuration early;
+	struct spread spread;
+	/* Its texts in messages, NULL until needed. */
+	GString *early_changes_text;
+	GString *early_document_text;
+	int64_t early_from; /* member that it came from, or this one */
+	int64_t early_read_at_ms; /* when a reader read it, by this clock */
+	/* Since when something newer has been read here than is in force. */
+	int64_t early_wait_since_ms;
+	int64_t early_read_source; /* newest that was worked out here, -1: none */
+	int64_t published_read_at_ms;
 	int64_t next_append_at_ms[N_APPEND_KINDS];
 	uint32_t conflicts[N_APPEND_KINDS]; /* in a row */
 	bool append_pending[N_APPEND_KINDS];
@@ -465,12 +486,28 @@
  */
 int64_t member_source_in_force(const struct member_node *n);
 
+/*
+ * The configuration by which requests are matched: the one that the log has, or
+ * a newer one that operators published. Its services may be missing in the
+ * state of the fleet. Valid until the next record or message.
+ */
+const struct configuration *member_configuration(const struct member_node *n);
+
+/* Its document, NULL if none is in force. */
+const json_t *member_document(const struct member_node *n);
+
 /*
  * Whether this node must read the log itself. Most members need not: a few read
  * it and send the records to the others.
  */
 bool member_reads_log(const struct member_node *n);
 
+/*
+ * Whether the node is no member yet, is not current, or joined so lately that
+ * other members may not know it.
+ */
+bool member_is_new(const struct member_node *n);
+
 /*
  * Whether this node reads the operators' stream. Each change there is as long
  * as the whole configuration, and would load the link of every host in a large
@@ -649,6 +686,10 @@
 	RULE_ANSWER_CLEARS = 1 << 18, /* a good answer clears a suspect */
 	RULE_ONE_TRIES = 1 << 19, /* one node tries a blocked request again */
 	RULE_TRIALS_END = 1 << 20, /* after some trials only operators clear */
+	/* Rules about operators' changes; see t/test-changes.c. */
+	RULE_NEXT_READER_ACTS = 1 << 21, /* if those of lower ranks do not */
+	/* A new process serves once what it read at its start is in force. */
+	RULE_CURRENT_WHEN_IN_FORCE = 1 << 22,
 };
 
 #endif
--- a/member/msg.h
+++ b/member/msg.h
@@ -56,6 +56,22 @@
 	MSG_RELEASE,
 	/* A successor acknowledges the ids of a leaving owner's shards. */
 	MSG_IDS_ACK,
+	/*
+	 * A change of the operators that the log lacks is in force at the
+	 * sender. offset: its source; flags: CHANGE_OFFER_AGAIN.
+	 */
+	MSG_CHANGE_OFFER,
+	/*
+	 * The sender asks for a change whose source is offset at least.
+	 * subject: the sender's configuration version; flags: CHANGE_IS_WHOLE.
+	 */
+	MSG_CHANGE_REQUEST,
+	/*
+	 * What changes from version subject on, as JSON in text. offset: its
+	 * source; flags: CHANGE_IS_WHOLE; requested_at_ms: how long ago it was
+	 * read in the operators' stream.
+	 */
+	MSG_CHANGE,
 	MSG_N_TYPES,
 };
 
@@ -64,6 +80,11 @@
 /* The sender reads the log as it grows, or gets its records from a reader. */
 #define SENDER_FOLLOWS_LOG 2
 
+/* The receiver answers with an offer if it has the change. */
+#define CHANGE_OFFER_AGAIN 1
+/* The text is, or is to be, the whole document. */
+#define CHANGE_IS_WHOLE 1
+
 /* No successor of the sender can be serving these shards either. */
 #define RELEASE_INCLUDES_SUCCESSOR 1
 /* The field ids is complete for these shards. */
--- a/member/propose.c
+++ b/member/propose.c
@@ -638,23 +638,16 @@
 static void compute_changes(struct member_node *n)
 {
 	json_t *from = n->fleet.document;
+	json_t *to;
 
 	if (n->changes_source == n->published_source &&
 	    n->changes_base == n->fleet.configuration_version)
 		return;
 	json_decref(n->changes);
-	if (!n->operators_document ||
-	    n->operators_document_source != n->published_source) {
-		json_decref(n->operators_document);
-		n->operators_document =
-			n->ops->load_published(n->ops_user, from);
-		n->operators_document_source = n->published_source;
-	}
-	n->changes = n->operators_document
-			     ? changes_between(from, n->operators_document,
-					       CHANGES_MAX_BYTES,
-					       &n->changes_complete)
-			     : NULL;
+	to = published_load_document(n);
+	n->changes = to ? changes_between(from, to, CHANGES_MAX_BYTES,
+					  &n->changes_complete)
+			: NULL;
 	n->changes_base = n->fleet.configuration_version;
 	n->changes_source = n->published_source;
 }
@@ -671,7 +664,7 @@
  * A host with a tenth of a core needs longer to compute the changes of a larger
  * document.
  */
-static int64_t publish_rank_step_ms(const struct member_node *n)
+int64_t publish_rank_step_ms(const struct member_node *n)
 {
 	return PUBLISH_RANK_STEP_MS +
 	       MIN(n->published_bytes / PUBLISH_BYTES_PER_MS,
--- a/member/sync.c
+++ b/member/sync.c
@@ -41,6 +41,11 @@
  * connection to the store, at the same time.
  */
 #define N_OPERATOR_READERS 12
+/*
+ * Members that are to offer changes to a new one learn of it from the log,
+ * which may be slow. Until then it reads the operators' stream itself.
+ */
+#define NEW_MEMBER_MS 10000
 /* The number of members that read the log for all, so that one may fail. */
 #define N_LOG_READERS 2
 /*
@@ -144,6 +149,7 @@
 	    n->fleet.applied < n->ahead_applied)
 		return;
 	n->peer_caught_up = true;
+	n->peer_required_source = spread_newest_known(&n->spread);
 	member_note(n, NOTE_CAUGHT_UP, msg->from);
 }
 
@@ -220,9 +226,15 @@
 	       fleet_n_members(&n->fleet) <= ALL_READ_LOG_MAX_MEMBERS;
 }
 
-bool member_reads_operator_stream(const struct member_node *n)
+bool member_is_new(const struct member_node *n)
 {
 	return !n->self_id || !member_is_current(n) ||
+	       n->now_ms - n->joined_at_ms < NEW_MEMBER_MS;
+}
+
+bool member_reads_operator_stream(const struct member_node *n)
+{
+	return member_is_new(n) ||
 	       fleet_n_members(&n->fleet) <= ALL_READ_OPERATORS_MAX_MEMBERS ||
 	       assign_rank(&n->fleet, "publish", n->self_id) <
 		       N_OPERATOR_READERS;
@@ -238,7 +250,7 @@
 }
 
 /* Compress a long text in place. */
-static void compress_text(GString *text)
+void member_text_compress(GString *text)
 {
 	GString *compressed;
 
@@ -255,7 +267,7 @@
  * The JSON of a text that may be compressed, as a new reference; NULL if it is
  * malformed.
  */
-static json_t *parse_text(const GString *text)
+json_t *member_text_parse(const GString *text)
 {
 	GString *plain;
 	json_t *o;
@@ -286,7 +298,7 @@
 					       c->append_id, c->text);
 	}
 	g_string_append_c(text, ']');
-	compress_text(text);
+	member_text_compress(text);
 	return text;
 }
 
@@ -392,7 +404,7 @@
 	msg.offset = n->fleet.applied;
 	msg.flags = sender_flags(n);
 	msg.text = g_string_new(text);
-	compress_text(msg.text);
+	member_text_compress(msg.text);
 	free(text);
 	json_decref(state);
 	member_send(n, to, &msg);
@@ -418,6 +430,7 @@
 	 */
 	if (msg->offset <= n->fleet.applied &&
 	    (!msg->offset || !first || first->offset > msg->offset)) {
+		published_offer_to(n, msg->from);
 		send_state(n, msg->from);
 		return;
 	}
@@ -425,6 +438,7 @@
 	answer.offset = msg->offset;
 	answer.flags = sender_flags(n);
 	answer.text = format_records(n, msg->offset);
+	published_offer_to(n, msg->from);
 	member_send(n, msg->from, &answer);
 	member_msg_finish(&answer);
 }
@@ -441,7 +455,7 @@
 
 	if (!msg->text)
 		return;
-	list = parse_text(msg->text);
+	list = member_text_parse(msg->text);
 	json_array_foreach(list, i, pair)
 	{
 		const char *id = json_string_value(json_array_get(pair, 0));
@@ -484,7 +498,7 @@
 
 	if (!msg->text || msg->offset <= n->fleet.applied)
 		return;
-	state = parse_text(msg->text);
+	state = member_text_parse(msg->text);
 	if (!state) {
 		COUNT(peer_messages_malformed);
 		return;
--- a/node/entry-answer.c
+++ b/node/entry-answer.c
@@ -77,14 +77,15 @@
 		return;
 	event_write(e, r->attempt_id,
 		    "\"class\":\"%s\",\"service\":\"%s\",\"version\":%" PRId64
-		    ",\"shard\":%" PRId64 ",\"why\":\"%s\",\"age_ms\":%" PRId64
+		    ",\"source\":%" PRId64 ",\"shard\":%" PRId64
+		    ",\"why\":\"%s\",\"age_ms\":%" PRId64
 		    ",\"left_ms\":%" PRId64 ",\"wait_ms\":%" PRId64
 		    ",\"tries\":%u,\"reached\":%u,\"attempts\":[%s]%s",
 		    event_text(r->class_name), event_text(r->service),
-		    r->configuration_version, p->keyed ? (int64_t)r->shard : -1,
-		    event_text(why), now - p->received_at_ms,
-		    p->deadline_ms - now, wait_ms, p->tries,
-		    plan_n_servers_reached(p), past_attempts_text(r),
+		    r->configuration_version, r->configuration_source,
+		    p->keyed ? (int64_t)r->shard : -1, event_text(why),
+		    now - p->received_at_ms, p->deadline_ms - now, wait_ms,
+		    p->tries, plan_n_servers_reached(p), past_attempts_text(r),
 		    fingerprint_field(r));
 }
 
--- a/node/entry-attempt.c
+++ b/node/entry-attempt.c
@@ -198,12 +198,12 @@
 		return;
 	EVENT(request_sent, r->attempt_id,
 	      "\"class\":\"%s\",\"service\":\"%s\",\"version\":%" PRId64
-	      ",\"gate\":%" PRId64 ",\"shard\":%" PRId64
+	      ",\"source\":%" PRId64 ",\"gate\":%" PRId64 ",\"shard\":%" PRId64
 	      ",\"gate_load\":%.0f,\"gate_limit\":%.0f,\"slowness\":%.0f"
 	      ",\"heard_ms\":%" PRId64 ",\"age_ms\":%" PRId64
 	      ",\"left_ms\":%" PRId64 ",\"hedge\":%s",
 	      event_text(r->class_name), event_text(r->service),
-	      r->configuration_version, a->member,
+	      r->configuration_version, r->configuration_source, a->member,
 	      r->plan.keyed ? (int64_t)r->shard : -1, v->load, v->limit,
 	      v->latency_ms,
 	      v->last_answer_at_ms ? now - v->last_answer_at_ms : -1,
--- a/node/entry-classify.c
+++ b/node/entry-classify.c
@@ -133,11 +133,11 @@
 static const struct class_settings *
 match_class(const struct entry *e, const struct httpd_request *http)
 {
-	const struct fleet *f = &e->node->member.fleet;
 	g_autofree char *path = g_strndup(http->url, strcspn(http->url, "?"));
 
-	return configuration_match(&f->configuration, http->method,
-				   httpd_header(http, "Host"), path);
+	return configuration_match(member_configuration(&e->node->member),
+				   http->method, httpd_header(http, "Host"),
+				   path);
 }
 
 bool entry_is_repeatable(const struct entry *e,
@@ -151,7 +151,7 @@
 bool entry_classify(struct entry_request *r)
 {
 	struct entry *e = r->entry;
-	const struct fleet *f = &e->node->member.fleet;
+	const struct member_node *m = &e->node->member;
 	const struct header_names *names = e->node->settings.headers;
 	const struct service_settings *ss;
 	const struct class_settings *k;
@@ -162,13 +162,14 @@
 	 * a route that exists, or its request would go to a service that the
 	 * route no longer leads to.
 	 */
-	if (!f->document || !member_is_current(&e->node->member)) {
+	if (!member_document(m) || !member_is_current(m)) {
 		entry_reply_not_run(r, "no configuration is in force yet\n");
 		return false;
 	}
-	r->configuration_version = f->configuration_version;
+	r->configuration_version = m->fleet.configuration_version;
+	r->configuration_source = member_source_in_force(m);
 	k = match_class(e, r->http);
-	if (!k && member_is_behind(&e->node->member)) {
+	if (!k && member_is_behind(m)) {
 		entry_reply_not_run(r, "a newer configuration is on its way\n");
 		return false;
 	}
@@ -182,8 +183,12 @@
 		r->attempt_id = httpd_header(r->http, names->attempt_id);
 	r->is_first_send = r->attempt_id;
 	apply_class(r, k);
-	ss = pick_target(&f->configuration, k, e->rand);
+	ss = pick_target(member_configuration(m), k, e->rand);
 	g_strlcpy(r->service, ss->name, sizeof(r->service));
+	if (!fleet_service(&m->fleet, r->service)) {
+		entry_reply_not_run(r, "its service is not in force yet\n");
+		return false;
+	}
 	if (r->idempotency_key && strlen(r->idempotency_key) > MAX_KEY_LEN) {
 		entry_reject(r, 400, "the idempotency key is too long\n");
 		return false;
--- a/node/entry-request.h
+++ b/node/entry-request.h
@@ -48,7 +48,8 @@
 	struct plan plan;
 	char *class_name; /* "" until a class is matched */
 	char service[NAME_MAX_LEN + 1];
-	int64_t configuration_version; /* that it was matched by */
+	int64_t configuration_version; /* of the log when it was matched */
+	int64_t configuration_source; /* of what it was matched by */
 	bool streaming; /* its answer is being sent in parts */
 	bool hedged; /* at most once */
 	bool prev_owner_last; /* try the previous owner last, entry-pick.c */
--- a/node/entry.c
+++ b/node/entry.c
@@ -613,6 +613,7 @@
 	memset(e, 0, sizeof(*e));
 	e->node = node;
 	e->configuration_version = -1;
+	e->configuration_source = -1;
 	e->rand = g_rand_new();
 	e->origin = (uint64_t)g_random_int() << 32 | g_random_int();
 	e->attempts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
@@ -639,12 +640,14 @@
 
 void entry_apply_configuration(struct entry *e)
 {
-	const struct fleet *f = &e->node->member.fleet;
-	const struct caller_limits *l = &f->configuration.limits;
+	const struct member_node *m = &e->node->member;
+	const struct caller_limits *l = &member_configuration(m)->limits;
 
-	if (e->configuration_version == f->configuration_version)
+	if (e->configuration_version == m->fleet.configuration_version &&
+	    e->configuration_source == member_source_in_force(m))
 		return;
-	e->configuration_version = f->configuration_version;
+	e->configuration_version = m->fleet.configuration_version;
+	e->configuration_source = member_source_in_force(m);
 	e->httpd.max_body_bytes =
 		MAX(e->node->settings.max_body_bytes, l->max_body_bytes);
 	if (httpd_raise_head_limit(&e->httpd, l->max_header_bytes))
--- a/node/entry.h
+++ b/node/entry.h
@@ -25,7 +25,9 @@
 	struct node *node;
 	GHashTable *costs; /* class -> struct class_cost */
 	struct httpd httpd;
-	int64_t configuration_version; /* whose limits were applied; -1: none */
+	/* Those whose limits were applied; -1: none. */
+	int64_t configuration_version;
+	int64_t configuration_source;
 	struct chooser chooser;
 	/* int64_t shard -> int64_t fence, see entry-pick.c */
 	GHashTable *prev_owner_refusals;
--- a/node/node.c
+++ b/node/node.c
@@ -224,6 +224,23 @@
 	n->announced_at_ms = 0;
 }
 
+static void emit_change_in_force(const struct node *n)
+{
+	const struct member_node *m = &n->member;
+	const struct early_configuration *e = &m->early;
+
+	MEASURE(change_early_ms, ms_since(m->early_read_at_ms));
+	EVENT(change_in_force, NULL,
+	      "\"source\":%" PRId64 ",\"operators_version\":%" PRId64
+	      ",\"base\":%" PRId64 ",\"classes\":%u,\"from\":%" PRId64
+	      ",\"whole\":%s,\"read_ago_ms\":%" PRId64,
+	      e->source,
+	      (int64_t)json_integer_value(
+		      json_object_get(e->document, "source")),
+	      e->base, e->configuration.n_classes, m->early_from,
+	      e->changes ? "false" : "true", ms_since(m->early_read_at_ms));
+}
+
 static void op_note(void *user, const char *what, int64_t subject)
 {
 	struct node *n = user;
@@ -232,6 +249,8 @@
 		on_announced(n, subject);
 		return;
 	}
+	if (!strcmp(what, NOTE_EARLY))
+		emit_change_in_force(n);
 	if (!strcmp(what, NOTE_LEASE_GAINED))
 		EVENT(lease_gained, NULL, "\"member\":%" PRId64,
 		      n->member.self_id);
--- a/node/operator.c
+++ b/node/operator.c
@@ -148,6 +148,7 @@
 		"configuration_classes %u\n"
 		"configuration_source %" PRId64 "\n"
 		"published_source %" PRId64 "\n"
+		"in_force_source %" PRId64 "\n"
 		"members %u\nshards_held %u\nlease %d\n"
 		"moves_unsettled %u\nmoves_unsettled_ms %" PRId64 "\n"
 		"in_flight %u\nwaiting %u\nlimit %.1f\n"
@@ -155,6 +156,7 @@
 		n->member.fleet.applied, n->member.fleet.configuration_version,
 		n->member.fleet.configuration.n_classes,
 		n->member.fleet.source_offset, n->member.published_source,
+		member_source_in_force(&n->member),
 		fleet_n_members(&n->member.fleet), count_shards_held(n),
 		member_lease_end_ms(&n->member) > clock_now_ms(), unsettled.n,
 		unsettled_ms(&unsettled), n->gate.admission.n_in_flight,
--- a/settings/configuration.c
+++ b/settings/configuration.c
@@ -328,6 +328,34 @@
 	memset(cfg, 0, sizeof(*cfg));
 }
 
+static void class_copy(struct class_settings *k,
+		       const struct class_settings *from)
+{
+	*k = *from;
+	k->name = g_strdup(from->name);
+	k->host = g_strdup(from->host);
+	k->path = g_strdup(from->path);
+	k->targets = g_memdup2(from->targets,
+			       from->n_targets * sizeof(*from->targets));
+}
+
+void configuration_copy(struct configuration *cfg,
+			const struct configuration *from)
+{
+	uint32_t i;
+
+	*cfg = *from;
+	cfg->services = g_memdup2(from->services,
+				  from->n_services * sizeof(*from->services));
+	cfg->data_centres =
+		g_memdup2(from->data_centres,
+			  from->n_data_centres * sizeof(*from->data_centres));
+	cfg->classes = g_new0(struct class_settings, from->n_classes);
+	for (i = 0; i < from->n_classes; i++)
+		class_copy(&cfg->classes[i], &from->classes[i]);
+	match_index_copy(&cfg->index, &from->index);
+}
+
 static size_t list_length(const json_t *doc, const char *list)
 {
 	return json_array_size(json_object_get(doc, list));
--- a/settings/configuration.h
+++ b/settings/configuration.h
@@ -110,6 +110,10 @@
 int configuration_read(struct configuration *cfg, const json_t *doc,
 		       struct json_check *c);
 void configuration_finish(struct configuration *cfg);
+
+/* Copies from into cfg, which must not hold another one. */
+void configuration_copy(struct configuration *cfg,
+			const struct configuration *from);
 bool configuration_in_service(const struct configuration *cfg,
 			      const char *data_centre);
 
--- a/settings/match.c
+++ b/settings/match.c
@@ -73,6 +73,13 @@
 	link_parents(m, classes);
 }
 
+void match_index_copy(struct match_index *m, const struct match_index *from)
+{
+	m->n = from->n;
+	m->order = g_memdup2(from->order, from->n * sizeof(*from->order));
+	m->parent = g_memdup2(from->parent, from->n * sizeof(*from->parent));
+}
+
 void match_index_finish(struct match_index *m)
 {
 	g_free(m->order);
--- a/settings/match.h
+++ b/settings/match.h
@@ -28,6 +28,8 @@
  */
 void match_index_init(struct match_index *m,
 		      const struct class_settings *classes, uint32_t n);
+/* Copies the index of classes that keep their order. */
+void match_index_copy(struct match_index *m, const struct match_index *from);
 void match_index_finish(struct match_index *m);
 
 /*
--- a/t/sim-operators.c
+++ b/t/sim-operators.c
@@ -1,3 +1,5 @@
+#include <inttypes.h>
+
 #include "t/sim.h"
 #include "util/result.h"
 
@@ -10,6 +12,10 @@
 /* The same as in node/streams.c. */
 #define BATCH_DELAY_MS 100
 #define READ_WAIT_MS 3000
+/* The first members by rank read the stream, as in a large fleet. */
+#define N_READERS 4
+#define LONG_CHANGE_EACH 4
+#define N_LONG_ROUTES 240
 
 struct sim_published {
 	int64_t written_at_ms;
@@ -29,7 +35,24 @@
 	s->operators = g_ptr_array_new_with_free_func(published_free);
 }
 
-/* A route for each of the last versions, and one that every fifth lacks. */
+/* Adds routes whose names do not compress, for a change that is long. */
+static void add_long_routes(json_t *classes, int64_t version)
+{
+	uint64_t x = version;
+	uint32_t i;
+
+	for (i = 0; i < N_LONG_ROUTES; i++) {
+		x = x * 6364136223846793005u + 1442695040888963407u;
+		json_array_append_new(
+			classes,
+			json_pack("{s:s,s:s,s:s,s:o,s:i}", "name", "long",
+				  "service", "archive", "method", "*", "path",
+				  json_sprintf("/long/%016" PRIx64 "/", x),
+				  "target_ms", 5));
+	}
+}
+
+/* A route for each of the last four versions. */
 static json_t *document_of(const struct sim *s, int64_t version)
 {
 	json_t *doc = sim_configuration_document(s, NULL);
@@ -44,6 +67,8 @@
 						"*", "path",
 						json_sprintf("/v%d/", (int)v),
 						"target_ms", 5));
+	if (version % LONG_CHANGE_EACH == 0)
+		add_long_routes(classes, version);
 	json_object_set_new(doc, "source", json_integer(version));
 	return doc;
 }
@@ -93,6 +118,12 @@
 	return true;
 }
 
+static bool reads_stream(const struct member_node *m)
+{
+	return member_is_new(m) ||
+	       assign_rank(&m->fleet, "publish", m->self_id) < N_READERS;
+}
+
 void sim_operators_step(struct sim_node *nd)
 {
 	struct sim *s = nd->sim;
@@ -101,7 +132,7 @@
 
 	if (!s->operators)
 		return;
-	if (nd->log_unreachable || !member_reads_operator_stream(m)) {
+	if (nd->log_unreachable || !reads_stream(m)) {
 		nd->operators_read.sent_at_ms = 0;
 		return;
 	}
--- a/t/sim.c
+++ b/t/sim.c
@@ -201,10 +201,14 @@
 	member_init(&nd->member, &me, &timing, &ops, nd, sim_node_now_ms(nd),
 		    g_rand_int(s->rand));
 	nd->member.disabled_rules = s->disabled_rules;
+	nd->member.early.disabled_rules = s->disabled_early_rules;
+	nd->member.spread.disabled_rules = s->disabled_spread_rules;
 	memset(&nd->operators_read, 0, sizeof(nd->operators_read));
 	memset(&nd->log_read, 0, sizeof(nd->log_read));
 	nd->published_next = 0;
 	nd->source = -1;
+	nd->source_at_start = s->operators ? (int64_t)s->operators->len - 1
+					   : -1;
 	if (s->operators)
 		member_expect_operator_stream(&nd->member);
 	nd->up = true;
--- a/t/sim.h
+++ b/t/sim.h
@@ -98,6 +98,7 @@
 	struct sim_read operators_read;
 	int64_t published_next; /* offset of the next record to read */
 	int64_t source; /* of the newest change that was in force */
+	int64_t source_at_start; /* newest change when the process started */
 	int64_t disturbed_until_ms; /* stopped, paused or cut off until then */
 
 	struct sim_read log_read; /* if answers come late */
@@ -148,6 +149,8 @@
 	/* Per shard, the server instance that held it under top_fence. */
 	uint32_t *top_fence_instance;
 	uint32_t disabled_rules; /* bits of enum member_rule */
+	uint32_t disabled_early_rules; /* bits of enum early_rule */
+	uint32_t disabled_spread_rules; /* bits of enum spread_rule */
 	uint64_t breaches; /* shards served by two nodes at once */
 	uint64_t fence_breaches; /* shards served under an old or reused fence */
 	/* Per shard, the highest fence it was ever served under, and where. */
--- a/t/t0054-platform-route-not-yet-in-force.sh
+++ b/t/t0054-platform-route-not-yet-in-force.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
 # Operators have added a route, but the log does not accept the change yet. A
-# request for the route must not be answered 404.
+# request for the route must be served all the same.
 . "$(dirname "$0")/lib-platform.sh"
 start_platform "records bookings" "hakata tenjin kurume kitakyu"
 platform_config 1
--- a/t/t0073-platform-change-overtaken.sh
+++ b/t/t0073-platform-change-overtaken.sh
@@ -21,7 +21,13 @@
 kill_node 0
 start_platform_node 0 records hakata
 wait_for "it to be ready" ask -f "http://$(ready_of 0)/-/readyz"
-echo "started again: $(call 0 GET "$path" -o /dev/null)"
+# A process that has just started may tell callers to come back.
+answer=503
+for i in $(seq 20); do
+	[ "$answer" = 503 ] || break
+	answer=$(call 0 GET "$path" -o /dev/null)
+done
+echo "started again: $answer"
 ask -o /dev/null -X POST "http://$LOG_ADDRESS/control?overtake=0"
 in_log() {
 	local i
--- a/t/test-start.c
+++ b/t/test-start.c
@@ -372,6 +372,8 @@
 
 	sim_init_grant_by_heartbeat(&s, 12, 0);
 	g_assert_true(sim_run_until_served(&s, 20000));
+	/* A member that has just joined reads it in any case. */
+	sim_run(&s, 10000);
 	n = &s.nodes[0].member;
 	g_assert_true(member_reads_operator_stream(n));
 	for (i = 0; i < 100; i++) {
--- a/util/counters.h
+++ b/util/counters.h
@@ -91,6 +91,11 @@
 	X(records_from_peers)      \
 	X(snapshots_loaded)        \
 	X(configurations_refused)  \
+	X(changes_early)           \
+	X(changes_offered)         \
+	X(changes_requested)       \
+	X(changes_sent)            \
+	X(changes_bytes_sent)      \
 	X(log_appends)             \
 	X(log_append_answers_lost) \
 	X(requests_begun_ahead)    \
--- a/util/event.h
+++ b/util/event.h
@@ -23,6 +23,7 @@
 	X(reloaded, 10, 10)                  \
 	X(published, 10, 20)                 \
 	X(configuration_proposed, 10, 20)    \
+	X(change_in_force, 10, 20)           \
 	X(change_appended, 10, 20)           \
 	X(record_announced, 5, 20)           \
 	X(configured, 10, 20)                \
--- a/util/histogram.h
+++ b/util/histogram.h
@@ -28,6 +28,7 @@
 	X(loop_ms) /* an iteration of the event loop, no waiting */    \
 	X(grant_ms) /* duration of grants in heartbeat answers */      \
 	X(store_append_ms) /* an append to the log, to its answer */   \
+	X(change_early_ms) /* read by a reader to in force here */     \
 	X(change_wait_ms) /* operators' change: read to proposed */    \
 	X(change_append_ms) /* proposed to accepted by the log */      \
 	X(change_back_ms) /* proposed to applied here */               \
