member: a change whose appends come too late is shortened (CONFIG)

While it waits, so does everything published after it, data centres taken out of service too, whose records would be long as well.

After each append that lost, all four tries, the limit on the next one's size is halved, from 192 to 8 kB; services and data centres always come in the first. Test: /changes/long-change-reaches-log, which fails without it (never in the log). Tried and dropped: longer pauses between appends of a change that is in force already; /start/published-goes-at-once holds them to 30 ms. change_appended had the time and source of a proposal that was over already.

--- a/member/internal.h
+++ b/member/internal.h
@@ -111,6 +111,7 @@
 			     const struct fleet_event *ev);
 
 /* propose.c */
+void propose_init(struct member_node *n);
 void propose_tick(struct member_node *n);
 
 /* sync.c */
--- a/member/member.c
+++ b/member/member.c
@@ -32,7 +32,7 @@
 	n->now_ms = now_ms;
 	n->ahead_applied = -1;
 	n->published_source = -1;
-	n->changes_source = -1;
+	propose_init(n);
 	n->required_source_offset = n->fleet.source_offset;
 	n->peer_required_source = -1;
 	n->rand = g_rand_new_with_seed(seed);
--- a/member/member.h
+++ b/member/member.h
@@ -313,6 +313,8 @@
 	int64_t changes_base;
 	int64_t changes_source;
 	bool changes_complete;
+	uint32_t changes_max_bytes; /* halved when their append comes too late */
+	uint32_t changes_limit; /* that changes were computed with */
 	/*
 	 * The published configuration document, or NULL. Loaded once for all
 	 * records that the changes to it are split into.
--- a/member/propose.c
+++ b/member/propose.c
@@ -32,6 +32,11 @@
 #define LOG_WITNESSED_WAITS 2
 /* Limit on the compressed size of changes: the store limits a record's size. */
 #define CHANGES_MAX_BYTES (192 * 1024)
+/*
+ * The least that it is lowered to. A long record needs longer to reach the
+ * store, and each time another record may come first.
+ */
+#define CHANGES_MIN_BYTES (8 * 1024)
 /*
  * The longest random wait after an append conflict, that is, after another
  * member's append came first. The node reads that record in the meantime, then
@@ -122,6 +127,9 @@
 			n->next_join_at_ms = n->now_ms + RETRY_MS;
 		return;
 	}
+	if (result == RESULT_CONFLICT && kind == APPEND_PUBLISHED)
+		n->changes_max_bytes =
+			MAX(n->changes_max_bytes / 2, CHANGES_MIN_BYTES);
 	if (result == RESULT_CONFLICT) {
 		n->next_append_at_ms[kind] =
 			n->now_ms + conflict_backoff_ms(n, kind);
@@ -641,15 +649,23 @@
 	json_t *to;
 
 	if (n->changes_source == n->published_source &&
-	    n->changes_base == n->fleet.configuration_version)
+	    n->changes_base == n->fleet.configuration_version &&
+	    n->changes_limit == n->changes_max_bytes)
 		return;
 	json_decref(n->changes);
 	to = published_load_document(n);
-	n->changes = to ? changes_between(from, to, CHANGES_MAX_BYTES,
+	n->changes = to ? changes_between(from, to, n->changes_max_bytes,
 					  &n->changes_complete)
 			: NULL;
 	n->changes_base = n->fleet.configuration_version;
 	n->changes_source = n->published_source;
+	n->changes_limit = n->changes_max_bytes;
+}
+
+void propose_init(struct member_node *n)
+{
+	n->changes_source = -1;
+	n->changes_max_bytes = CHANGES_MAX_BYTES;
 }
 
 /* Free the published document, which is large, once it is in force. */
@@ -657,7 +673,7 @@
 {
 	g_clear_pointer(&n->operators_document, json_decref);
 	g_clear_pointer(&n->changes, json_decref);
-	n->changes_source = -1;
+	propose_init(n);
 }
 
 /*
--- a/member/published.c
+++ b/member/published.c
@@ -60,6 +60,11 @@
 	return early_document(&n->early, &n->fleet);
 }
 
+static bool published_is_in_force(const struct member_node *n)
+{
+	return n->published_source <= member_source_in_force(n);
+}
+
 static GString *text_of(const json_t *o)
 {
 	char *dump = json_dumps(o, JSON_COMPACT);
@@ -226,7 +231,7 @@
 	bool complete;
 	int err;
 
-	if (n->published_source <= member_source_in_force(n) ||
+	if (published_is_in_force(n) ||
 	    n->published_source <= n->early_read_source ||
 	    !member_is_caught_up(n))
 		return;
--- a/node/node.c
+++ b/node/node.c
@@ -110,6 +110,9 @@
 	if (kind == APPEND_PUBLISHED) {
 		emit_proposed(n);
 		n->change_proposed_at_ms = clock_now_ms();
+		n->change_sent_at_ms = n->change_proposed_at_ms;
+		n->change_sent_source = n->member.changes_source;
+		n->change_sent_base = n->member.changes_base;
 	}
 	log_client_append(&n->log, kind, member_append_may_follow(kind), NULL,
 			  record);
--- a/node/node.h
+++ b/node/node.h
@@ -77,6 +77,10 @@
 	int64_t next_wait_update_at_ms; /* of how long reads wait */
 	/* When this node last proposed an operators' change; 0: not in force. */
 	int64_t change_proposed_at_ms;
+	/* The last one that it appended: when, its source and its base. */
+	int64_t change_sent_at_ms;
+	int64_t change_sent_source;
+	int64_t change_sent_base;
 	/* Since when a record is known that peers announced; 0: none. */
 	int64_t announced_at_ms;
 	int64_t announced_offset;
--- a/node/streams.c
+++ b/node/streams.c
@@ -159,15 +159,15 @@
 
 static void emit_change_appended(struct node *n, int result)
 {
-	int64_t ms = clock_now_ms() - n->change_proposed_at_ms;
+	int64_t ms = clock_now_ms() - n->change_sent_at_ms;
 
 	if (!result)
 		MEASURE(change_append_ms, ms);
 	EVENT(change_appended, NULL,
 	      "\"source\":%" PRId64 ",\"base\":%" PRId64
 	      ",\"result\":\"%s\",\"conflicts\":%u,\"ms\":%" PRId64,
-	      n->member.changes_source, n->member.changes_base,
-	      result_name(result), n->log.ended_conflicts, ms);
+	      n->change_sent_source, n->change_sent_base, result_name(result),
+	      n->log.ended_conflicts, ms);
 }
 
 static void on_appended(void *user, int kind, void *append_user, int result)
--- a/t/sim-operators.c
+++ b/t/sim-operators.c
@@ -14,7 +14,6 @@
 #define READ_WAIT_MS 3000
 /* The first members by rank read the stream, as in a large fleet. */
 #define N_READERS 4
-#define LONG_CHANGE_EACH 4
 #define N_LONG_ROUTES 240
 
 struct sim_published {
--- a/t/sim.c
+++ b/t/sim.c
@@ -100,7 +100,10 @@
 	g_autofree char *id = g_strdup_printf("%u-%" G_GUINT64_FORMAT, nd->slot,
 					      s->n_appends);
 
-	if (kind == APPEND_PUBLISHED && s->changes_refused_until_ms > s->now_ms)
+	if (kind == APPEND_PUBLISHED &&
+	    (s->changes_refused_until_ms > s->now_ms ||
+	     (s->max_change_bytes &&
+	      json_dumpb(record, NULL, 0, 0) > s->max_change_bytes)))
 		result = RESULT_CONFLICT;
 	a->answer_at_ms = s->now_ms + 10 + s->answer_ms;
 	a->slot = nd->slot;
--- a/t/sim.h
+++ b/t/sim.h
@@ -162,6 +162,7 @@
 	int64_t answer_ms; /* how late the answers of the store come */
 	/* The log refuses changes until then, as other records come first. */
 	int64_t changes_refused_until_ms;
+	size_t max_change_bytes; /* the log refuses longer ones, 0: none */
 	GPtrArray *operators; /* struct sim_published; NULL: no such stream */
 };
 
@@ -269,6 +270,8 @@
 
 /* t/sim-operators.c: */
 
+#define LONG_CHANGE_EACH 4 /* versions to a long one */
+
 /*
  * Gives the operators a stream of their own. Call it before processes are
  * started that are to read the stream from its beginning.
--- a/t/test-changes.c
+++ b/t/test-changes.c
@@ -310,6 +310,26 @@
 	}
 }
 
+/*
+ * Another record always comes before a long one. The change must be in the log
+ * nevertheless, in shorter parts, or data centres that are taken out of service
+ * later would wait behind it.
+ */
+static void test_long_change_reaches_log(void)
+{
+	static const struct rules_off none;
+	int64_t source = -1;
+	struct sim s;
+
+	start_fleet(&s, 5, &none);
+	s.max_change_bytes = 14000;
+	while (!s.operators->len || s.operators->len % LONG_CHANGE_EACH)
+		source = sim_publish(&s);
+	sim_run(&s, 4000);
+	g_assert_cmpint(sim_newest_state(&s)->source_offset, ==, source);
+	sim_finish(&s);
+}
+
 /*
  * Whether a process that gets its state from a peer, while the log lacks a
  * change that is in force there, is current without the change.
@@ -776,6 +796,8 @@
 	g_test_add_func("/changes/rules-needed", test_rules_needed);
 	g_test_add_func("/changes/current-with-what-the-peer-has",
 			test_current_with_change);
+	g_test_add_func("/changes/long-change-reaches-log",
+			test_long_change_reaches_log);
 	g_test_add_func("/changes/nothing-while-nothing-changes",
 			test_nothing_while_nothing_changes);
 	g_test_add_func("/changes/1500-nodes", test_1500_nodes);
