node: gates know the classes of a change before the log has it (CONFIG)

Entries name the class of a request; a gate that goes by the log alone counted those of new classes nowhere until the log had the change (its refusals by class and its times by class). Nothing else of the gate follows the early configuration: services and data centres are the log's.

--- a/node/gate-configure.c
+++ b/node/gate-configure.c
@@ -51,15 +51,20 @@
 
 void gate_apply_configuration(struct gate *g)
 {
-	const struct fleet *f = &g->node->member.fleet;
+	const struct member_node *m = &g->node->member;
+	const struct fleet *f = &m->fleet;
 	const struct service_settings *ss;
 	struct fleet_service *s;
 
+	if (g->configuration_source != member_source_in_force(m)) {
+		g->configuration_source = member_source_in_force(m);
+		update_classes(g, member_configuration(m));
+	}
 	if (g->configuration_version == f->configuration_version)
 		return;
 	update_in_service(g, g->configuration_version >= 0);
 	g->configuration_version = f->configuration_version;
-	update_classes(g, &f->configuration);
+	update_classes(g, member_configuration(m));
 	ss = configuration_service(&f->configuration,
 				   g->node->settings.service);
 	if (ss)
--- a/node/gate.c
+++ b/node/gate.c
@@ -137,6 +137,7 @@
 	memset(g, 0, sizeof(*g));
 	g->node = node;
 	g->configuration_version = -1;
+	g->configuration_source = -1;
 	g->requests = g_hash_table_new(request_hash, request_equal);
 	g->shard_waiters = g_ptr_array_new();
 	g->link_waiters = g_ptr_array_new();
--- a/node/gate.h
+++ b/node/gate.h
@@ -94,6 +94,7 @@
 	int64_t out_of_service_since_ms;
 	bool in_service; /* our data centre, by the newest configuration */
 	int64_t configuration_version; /* that was applied last; -1: none */
+	int64_t configuration_source; /* the same, of its classes */
 	GHashTable *class_indexes; /* name -> index into its classes + 1 */
 	struct fifo_cache origins; /* entry -> struct gate_origin */
 	uint64_t n_origins; /* records added to it so far */
