--- a/t/t0072-platform-store-answers-late.sh
+++ b/t/t0072-platform-store-answers-late.sh
@@ -48,6 +48,9 @@
 	done
 	wait $ASKED
 	sleep 0.2
+	for i in ${*:-$NODES}; do
+		echo "$what: node $i: new $(cat "$DIR/new-$i"), old $(cat "$DIR/old-$i")" >&2
+	done
 	echo "$what: new route not served by" \
 		"$(for i in ${*:-$NODES}; do cat "$DIR/new-$i"; done | grep -vc '^200')," \
 		"old route served by" \
