review: case 2 with wider margins

The next life listens 550 ms after the crash and the late heartbeat comes 0.95 s late, so that a slow machine does not blur the two.

--- a/review/src/case-2.c
+++ b/review/src/case-2.c
@@ -15,8 +15,8 @@
 #define N_LIVES (N_NODES + 1)
 /* From the last heartbeat of the first life. */
 #define CRASH_MS 50
-#define LISTEN_MS 450
-#define LATE_MS 800
+#define LISTEN_MS 600
+#define LATE_MS 950
 /* From the start of the next life, a server sends each HEARTBEAT_MS. */
 #define FIRST_HEARTBEAT_MS 800
 #define WATCH_MS 6000
