review: case 2, a booking is answered 503 and runs

Looked for refusals that are not true: a server's refusal that comes once more, late, where the next answer on the connection is expected. If the booking has come back to the same server by then, on that connection and under the same id, the copy is taken as its answer: the client gets 503, and the booking runs (REFUSED).

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,18 +1,11 @@
 #!/bin/bash
-# Case 2: a heartbeat arrives late, after its sender has crashed and the next
-# life of the server listens at the same address. Exit code: 1 if a server took
-# a key under a fence that was not above that of another server, 0 if none did,
-# 2 if the case could not run. TROUBLE=0 does the same, but that heartbeat
-# arrives at once.
+# Case 2: servers refuse a share of the bookings, and a few of their answers come
+# once more. Exit code: 1 if a booking was answered as not run and was run, 0 if
+# none was, 2 if the case could not run. TROUBLE=0 does the same, but no answer
+# comes once more.
 . "$(dirname "$0")/../lib.sh"
 start_store
-start_node 0 weighbridge tipton call
-start_node 1 weighbridge oldbury call
-start_node 2 weighbridge dudley-port call
-start_node 3 weighbridge tipton call
-start_node 4 weighbridge oldbury call
-start_node 5 weighbridge dudley-port call
-start_node 6 weighbridge tipton call
-start_node 7 weighbridge oldbury call
-start_node 8 bookings dudley-port call
+start_node 0 bookings hakata
+start_node 1 bookings tenjin
+start_node 2 archive kurume
 run_case 2
--- a/review/src/case-2.c
+++ b/review/src/case-2.c
@@ -1,8 +1,8 @@
 /*
- * A server crashes, and its next life starts at the same address. A heartbeat
- * of the life before arrives late: after the next life has begun to listen and
- * before its first heartbeat. The rule OWNER: no server takes a key with a
- * fencing token that isn't above all with which other servers had it.
+ * Servers refuse a share of the bookings, one of two servers is cold, and a few
+ * answers of the other one come once more, at the point where the next answer
+ * on the connection is expected. The rule REFUSED: a booking that is answered
+ * 429 or 503 (or 408, 421) has not run, and never will.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -10,191 +10,235 @@
 
 #include "common.h"
 
-#define N_NODES 9
-#define N_SHARDED 8
-#define N_LIVES (N_NODES + 1)
-/* From the last heartbeat of the first life. */
-#define CRASH_MS 50
-#define LISTEN_MS 600
-#define LATE_MS 950
-/* From the start of the next life, a server sends each HEARTBEAT_MS. */
-#define FIRST_HEARTBEAT_MS 800
-#define WATCH_MS 6000
+#define N_NODES 3
+#define N_SERVERS 2
+#define N_SPELLS 13
+/* No spell begins later. */
+#define LAST_SPELL_MS 105000
+#define PAUSE_MS 2500
+#define SPELL_MS 5000
+#define COLD_MS 3000
+#define REFUSE_PER_MILLE 550
+#define COPY_PER_MILLE 26
+#define WORK_MS 30
+#define DEADLINE_MS 2000
+#define N_CLIENTS 18
+#define RETRY_AFTER_MS 200
+#define MAX_BOOKINGS 100000
 
 static const char config[] =
 	"{\"version\":7,\"limits\":{\"max_header_bytes\":16384,"
 	"\"max_body_bytes\":67108864,\"header_timeout_ms\":3000,"
 	"\"idle_timeout_ms\":15000},\"listeners\":[{\"hostname\":"
-	"\"jepu9.example\",\"rules\":[{\"name\":\"credit\",\"kind\":"
-	"\"unsafe\",\"goal_ms\":150,\"priority\":1,\"match\":{\"path_prefix\":"
-	"\"/credit/\"},\"action\":{\"service\":\"weighbridge\",\"timeout_ms\":"
-	"600,\"attempts\":2}}]}],\"clusters\":[{\"name\":\"weighbridge\","
+	"\"jepu9.example\",\"rules\":[{\"name\":\"book\",\"kind\":\"unsafe\","
+	"\"goal_ms\":500,\"priority\":1,\"match\":{\"path_prefix\":\"/book/\"},"
+	"\"action\":{\"service\":\"bookings\",\"timeout_ms\":1000,"
+	"\"attempts\":2}}]}],\"clusters\":[{\"name\":\"bookings\","
 	"\"health_path\":\"/healthz\",\"max_conns\":130,\"protocol\":\"h1\","
-	"\"tls\":false,\"cold_start_s\":3.0,\"cold_per_s\":25.0,\"sharded\":"
-	"true,\"warmup_s\":2.0,\"grants\":\"call\"},{\"name\":\"bookings\","
-	"\"health_path\":\"/healthz\",\"max_conns\":130,\"protocol\":\"h1\","
-	"\"tls\":false,\"cold_start_s\":3.0,\"cold_per_s\":25.0}]}";
-
-static char addresses[N_NODES][3][64]; /* server, control, ready */
-static struct server servers[N_LIVES];
-/* The highest fence with which each life of a server had each key. */
-static int64_t had[N_LIVES][N_KEYS];
-static pthread_mutex_t had_lock = PTHREAD_MUTEX_INITIALIZER;
-static int n_stale_calls;
-static int64_t n_stale_keys;
-static bool trouble;
-
-static void on_grant(struct server *s, int64_t from, int64_t to, int64_t fence,
-		     int64_t hold_ms)
+	"\"tls\":false,\"cold_start_s\":3.0,\"cold_per_s\":25.0},{\"name\":"
+	"\"archive\",\"health_path\":\"/healthz\",\"max_conns\":130,"
+	"\"protocol\":\"h1\",\"tls\":false,\"cold_start_s\":3.0,"
+	"\"cold_per_s\":25.0}]}";
+
+struct booking {
+	int64_t sent_ms, refused_ms, copy_ms, run_ms, answered_ms;
+	struct server *refused_by, *run_by;
+	int n_runs, status;
+};
+
+static char addresses[N_NODES][4][64]; /* server, control, ready, clients */
+static struct server servers[N_NODES];
+static struct booking bookings[MAX_BOOKINGS];
+static volatile bool stop_clients;
+static int n_sent, n_ok, n_promised, n_other;
+static int n_answers, n_copies, n_refusals_copied;
+
+static struct booking *booking_of(const char *id)
 {
-	int64_t stale = 0, highest = 0, k;
-	int life = (int)(s - servers);
-	const char *other = "";
-	int i;
+	int n = atoi(id + strlen("booking-"));
 
-	pthread_mutex_lock(&had_lock);
-	for (k = from; k <= to; k++) {
-		bool above = true;
-
-		for (i = 0; i < N_LIVES; i++) {
-			if (i == life || fence > had[i][k])
-				continue;
-			above = false;
-			highest = had[i][k];
-			other = servers[i].id;
-		}
-		stale += !above;
-		if (fence > had[life][k])
-			had[life][k] = fence;
-	}
-	pthread_mutex_unlock(&had_lock);
-	if (life == N_NODES || stale)
-		record("server %s is granted keys %lld to %lld under fence "
-		       "%lld for %lld ms",
-		       s->id, (long long)from, (long long)to, (long long)fence,
-		       (long long)hold_ms);
-	if (!stale)
-		return;
-	record("  %lld of them server %s had under fence %lld: NOT ABOVE",
-	       (long long)stale, other, (long long)highest);
-	n_stale_calls++;
-	n_stale_keys += stale;
+	return &bookings[n >= 0 && n < MAX_BOOKINGS ? n : 0];
 }
 
-static int n_keys_held(void)
+static void on_refused(struct server *s, const char *id)
 {
-	int64_t now = now_ms();
-	int n = 0, i, k;
+	struct booking *b = booking_of(id);
 
-	for (i = 0; i < N_SHARDED; i++)
-		for (k = 0; k < N_KEYS; k++)
-			n += servers[i].held_until_ms[k] > now;
-	return n;
+	b->refused_ms = now_ms();
+	b->refused_by = s;
+	if (s->copy_per_mille)
+		__sync_fetch_and_add(&n_answers, 1);
 }
 
-static char late_path[128], late_body[1024];
+static void on_run(struct server *s, const char *id, const char *path)
+{
+	struct booking *b = booking_of(id);
+
+	(void)path;
+	b->run_ms = now_ms();
+	b->run_by = s;
+	__sync_fetch_and_add(&b->n_runs, 1);
+	if (s->copy_per_mille)
+		__sync_fetch_and_add(&n_answers, 1);
+}
+
+static void on_copy(struct server *s, const char *answer)
+{
+	const char *id = strstr(answer, "X-Mesh-Request-Id: ");
+
+	(void)s;
+	__sync_fetch_and_add(&n_copies, 1);
+	if (!id || !strstr(answer, "X-Mesh-Not-Run"))
+		return;
+	__sync_fetch_and_add(&n_refusals_copied, 1);
+	booking_of(id + strlen("X-Mesh-Request-Id: "))->copy_ms = now_ms();
+}
 
-/* The way on which the last heartbeat of the first life is held up. */
-static void *deliver_late(void *arg)
+static bool promises_not_run(int status)
 {
-	struct server *s = arg;
-	int status;
+	return status == 503 || status == 429 || status == 408 || status == 421;
+}
 
-	sleep_ms(LATE_MS);
-	record("the held up heartbeat of server %s arrives", s->id);
-	status = server_send_heartbeat(s, late_path, late_body);
-	record("it is answered with %d", status);
+static void *play_client(void *arg)
+{
+	const char *address = addresses[(intptr_t)arg % N_NODES][3];
+	char headers[256], path[64];
+
+	while (!stop_clients) {
+		int n = __sync_fetch_and_add(&n_sent, 1);
+		struct booking *b = &bookings[n];
+
+		if (n >= MAX_BOOKINGS)
+			break;
+		snprintf(path, sizeof(path), "/book/%d", n);
+		snprintf(headers, sizeof(headers),
+			 "Host: jepu9.example\r\nX-Mesh-Request-Id: "
+			 "booking-%d\r\nX-Mesh-Deadline-Ms: %d\r\n",
+			 n, DEADLINE_MS);
+		b->sent_ms = now_ms();
+		b->status = call(address, "POST", path, headers, "a deposit",
+				 DEADLINE_MS + 500, NULL);
+		b->answered_ms = now_ms();
+		if (b->status == 200) {
+			__sync_fetch_and_add(&n_ok, 1);
+			sleep_ms(60);
+		} else {
+			__sync_fetch_and_add(promises_not_run(b->status)
+						     ? &n_promised
+						     : &n_other,
+					     1);
+			sleep_ms(RETRY_AFTER_MS);
+		}
+	}
 	return NULL;
 }
 
-/* Heartbeats go straight to the node; the one that is held up goes this way. */
-static void send_last_heartbeat(struct server *s)
+static void play_spell(bool trouble)
 {
-	pthread_t t;
-
-	server_heartbeat(s, late_path, sizeof(late_path), late_body,
-			 sizeof(late_body));
-	record("server %s sends its last heartbeat, %s", s->id,
-	       trouble ? "which is held up on the way" : "which arrives");
-	if (!trouble)
-		server_send_heartbeat(s, late_path, late_body);
-	else if (pthread_create(&t, NULL, deliver_late, s))
-		not_run("no thread can be started");
+	int i;
+
+	record("for %d ms the servers refuse %d of 1,000 bookings; server %s "
+	       "is cold for %d ms",
+	       SPELL_MS, REFUSE_PER_MILLE, servers[1].id, COLD_MS);
+	for (i = 0; i < N_SERVERS; i++)
+		servers[i].refuse_per_mille = REFUSE_PER_MILLE;
+	servers[1].cold_until_ms = now_ms() + COLD_MS;
+	if (trouble)
+		servers[0].copy_per_mille = COPY_PER_MILLE;
+	sleep_ms(SPELL_MS);
+	servers[0].copy_per_mille = 0;
+	for (i = 0; i < N_SERVERS; i++)
+		servers[i].refuse_per_mille = 0;
+	record("so far %d bookings were sent, %d answered with 200, %d with a "
+	       "promise not to run, %d otherwise",
+	       n_sent, n_ok, n_promised, n_other);
 }
 
-static void set_up(struct server *s, int i, const char *service,
+static void set_up(int i, const char *net, const char *service,
 		   const char *zone)
 {
+	struct server *s = &servers[i];
+
+	snprintf(addresses[i][0], 64, "%s.%d:8301", net, 10 + i);
+	snprintf(addresses[i][1], 64, "%s.%d:8306", net, 10 + i);
+	snprintf(addresses[i][2], 64, "%s.%d:8302", net, 10 + i);
+	snprintf(addresses[i][3], 64, "%s.%d:8304", net, 10 + i);
 	s->address = addresses[i][0];
 	s->control = addresses[i][1];
 	s->service = service;
 	s->zone = zone;
-	s->sharded = i < N_SHARDED;
-	s->work_ms = 48;
-	s->on_grant = on_grant;
+	s->work_ms = WORK_MS;
+	s->on_refused = on_refused;
+	s->on_run = on_run;
+	s->on_copy = on_copy;
+	snprintf(s->id, sizeof(s->id), "i-%08x", 0x7f3a9100 + i);
+	server_start(s);
+}
+
+/* Records the bookings that break the rule, and returns their number. */
+static int judge(void)
+{
+	int n_broken = 0, i;
+
+	for (i = 0; i < n_sent && i < MAX_BOOKINGS; i++) {
+		const struct booking *b = &bookings[i];
+
+		if (!promises_not_run(b->status) || !b->n_runs)
+			continue;
+		n_broken++;
+		record("booking-%d, sent at %.3f s: answered with %d at %.3f "
+		       "s, but run by server %s from %.3f s on",
+		       i, b->sent_ms / 1000.0, b->status,
+		       b->answered_ms / 1000.0, b->run_by->id,
+		       b->run_ms / 1000.0);
+		if (b->copy_ms)
+			record("  server %s had refused it at %.3f s, and sent "
+			       "that refusal once more at %.3f s",
+			       b->refused_by->id, b->refused_ms / 1000.0,
+			       b->copy_ms / 1000.0);
+	}
+	return n_broken;
 }
 
 int main(void)
 {
-	static const char *const zones[N_NODES] = {
-		"tipton", "oldbury", "dudley-port",
-		"tipton", "oldbury", "dudley-port",
-		"tipton", "oldbury", "dudley-port",
-	};
 	const char *net = need_env("CASE_NET");
 	const char *store = need_env("CASE_STORE");
+	bool trouble = strcmp(need_env("CASE_TROUBLE"), "0") != 0;
 	const char *ready[N_NODES];
-	struct server *first = &servers[0];
-	struct server *next = &servers[N_NODES];
-	int64_t until_ms, at_ms, seq;
-	int i;
+	pthread_t clients[N_CLIENTS];
+	int i, n_broken;
 
-	trouble = strcmp(need_env("CASE_TROUBLE"), "0") != 0;
 	record_open(need_env("CASE_RECORD"));
 	record("TROUBLE=%d", trouble);
-	for (i = 0; i < N_NODES; i++) {
-		snprintf(addresses[i][0], 64, "%s.%d:8301", net, 10 + i);
-		snprintf(addresses[i][1], 64, "%s.%d:8306", net, 10 + i);
-		snprintf(addresses[i][2], 64, "%s.%d:8302", net, 10 + i);
+	set_up(0, net, "bookings", "hakata");
+	set_up(1, net, "bookings", "tenjin");
+	set_up(2, net, "archive", "kurume");
+	for (i = 0; i < N_NODES; i++)
 		ready[i] = addresses[i][2];
-		set_up(&servers[i], i,
-		       i < N_SHARDED ? "weighbridge" : "bookings", zones[i]);
-		snprintf(servers[i].id, sizeof(servers[i].id), "i-%08x",
-			 0x7f3a9100 + i);
-		server_start(&servers[i]);
-	}
 	publish_and_wait(store, config, ready, N_NODES);
-	until_ms = now_ms() + 40000;
-	while (n_keys_held() < N_KEYS) {
-		if (now_ms() > until_ms)
-			not_run("only %d keys are held", n_keys_held());
-		sleep_ms(100);
+	sleep_ms(5000);
+	for (i = 0; i < N_CLIENTS; i++)
+		if (pthread_create(&clients[i], NULL, play_client,
+				   (void *)(intptr_t)i))
+			not_run("no thread can be started");
+	for (i = 0; i < N_SPELLS && now_ms() < LAST_SPELL_MS; i++) {
+		sleep_ms(PAUSE_MS);
+		play_spell(trouble);
 	}
-	record("all keys are held");
-	sleep_ms(8000);
-	if (n_keys_held() < N_KEYS)
-		not_run("only %d keys are held", n_keys_held());
-	if (n_stale_calls)
-		not_run("fences did not rise before the disruption");
-
-	/* One heartbeat_ms after an ordinary heartbeat comes the last one. */
-	seq = first->seq;
-	while (first->seq == seq)
-		sleep_ms(1);
-	first->silent = true;
-	sleep_ms(HEARTBEAT_MS);
-	send_last_heartbeat(first);
-	at_ms = now_ms();
-	sleep_until_ms(at_ms + CRASH_MS);
-	server_end(first);
-	sleep_until_ms(at_ms + LISTEN_MS);
-	set_up(next, 0, "weighbridge", zones[0]);
-	snprintf(next->id, sizeof(next->id), "i-02d9e6b4");
-	next->first_heartbeat_ms = FIRST_HEARTBEAT_MS;
-	server_start(next);
-	sleep_ms(WATCH_MS);
-	record("%d grants of %lld keys under a fence that was not above",
-	       n_stale_calls, (long long)n_stale_keys);
-	record(n_stale_calls ? "OWNER is broken" : "OWNER holds");
-	return n_stale_calls ? CASE_BROKEN : CASE_HELD;
+	stop_clients = true;
+	for (i = 0; i < N_CLIENTS; i++)
+		pthread_join(clients[i], NULL);
+	sleep_ms(1000);
+	record("%d of %d answers of server %s came once more, %d of them "
+	       "refusals",
+	       n_copies, n_answers, servers[0].id, n_refusals_copied);
+	n_broken = judge();
+	record("%d bookings were answered with a promise not to run, and were "
+	       "run",
+	       n_broken);
+	if (!n_broken && n_ok < n_sent / 2)
+		not_run("only %d of %d bookings were answered", n_ok, n_sent);
+	record(n_broken ? "REFUSED is broken" : "REFUSED holds");
+	return n_broken ? CASE_BROKEN : CASE_HELD;
 }
--- a/review/src/common.c
+++ b/review/src/common.c
@@ -337,15 +337,40 @@
 	int fd;
 };
 
+/* The last answer on the connection that this thread serves. */
+static __thread char last_answer[4096];
+static __thread int last_answer_len;
+static __thread bool send_again;
+
 static bool answer(int fd, int status, const char *text, const char *headers,
 		   const char *body)
 {
-	char out[4096];
-	int n = snprintf(out, sizeof(out),
+	last_answer_len =
+		snprintf(last_answer, sizeof(last_answer),
 			 "HTTP/1.1 %d %s\r\n%sContent-Length: %zu\r\n\r\n%s",
 			 status, text, headers, strlen(body), body);
 
-	return send_all(fd, out, n);
+	return send_all(fd, last_answer, last_answer_len);
+}
+
+/* True for per_mille of 1,000 calls; the order is the same in each run. */
+static bool draw(int per_mille)
+{
+	static unsigned int state = 47;
+	static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+	int n;
+
+	pthread_mutex_lock(&lock);
+	n = rand_r(&state) % 1000;
+	pthread_mutex_unlock(&lock);
+	return n < per_mille;
+}
+
+static int64_t cold_left_ms(const struct server *s)
+{
+	int64_t left_ms = s->cold_until_ms - now_ms();
+
+	return left_ms > 0 ? left_ms : 0;
 }
 
 static int64_t number_in(const char *json, const char *name)
@@ -428,6 +453,11 @@
 			return answer(fd, 421, "Misdirected Request", headers,
 				      "");
 	}
+	if (draw(s->refuse_per_mille)) {
+		if (s->on_refused)
+			s->on_refused(s, id);
+		return answer(fd, 503, "Service Unavailable", headers, "");
+	}
 	if (s->on_run)
 		s->on_run(s, id, path);
 	sleep_ms(s->work_ms);
@@ -448,8 +478,9 @@
 		return on_release_call(s, fd, m);
 	if (!strncmp(m->head, "GET /healthz ", 13)) {
 		snprintf(headers, sizeof(headers),
-			 "X-Mesh-Instance: %s\r\nX-Mesh-Load: 0,0,18\r\n",
-			 s->id);
+			 "X-Mesh-Instance: %s\r\nX-Mesh-Load: 0,0,18\r\n"
+			 "X-Mesh-Cold-Ms: %lld\r\n",
+			 s->id, (long long)cold_left_ms(s));
 		return answer(fd, 200, "OK", headers, "");
 	}
 	return on_work(s, fd, m);
@@ -465,8 +496,15 @@
 
 	c->fd = sc->fd;
 	while (read_message(c, m, false, 10000) && !s->ended) {
-		bool ok = on_message(s, c->fd, m);
+		bool ok = true;
 
+		if (send_again && s->copy_per_mille) {
+			if (s->on_copy)
+				s->on_copy(s, last_answer);
+			ok = send_all(c->fd, last_answer, last_answer_len);
+		}
+		send_again = draw(s->copy_per_mille);
+		ok = ok && on_message(s, c->fd, m);
 		free(m->body);
 		m->body = NULL;
 		if (!ok)
@@ -532,9 +570,9 @@
 		 "{\"address\":\"%s\",\"born\":%lld,\"info\":{\"service\":"
 		 "\"%s\",\"version\":\"v1\",\"zone\":\"%s\",\"slots\":18},"
 		 "\"status\":{\"state\":\"ready\",\"seq\":%lld,"
-		 "\"cold_left_ms\":0}}",
+		 "\"cold_left_ms\":%lld}}",
 		 s->address, (long long)s->born_ms, s->service, s->zone,
-		 (long long)++s->seq);
+		 (long long)++s->seq, (long long)cold_left_ms(s));
 	pthread_mutex_unlock(&s->lock);
 }
 
--- a/review/src/common.h
+++ b/review/src/common.h
@@ -87,6 +87,14 @@
 	int64_t born_ms; /* Unix time */
 	bool sharded;
 	int64_t work_ms;
+	/* Of 1,000 requests, how many are refused as if the server were full. */
+	volatile int refuse_per_mille;
+	/*
+	 * Of 1,000 answers, how many are sent once more, at the point where the
+	 * next answer on the connection is expected.
+	 */
+	volatile int copy_per_mille;
+	volatile int64_t cold_until_ms;
 
 	pthread_mutex_t lock;
 	int64_t seq;
@@ -106,6 +114,10 @@
 	/* Called for each grant, before it is applied. May be NULL. */
 	void (*on_grant)(struct server *s, int64_t from, int64_t to,
 			 int64_t fence, int64_t hold_ms);
+	/* Called when a request is refused with 503. May be NULL. */
+	void (*on_refused)(struct server *s, const char *request_id);
+	/* Called when an answer is sent once more. May be NULL. */
+	void (*on_copy)(struct server *s, const char *answer);
 	/* Passes a heartbeat on. NULL: send it at once. */
 	int (*pass_heartbeat)(struct server *s, const char *path,
 			      const char *body);
