node: an instance that has left is not announced by what it had sent before

What callers saw: bookings reached a server up to 8 s after its deregistration was acknowledged (2 s allowed), and what it had begun when it ended was answered 504, not to be repeated.

Cause: whether the server serves was kept in backend_left, server_said_leaving and the check of the instance. "Left" was one flag for what the node had concluded (silent, refused) and for what the server had said, and any newer heartbeat cleared it. A heartbeat sent before the deregistration has a higher number than the last one that arrived.

Now one state of the instance, in pure code, in which leaving is final: only another id or start ends it.

--- a/node/backend.c
+++ b/node/backend.c
@@ -5,6 +5,7 @@
 #include "node/backend.h"
 #include "node/node.h"
 #include "platform/announce.h"
+#include "util/counters.h"
 #include "util/event.h"
 #include "util/histogram.h"
 #include "util/result.h"
@@ -44,48 +45,75 @@
 	g_snprintf(b.instance_id, sizeof(b.instance_id), "%s/%" G_GINT64_FORMAT,
 		   a->id, (gint64)a->started_ms);
 	gate_backend_announced(&n->gate, &b);
-	n->backend_left = false;
 	member_set_server_instance(&n->member, b.instance_id);
 	node_backend_announced(n);
 }
 
-static void on_backend_leaving(struct node *n, const char *why)
+/* Follows the state of the server's instance from READY to another one. */
+static void follow_leaving(struct node *n, bool was_gone, const char *why)
 {
-	if (n->backend_left)
+	if (was_gone || !instance_is_gone(&n->server_instance))
 		return;
 	EVENT(server_leaves, NULL, "\"server\":\"%s\",\"why\":\"%s\"",
 	      event_text(n->server_instance.id), event_text(why));
 	g_info("backend server %s: %s", n->server_instance.id, why);
-	n->backend_left = true;
 	gate_backend_left(&n->gate);
 	node_backend_left(n);
 }
 
+static void on_backend_event(struct node *n, enum server_event event,
+			     const char *why)
+{
+	bool was_gone = instance_is_gone(&n->server_instance);
+
+	instance_on_event(&n->server_instance, event);
+	follow_leaving(n, was_gone, why);
+}
+
 void backend_said_leaving(struct node *n)
 {
-	n->server_said_leaving = true;
-	on_backend_leaving(n, "says in its answers that it leaves");
+	on_backend_event(n, SERVER_SAYS_LEAVING,
+			 "says in its answers that it leaves");
+}
+
+static void on_new_instance(struct node *n, const struct announcement *a)
+{
+	grants_new_instance(&n->gate.grants);
+	/* The grants of the previous instance ended with it. */
+	if (n->member.self_id)
+		node_backend_left(n);
+	announce_instance(n, a);
 }
 
 static void update_state(struct node *n, const struct announcement *a,
-			 enum instance_check check)
-{
-	if (check == INSTANCE_NEW) {
-		n->server_said_leaving = false;
-		grants_new_instance(&n->gate.grants);
-		/* The grants of the previous instance ended with it. */
-		if (n->member.self_id)
-			node_backend_left(n);
-		announce_instance(n, a);
-	} else if (!a->draining && n->backend_left && !n->server_said_leaving) {
+			 enum instance_check check, bool was_gone)
+{
+	bool gone = instance_is_gone(&n->server_instance);
+
+	if (check == INSTANCE_NEW)
+		on_new_instance(n, a);
+	else if (was_gone && !gone)
 		announce_instance(n, a);
-	}
-	if (a->draining)
-		on_backend_leaving(n, "is leaving");
+	follow_leaving(n, was_gone && check != INSTANCE_NEW, "is leaving");
 	cold_start_set_remaining(&n->gate.admission.cold_start, a->cold_left_ms,
 				 clock_now_ms());
 }
 
+static void on_deregister(struct node *n, const struct httpd_request *r,
+			  const char *id)
+{
+	bool was_gone = instance_is_gone(&n->server_instance);
+	int64_t started_ms = announce_read_start(r->body->data, r->body->len);
+
+	instance_on_deregister(&n->server_instance, id, started_ms,
+			       g_get_real_time() / 1000, clock_now_ms());
+	EVENT(server_deregistered, NULL,
+	      "\"server\":\"%s\",\"known\":\"%s\",\"state\":\"%s\"",
+	      event_text(id), event_text(n->server_instance.id),
+	      instance_state_name(n->server_instance.state));
+	follow_leaving(n, was_gone, "has left");
+}
+
 /*
  * Returns the answer to a heartbeat, newly allocated. Sets *rows to the rows to
  * grant (or NULL), *hold_ms to how long they are granted for, and *n_included
@@ -146,6 +174,7 @@
 	GString *why = g_string_new(NULL);
 	struct announcement a;
 	enum instance_check check;
+	bool was_gone = instance_is_gone(&n->server_instance);
 	g_autofree char *text = NULL;
 	int err = announce_read(&a, id, r->body->data, r->body->len, why);
 
@@ -160,12 +189,15 @@
 		goto out;
 	}
 	check = instance_on_heartbeat(&n->server_instance, a.id, a.started_ms,
-				      a.heartbeat_number, clock_now_ms());
+				      a.heartbeat_number, a.draining,
+				      clock_now_ms());
 	if (check == INSTANCE_STALE) {
+		COUNT(heartbeats_stale);
+		follow_leaving(n, was_gone, "is leaving");
 		reply_json(r, 200, "{}");
 		goto out;
 	}
-	update_state(n, &a, check);
+	update_state(n, &a, check, was_gone);
 	gate_apply_configuration(&n->gate);
 	if (n->gate.grants.ops == &grant_by_call) {
 		reply_json(r, 200, "{}");
@@ -195,8 +227,7 @@
 		on_heartbeat(n, r, id);
 		break;
 	case ANNOUNCE_DEREGISTER:
-		if (!strcmp(id, n->server_instance.id))
-			on_backend_leaving(n, "has left");
+		on_deregister(n, r, id);
 		reply_json(r, 200, "{}");
 		break;
 	default:
@@ -243,10 +274,11 @@
 	int64_t silent_ms =
 		clock_now_ms() - n->server_instance.last_heartbeat_at_ms;
 
-	if (!n->server_instance.id[0] || n->backend_left ||
-	    !n->gate.grants.n_shards)
+	if (!n->server_instance.id[0] ||
+	    instance_is_gone(&n->server_instance) || !n->gate.grants.n_shards)
 		return;
 	if (silent_ms > HEARTBEAT_TIMEOUT_LEASES * n->settings.lease_ms +
 				HEARTBEAT_TIMEOUT_MARGIN_MS)
-		on_backend_leaving(n, "sent no heartbeat for a whole lease");
+		on_backend_event(n, SERVER_FALLS_SILENT,
+				 "sent no heartbeat for a whole lease");
 }
--- a/node/gate.c
+++ b/node/gate.c
@@ -765,6 +765,7 @@
 	if (g->connect_refusals >= MAX_CONNECT_FAILURES)
 		grants_server_stopped(&g->grants);
 	gate_connect_succeeded(g);
+	instance_on_event(&g->node->server_instance, SERVER_REFUSES);
 	gate_backend_left(g);
 	node_backend_left(g->node);
 }
--- a/node/node.c
+++ b/node/node.c
@@ -452,7 +452,7 @@
  */
 static bool backend_keeps_running(const struct node *n)
 {
-	return n->gate.grants.ops && !n->backend_left &&
+	return n->gate.grants.ops && !instance_is_gone(&n->server_instance) &&
 	       n->server_instance.id[0];
 }
 
@@ -643,8 +643,6 @@
 
 void node_backend_left(struct node *n)
 {
-	/* If it sends another heartbeat, that announces it again. */
-	n->backend_left = true;
 	member_set_membership_wanted(&n->member, false, clock_now_ms());
 }
 
--- a/node/node.h
+++ b/node/node.h
@@ -56,9 +56,6 @@
 	struct httpd announce_httpd; /* the backend server's heartbeats */
 	struct member superseded; /* by the join being applied; id 0: none */
 	struct server_instance server_instance; /* last one by heartbeat */
-	/* The present instance has; its heartbeats do not bring it back. */
-	bool server_said_leaving;
-	bool backend_left; /* it stopped, or is about to */
 	struct log_client operator_stream; /* where operators publish */
 	struct operator_records operator_records;
 	int64_t published_offset; /* last record that changed them, -1: none */
--- a/node/operator.c
+++ b/node/operator.c
@@ -274,7 +274,8 @@
 		g_snprintf(b.instance_id, sizeof(b.instance_id),
 			   "%s/%" G_GINT64_FORMAT, n->settings.host,
 			   (gint64)g_get_real_time());
-		n->backend_left = false;
+		instance_set_ready(&n->server_instance, "", 0, 0,
+				   clock_now_ms());
 		gate_backend_announced(&n->gate, &b);
 		node_backend_announced(n);
 		reply_json(r, 200, json_pack("{s:b}", "announced", 1));
@@ -285,6 +286,7 @@
 
 static void post_leave(struct node *n, struct httpd_request *r)
 {
+	instance_on_event(&n->server_instance, SERVER_DEREGISTERS);
 	gate_backend_left(&n->gate);
 	node_backend_left(n);
 	reply_json(r, 200, json_pack("{s:b}", "leaving", 1));
--- a/t/platform-server.c
+++ b/t/platform-server.c
@@ -47,6 +47,9 @@
  *   leaving=0|1  says in all answers that it leaves, but not in its heartbeats
  *   window=1     begins to count anew for most_in_4s of GET /stats
  *
+ * GET /id returns the id of the present instance, GET /heartbeat the body of
+ * its next heartbeat, which it then does not send itself.
+ *
  * GET /holdings?from=N returns the changes of what it holds, from line N on:
  * time of the change, first key, last key, and the time until which the keys
  * are held, 0 if they were released. Times are in microseconds of
@@ -320,19 +323,13 @@
 static const struct fetch_ops heartbeat_ops = { .on_data = on_heartbeat_data,
 						.on_done = on_heartbeat_done };
 
-static void on_heartbeat(struct ev_loop *l, ev_timer *w, int events)
+/* Returns the body of the next heartbeat, newly allocated. */
+static char *next_heartbeat(void)
 {
-	g_autofree char *url = NULL;
 	g_autofree char *released_rows = NULL;
+	char *text;
 	json_t *o;
 
-	(void)l;
-	(void)w;
-	(void)events;
-	if (heartbeat_in_flight || mute) {
-		schedule_heartbeat(HEARTBEAT_INTERVAL_MS);
-		return;
-	}
 	o = json_pack("{s:s,s:I,s:{s:s,s:s,s:s,s:i},s:{s:s,s:I,s:i},s:o}",
 		      "address", own_address, "born", (json_int_t)started_at_ms,
 		      "info", "service", service, "version", "v1", "zone",
@@ -346,8 +343,23 @@
 	if (!by_call)
 		json_object_set_new(o, "released",
 				    json_loads(released_rows, 0, NULL));
-	heartbeat_body = json_dumps(o, JSON_COMPACT);
+	text = json_dumps(o, JSON_COMPACT);
 	json_decref(o);
+	return text;
+}
+
+static void on_heartbeat(struct ev_loop *l, ev_timer *w, int events)
+{
+	g_autofree char *url = NULL;
+
+	(void)l;
+	(void)w;
+	(void)events;
+	if (heartbeat_in_flight || mute) {
+		schedule_heartbeat(HEARTBEAT_INTERVAL_MS);
+		return;
+	}
+	heartbeat_body = next_heartbeat();
 	url = g_strdup_printf("http://%s/-/instances/%s/heartbeat",
 			      node_address, id);
 	g_string_set_size(heartbeat_answer, 0);
@@ -728,6 +740,13 @@
 	g_ptr_array_unref(headers);
 }
 
+static void on_take_heartbeat(struct httpd_request *r)
+{
+	g_autofree char *text = next_heartbeat();
+
+	httpd_reply_text(r, 200, text);
+}
+
 static void on_request(void *user, struct httpd_request *r)
 {
 	(void)user;
@@ -745,6 +764,10 @@
 		on_holdings(r);
 	else if (!strcmp(r->path, "/stats"))
 		on_stats(r);
+	else if (!strcmp(r->path, "/id"))
+		httpd_reply_text(r, 200, id);
+	else if (!strcmp(r->path, "/heartbeat"))
+		on_take_heartbeat(r);
 	else
 		on_work(r);
 }
--- /dev/null
+++ b/t/t0074-platform-late-heartbeat.sh
@@ -0,0 +1,86 @@
+#!/bin/bash
+# Heartbeats that a server sent before it left arrive after its leaving was
+# acknowledged. It is sent nothing 2 s later, until another instance of it starts.
+. "$(dirname "$0")/lib-platform.sh"
+start_platform "records bookings" "hakata tenjin kurume kitakyu"
+platform_config 7
+wait_platform
+holds_keys() { [ "$(ranges_of "$1")" != "[]" ]; }
+# hold_back I: server I is about to send a heartbeat that arrives later.
+hold_back() {
+	server_control "$1" mute=1
+	ID=$(ask "http://$(backend_of "$1")/id")
+	HELD=$(ask "http://$(backend_of "$1")/heartbeat")
+}
+tell() { # I CALL [BODY]
+	ask -o /dev/null -w "$2: %{http_code}\n" -X POST --data-binary "${3:-}" \
+		"http://$(announce_of "$1")/-/instances/$ID/$2"
+}
+# sent I METHOD PATH [CURL OPTION...]: requests that reach server I out of 40 sent to node 0.
+sent() {
+	local i=$1 method=$2 path=$3 before k waits=
+	shift 3
+	sleep 2
+	before=$(server_stat "$i" arrived)
+	for ((k = 0; k < 40; k++)); do
+		call 0 "$method" "$path$k" "$@" -o /dev/null \
+			>"$DIR/status-$k" &
+		waits="$waits $!"
+	done
+	wait $waits
+	echo "reached it: $(($(server_stat "$i" arrived) - before)), served: $(
+		cat "$DIR"/status-* | grep -c '^200')"
+}
+gets_some() {
+	call 0 POST /book/z -o /dev/null
+	[ "$(server_stat "$1" arrived)" -gt "$BEFORE" ]
+}
+gets_requests_again() {
+	server_control "$1" "crash=1&mute=0&drain=0"
+	BEFORE=$(server_stat "$1" arrived)
+	wait_for "it to be sent requests" gets_some "$1"
+	echo "another instance gets requests"
+}
+
+echo "# a server without keys deregisters"
+hold_back 1
+tell 1 deregister
+tell 1 heartbeat "$HELD"
+sent 1 POST /book/a
+gets_requests_again 1
+
+echo "# a server with keys deregisters"
+wait_for "keys" holds_keys 2
+key=$(ranges_of 2 | jq '.[0][0]')
+hold_back 2
+tell 2 deregister
+tell 2 heartbeat "$HELD"
+other_owner() {
+	local i
+	for i in 0 4 6; do
+		ranges_of "$i" | jq -e "any(.[]; .[0] <= $key and $key <= .[1])" \
+			>/dev/null && return
+	done
+	return 1
+}
+wait_for "another owner" other_owner
+sent 2 GET /look/b -H "X-Mesh-Shard-Key: $key"
+
+echo "# it says that it is leaving, then a later heartbeat that it is ready"
+server_control 3 drain=1
+wait_heartbeats 3 2
+server_control 3 drain=0
+hold_back 3
+tell 3 heartbeat "$HELD"
+sent 3 POST /book/c
+gets_requests_again 3
+
+echo "# its node has started since its last heartbeat"
+hold_back 5
+kill_node 5
+start_platform_node 5 "${NODE_SERVICE[5]}" "${NODE_DC[5]}"
+wait_for "it to answer" ask -f "http://$(ready_of 5)/-/readyz"
+tell 5 deregister
+tell 5 heartbeat "$HELD"
+sent 5 POST /book/d
+gets_requests_again 5
--- a/util/event.h
+++ b/util/event.h
@@ -36,6 +36,7 @@
 	X(current, 5, 10)                    \
 	X(server_announced, 10, 20)          \
 	X(server_leaves, 10, 20)             \
+	X(server_deregistered, 10, 20)       \
 	X(server_refused, 2, 10)             \
 	X(server_ended, 10, 20)              \
 	X(server_limit, 5, 10)               \
