node: a request goes to a server again over another connection

Cause: an answer was matched by the caller's id, which all sendings of a request share, and the HTTP client takes the connection used last. A server's refusal that came once more, where the next answer on the connection was expected, was taken as the answer to the same booking's next sending.

Ruled out: the entry mixing up attempts (two starts, two refusals, numbers of their own); the client library sending twice (the second send is refused, and nothing ran twice).

The plan knows to whose servers the request may have gone, and such an attempt gets a new connection, on which no answer to an earlier one can come. An answer with an id is none to a call without one (probes shared connections with requests). Releases of keys use new connections: a second answer to a grant would have confirmed one.

--- a/Makefile
+++ b/Makefile
@@ -31,13 +31,13 @@
 # time with -DRULE_SWITCHES, so that tests can disable single safety rules.
 RULE_SRC = $(wildcard member/*.c) gate/grant-call.c gate/reconcile.c \
 	gate/server-instance.c gate/rate-limit.c state/quarantine.c \
-	state/early.c
+	state/early.c route/plan.c net/answer-check.c
 RULE_OBJ = $(RULE_SRC:%.c=$(OUT)/rules/%.o)
 OTHER_OBJ = $(filter-out $(RULE_SRC:%.c=$(OUT)/%.o),$(LIB_OBJ))
 
-PROGRAMS = briargrade log-standin backend-standin platform-store \
+PROGRAMS = briargrade log-standin backend-standin platform-store faulty-server \
 	platform-server load slope
-TESTS = test-changes test-published test-grants test-member test-schedules test-recovery test-start test-readers test-log-client test-state test-gate test-reconcile test-quarantine test-rate-limit test-server-instance test-route test-settings test-net
+TESTS = test-changes test-published test-grants test-member test-schedules test-recovery test-start test-readers test-log-client test-state test-gate test-reconcile test-quarantine test-rate-limit test-server-instance test-sendings test-route test-settings test-net
 BINARIES = $(PROGRAMS:%=$(OUT)/bin/%) $(TESTS:%=$(OUT)/bin/%) \
 	$(OUT)/bin/fault-soak
 SOURCES = $(wildcard *.c builtin/*.[ch] t/*.[ch] t/soak/*.[ch] \
@@ -69,7 +69,7 @@
 
 $(OUT)/bin/test-reconcile $(OUT)/bin/test-quarantine \
 		$(OUT)/bin/test-rate-limit \
-		$(OUT)/bin/test-server-instance: $(OUT)/bin/%: \
+		$(OUT)/bin/test-server-instance $(OUT)/bin/test-sendings: $(OUT)/bin/%: \
 		$(OUT)/t/%.o $(RULE_OBJ) $(OTHER_OBJ)
 	@mkdir -p $(@D)
 	@echo "  CC $@"; $(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
--- /dev/null
+++ b/net/answer-check.h
@@ -0,0 +1,37 @@
+#ifndef NET_ANSWER_CHECK_H
+#define NET_ANSWER_CHECK_H
+
+#include <stdbool.h>
+#include <glib.h>
+
+#include "net/headers.h"
+
+/*
+ * A faulty server may send a second answer to a request late, where the answer
+ * to the next request on the connection is expected, or bytes that belong to
+ * another answer. Forwarded, they would reach the wrong caller.
+ */
+
+/*
+ * Whether the head of an answer may be one to this attempt. An attempt without
+ * an id (NULL) takes only answers without one. Attempts under the same id
+ * cannot be told apart: they must not share a connection, see
+ * plan_server_may_have_it().
+ */
+bool answer_is_for(const GPtrArray *headers, const struct header_names *names,
+		   const char *attempt_id);
+
+/*
+ * Tests only: true when answer_is_for() is to accept any answer. Defined when
+ * built with RULE_SWITCHES.
+ */
+extern bool answer_check_disabled;
+
+/*
+ * Whether a successful answer is the server's: it has the signature header, if
+ * servers here send one, and is not encoded.
+ */
+bool answer_is_signed(const GPtrArray *headers,
+		      const struct header_names *names, long status);
+
+#endif
--- a/net/request-msg.h
+++ b/net/request-msg.h
@@ -43,6 +43,11 @@
 #define REQ_FLAG_STARTED 64 /* failed: it was sent to a backend server */
 /* submit: the server instance that status names has said that it leaves */
 #define REQ_FLAG_SERVER_LEAVING 128
+/*
+ * submit: an earlier attempt of the request was sent to this gate's server, or
+ * may have been: this one needs another connection to it
+ */
+#define REQ_FLAG_SENT_BEFORE 256
 
 struct request_msg {
 	enum request_msg_type type;
--- a/node/entry-attempt.c
+++ b/node/entry-attempt.c
@@ -6,6 +6,7 @@
 #include "node/gate.h"
 #include "node/node.h"
 #include "util/event.h"
+#include "util/hash.h"
 #include "util/histogram.h"
 #include "util/result.h"
 
@@ -218,15 +219,20 @@
 	int64_t now = clock_now_ms();
 	struct request_msg m = { 0 };
 	struct attempt *a;
+	bool sent_before;
+	uint64_t gate;
 	uint64_t id;
 	int number;
 	int err;
 
 	if (!to || (r->attempts[0] && r->attempts[1]))
 		return RESULT_OVERLOAD;
+	gate = hash_string(to->peer);
+	sent_before = plan_server_may_have_it(&r->plan, gate);
 	number = plan_add_attempt(&r->plan);
 	if (number < 0)
 		return RESULT_OVERLOAD;
+	r->plan.attempts[number].gate = gate;
 	a = g_new0(struct attempt, 1);
 	a->number = (uint32_t)number;
 	a->id = ++e->next_id;
@@ -248,6 +254,8 @@
 	fill_request_msg(r, member, now, &m);
 	m.id = a->id;
 	m.number = (int64_t)a->connection;
+	if (sent_before)
+		m.flags |= REQ_FLAG_SENT_BEFORE;
 	entry_add_server_status(e, to, &m);
 	id = a->id;
 	record_sent(r, a, now);
--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -1,6 +1,7 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "net/answer-check.h"
 #include "net/clock.h"
 #include "net/headers.h"
 #include "node/gate-request.h"
@@ -69,27 +70,14 @@
 		g_ptr_array_unref(headers);
 }
 
-/*
- * A faulty server may send a second answer to a request late, where the answer
- * to the next request on the connection is expected, or bytes that belong to
- * another answer. Forwarded, they would reach the wrong caller. An answer
- * without the id of this attempt, or a successful one without the server's
- * signature header, is therefore dropped and its connection closed.
- */
+/* An answer that is not the one to this attempt is dropped. */
 static bool check_head(struct fetch *f)
 {
 	const struct gate_request *r = f->user;
 	const struct header_names *names = gate_header_names(r);
-	const char *echo = header_find(f->answer_headers, names->attempt_id);
 
-	if (r->attempt_id && (!echo || strcmp(echo, r->attempt_id))) {
-		COUNT(answers_mixed);
-		return false;
-	}
-	if (!names->signature || f->status >= 300)
-		return true;
-	if (header_find(f->answer_headers, names->signature) &&
-	    !header_find(f->answer_headers, "Content-Encoding"))
+	if (answer_is_for(f->answer_headers, names, r->attempt_id) &&
+	    answer_is_signed(f->answer_headers, names, f->status))
 		return true;
 	COUNT(answers_mixed);
 	return false;
--- a/node/gate-health.c
+++ b/node/gate-health.c
@@ -1,3 +1,4 @@
+#include "net/answer-check.h"
 #include "net/clock.h"
 #include "node/gate-request.h"
 #include "node/node.h"
@@ -87,7 +88,21 @@
 	}
 }
 
-static const struct fetch_ops probe_ops = { .on_done = on_probe_done };
+/* A probe shares its connection with requests: their answers have ids. */
+static bool check_probe_head(struct fetch *f)
+{
+	const struct gate *g = f->user;
+
+	if (answer_is_for(f->answer_headers, g->node->settings.headers, NULL))
+		return true;
+	COUNT(answers_mixed);
+	return false;
+}
+
+static const struct fetch_ops probe_ops = {
+	.check_head = check_probe_head,
+	.on_done = on_probe_done,
+};
 
 /*
  * Probes the backend server only when it has not answered recently, and at
--- a/node/gate-request.h
+++ b/node/gate-request.h
@@ -46,6 +46,12 @@
 	int64_t confirmed_at_ms;
 	int64_t confirm_sent_at_ms; /* the last REQ_CONFIRM */
 	uint64_t confirm_serial; /* of gate_origin, when it was sent */
+	/*
+	 * An earlier attempt of it was sent to the backend server, or may have
+	 * been: it is sent over a new connection, on which no answer to that
+	 * one can arrive.
+	 */
+	bool sent_before;
 	bool is_first_send; /* its idempotency key was not sent before */
 	bool repeatable;
 	bool keyed;
--- a/node/gate.c
+++ b/node/gate.c
@@ -528,9 +528,11 @@
 		      r->keyed ? r->shard : -1, fence, now - r->arrived_at_ms,
 		      r->shard_wait_ms, g->admission.n_in_flight, left_ms,
 		      r->sent_at_ms, r->arrived_at_ms);
+	if (r->sent_before)
+		COUNT(gate_sent_again);
 	fetch_start(&r->fetch, &g->fetcher, r->method, url, r->headers,
 		    r->body->data, r->body->len, left_ms + ANSWER_GRACE_MS,
-		    false, &gate_fetch_ops, r);
+		    r->sent_before, &gate_fetch_ops, r);
 }
 
 void gate_start_queued(struct gate *g)
@@ -596,6 +598,7 @@
 	r->class_index = GPOINTER_TO_UINT(index) - 1;
 	r->repeatable = m->flags & REQ_FLAG_REPEATABLE;
 	r->is_first_send = m->flags & REQ_FLAG_FIRST_SEND;
+	r->sent_before = m->flags & REQ_FLAG_SENT_BEFORE;
 	r->traced = m->flags & REQ_FLAG_TRACED;
 	r->sent_at_ms = m->sent_at_ms;
 	r->resend_window_ms = m->resend_window_ms;
--- a/node/granter.c
+++ b/node/granter.c
@@ -1,6 +1,7 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "net/answer-check.h"
 #include "net/clock.h"
 #include "net/headers.h"
 #include "node/granter.h"
@@ -102,7 +103,22 @@
 		start_due_calls(x);
 }
 
-static const struct fetch_ops grant_fetch_ops = { .on_done = on_done };
+/* Grants have no id, so an answer with one belongs to another call. */
+static bool check_head(struct fetch *f)
+{
+	const struct granter_request *r = f->user;
+
+	if (answer_is_for(f->answer_headers, r->granter->node->settings.headers,
+			  NULL))
+		return true;
+	COUNT(answers_mixed);
+	return false;
+}
+
+static const struct fetch_ops grant_fetch_ops = {
+	.check_head = check_head,
+	.on_done = on_done,
+};
 
 static struct granter_request *find_idle_request(struct granter *x)
 {
@@ -138,9 +154,14 @@
 	r->busy = true;
 	x->n_busy[r->call.kind]++;
 	r->body = grant_wire_body(&r->call);
+	/*
+	 * A release uses a new connection. On a kept one, a second answer to a
+	 * grant would be taken as its confirmation while the backend server
+	 * still serves the keys.
+	 */
 	fetch_start(&r->fetch, &x->fetcher, "POST", url, headers, r->body,
 		    strlen(r->body),
-		    give ? GRANT_TIMEOUT_MS : RELEASE_TIMEOUT_MS, false,
+		    give ? GRANT_TIMEOUT_MS : RELEASE_TIMEOUT_MS, !give,
 		    &grant_fetch_ops, r);
 	if (give)
 		fetch_set_deadlines(&r->fetch, r->call.send_by_ms,
--- a/route/plan.c
+++ b/route/plan.c
@@ -3,6 +3,13 @@
 #include "route/plan.h"
 #include "util/result.h"
 
+#ifdef RULE_SWITCHES
+uint32_t plan_disabled_rules;
+#define rule_enabled(rule) (!(plan_disabled_rules & (rule)))
+#else
+#define rule_enabled(rule) true
+#endif
+
 /* First and longest wait between rounds over all candidates. */
 #define ROUND_WAIT_MS 50
 #define ROUND_WAIT_MAX_MS 400
@@ -128,6 +135,21 @@
 	       a->state == ATTEMPT_UNKNOWN;
 }
 
+bool plan_server_may_have_it(const struct plan *p, uint64_t gate)
+{
+	uint32_t i;
+
+	if (!rule_enabled(PLAN_RULE_OTHER_CONNECTION))
+		return false;
+	for (i = 0; i < p->tries; i++) {
+		const struct plan_attempt *a = &p->attempts[i];
+
+		if (a->gate == gate && (a->server_refused || may_have_run(a)))
+			return true;
+	}
+	return false;
+}
+
 const struct plan_attempt *plan_in_doubt(const struct plan *p)
 {
 	uint32_t i;
--- a/route/plan.h
+++ b/route/plan.h
@@ -120,6 +120,7 @@
 #define PLAN_MAX_LOAD_REFUSALS 2
 
 struct plan_attempt {
+	uint64_t gate; /* hash of its gate's address, set by the caller */
 	enum attempt_state state;
 	enum attempt_event last_event; /* that changed its state */
 	bool open; /* later events can still change its state */
@@ -167,6 +168,14 @@
 enum plan_cause plan_cause(const struct plan_attempt *a);
 const char *plan_cause_text(enum plan_cause c);
 
+/*
+ * Whether an earlier attempt has been handed to the backend server of a gate,
+ * or may have been. All attempts carry the caller's id, so that the server's
+ * answers to them can be told apart by the connection only: the next one must
+ * not be sent on a connection that an earlier one was sent on.
+ */
+bool plan_server_may_have_it(const struct plan *p, uint64_t gate);
+
 /* Number of attempts that are open. */
 uint32_t plan_n_open(const struct plan *p);
 
@@ -205,6 +214,17 @@
 /* Whether one more attempt may reach a backend server. */
 bool plan_may_reach_server(const struct plan *p);
 
+/*
+ * The rules, one bit each. The randomised test builds plan.c with RULE_SWITCHES
+ * and disables each in turn to check that the test detects the violation.
+ */
+enum plan_rule {
+	PLAN_RULE_OTHER_CONNECTION = 1 << 0, /* plan_server_may_have_it() */
+};
+
+/* Tests only: the rules disabled. Defined when built with RULE_SWITCHES. */
+extern uint32_t plan_disabled_rules;
+
 /* Milliseconds after which a refused caller should send the request again. */
 int64_t plan_retry_after_ms(const struct plan *p, double jitter,
 			    int64_t now_ms);
--- a/t/lib-platform.sh
+++ b/t/lib-platform.sh
@@ -193,3 +193,17 @@
 }
 pause_nodes() { local i; for i; do kill -STOP "${NODE_PID[$i]}"; done; }
 resume_nodes() { local i; for i; do kill -CONT "${NODE_PID[$i]}"; done; }
+# start_faulty_server I: a server with faulty answers for node I, whose
+# heartbeats another process sends.
+start_faulty_server() {
+	"$BIN/faulty-server" "$(backend_of "$1")" &
+	PIDS="$PIDS $!"
+	"$BIN/platform-server" --listen "127.0.0.1:$((BASE_PORT + 10 * $1 + 7))" \
+		--address "$(backend_of "$1")" --node "$(announce_of "$1")" \
+		--service "${NODE_SERVICE[$1]}" --data-centre "${NODE_DC[$1]}" \
+		2>>"$DIR/backend-$1.log" &
+	BACKEND_PID[$1]=$!
+	PIDS="$PIDS $!"
+}
+faulty_stat() { call_server "$1" /stats | awk -v n="$2" '$1==n{print $2}'; }
+call_server() { ask "http://$(backend_of "$1")$2"; }
--- a/util/counters.h
+++ b/util/counters.h
@@ -49,6 +49,7 @@
 	X(gate_id_in_doubt)        \
 	X(gate_cancelled)          \
 	X(gate_answers_lost)       \
+	X(gate_sent_again)         \
 	X(heartbeats_stale)        \
 	X(gate_answers_kept)       \
 	X(gate_answers_resent)     \
