net: bytes that are no answer end the call, however many there are

What callers saw, in a test of our own: a server that sends trailers without end took 9.6 GB of its node's memory within 14 s, and the callers of that, of an endless chunk extension and of a refusal with an endless body were told at their deadlines.

Cause: the client library bounds a line but not their number, keeps each trailer, and reads chunk extensions and bodies that nobody takes for ever; the gate waited for the end of a refusal. Only the deadline ended these. Ruled out by the same runs: endless status lines, header lines, chunk sizes and garbage, which the library ends at 100 kB; answers whose body is taken, which pass through a window.

Heads, interim answers and trailers may have 64 KiB together, what is neither head nor body 256 KiB beyond twice the body (counted by the kernel, checked each 0.1 s while something is in flight), a body that nobody takes 64 KiB. A refusal is passed on once 16 KiB of its body have come.

--- a/net/fetch.c
+++ b/net/fetch.c
@@ -1,6 +1,6 @@
 #include <errno.h>
+#include <linux/tcp.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
@@ -19,6 +19,7 @@
 #define KEEPALIVE_PROBES 2
 #define USER_TIMEOUT_MS 3000
 #define MAX_HEADERS 128
+#define FRAMING_CHECK_S 0.1
 
 struct fetch_socket {
 	struct fetcher *fetcher;
@@ -49,7 +50,6 @@
 	curl_slist_free_all(f->headers);
 	f->headers = NULL;
 	f->easy = NULL;
-	x->n_in_flight--;
 	ev_prepare_start(x->loop, &x->cleanup);
 }
 
@@ -57,6 +57,9 @@
 {
 	struct fetcher *x = f->fetcher;
 
+	g_ptr_array_remove_fast(x->in_flight, f);
+	if (!x->in_flight->len)
+		ev_timer_stop(x->loop, &x->framing_timer);
 	/* A handle that libcurl still uses must not be reset or reused. */
 	if (x->callback_depth || curl_multi_remove_handle(x->multi, f->easy)) {
 		defer_cleanup(f);
@@ -70,7 +73,6 @@
 	else
 		curl_easy_cleanup(f->easy);
 	f->easy = NULL;
-	x->n_in_flight--;
 }
 
 static void on_cleanup(struct ev_loop *loop, ev_prepare *w, int events)
@@ -90,7 +92,7 @@
 
 static int to_result(const struct fetch *f, CURLcode code)
 {
-	if (f->head_rejected)
+	if (f->rejected)
 		return RESULT_MIXED;
 	switch (code) {
 	case CURLE_OK:
@@ -153,6 +155,17 @@
 	}
 }
 
+/* Ends a fetch whose answer is rejected outside of libcurl's callbacks. */
+static void end_rejected(struct fetch *f)
+{
+	GPtrArray *headers = f->answer_headers;
+
+	f->rejected = true;
+	release_handle(f);
+	f->ops->on_done(f, RESULT_MIXED);
+	g_ptr_array_unref(headers);
+}
+
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct fetcher *x = w->data;
@@ -194,6 +207,30 @@
 	return 0;
 }
 
+/* Returns how many bytes have been received on a socket, 0 if unknown. */
+static int64_t received_bytes(curl_socket_t fd)
+{
+	struct tcp_info info = { 0 };
+	socklen_t len = sizeof(info);
+
+	if (fd == CURL_SOCKET_BAD ||
+	    getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len))
+		return 0;
+	return (int64_t)info.tcpi_bytes_received;
+}
+
+/* Records which socket a request is sent on. */
+static void note_socket(CURL *easy, curl_socket_t fd)
+{
+	struct fetch *f = NULL;
+
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&f);
+	if (!f || f->socket == fd)
+		return;
+	f->socket = fd;
+	f->received_before = received_bytes(fd);
+}
+
 static int set_socket(CURL *easy, curl_socket_t fd, int what, void *user,
 		      void *socket_user)
 {
@@ -201,7 +238,6 @@
 	struct fetch_socket *s = socket_user;
 	int events = 0;
 
-	(void)easy;
 	if (what == CURL_POLL_REMOVE) {
 		if (s) {
 			ev_io_stop(x->loop, &s->io);
@@ -217,6 +253,7 @@
 		g_ptr_array_add(x->sockets, s);
 		curl_multi_assign(x->multi, fd, s);
 	}
+	note_socket(easy, fd);
 	if (what & CURL_POLL_IN)
 		events |= EV_READ;
 	if (what & CURL_POLL_OUT)
@@ -227,6 +264,36 @@
 	return 0;
 }
 
+static bool has_endless_framing(const struct fetch *f)
+{
+	int64_t received = received_bytes(f->socket) - f->received_before;
+
+	return received - f->head_bytes - 2 * f->body_bytes >
+	       FETCH_MAX_FRAMING_BYTES;
+}
+
+/*
+ * Ends answers that go on without a byte of head or body, as when the extension
+ * of a chunk does not end. libcurl reads those and tells nobody. The bytes of a
+ * paused transfer wait in the socket, so these are not checked.
+ */
+static void on_framing_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct fetcher *x = w->data;
+	uint32_t i = x->in_flight->len;
+
+	(void)loop;
+	(void)events;
+	while (i-- > 0 && i < x->in_flight->len) {
+		struct fetch *f = g_ptr_array_index(x->in_flight, i);
+
+		if (f->paused || !has_endless_framing(f))
+			continue;
+		COUNT(answers_endless);
+		end_rejected(f);
+	}
+}
+
 void fetcher_init(struct fetcher *x, struct ev_loop *loop,
 		  uint32_t max_connections)
 {
@@ -239,6 +306,10 @@
 	ev_init(&x->timer, on_timer);
 	x->timer.data = x;
 	x->cancelled_handles = g_ptr_array_new();
+	x->in_flight = g_ptr_array_new();
+	ev_init(&x->framing_timer, on_framing_timer);
+	x->framing_timer.repeat = FRAMING_CHECK_S;
+	x->framing_timer.data = x;
 	ev_prepare_init(&x->cleanup, on_cleanup);
 	x->cleanup.data = x;
 	curl_multi_setopt(x->multi, CURLMOPT_SOCKETFUNCTION, set_socket);
@@ -256,8 +327,10 @@
 	uint32_t i;
 
 	ev_timer_stop(x->loop, &x->timer);
+	ev_timer_stop(x->loop, &x->framing_timer);
 	on_cleanup(x->loop, &x->cleanup, 0);
 	g_ptr_array_unref(x->cancelled_handles);
+	g_ptr_array_unref(x->in_flight);
 	for (i = 0; i < x->idle_handles->len; i++)
 		curl_easy_cleanup(g_ptr_array_index(x->idle_handles, i));
 	curl_multi_cleanup(x->multi);
@@ -329,7 +402,7 @@
 	curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &f->status);
 	if (f->status < 200 || !f->ops->check_head || f->ops->check_head(f))
 		return true;
-	f->head_rejected = true;
+	f->rejected = true;
 	return false;
 }
 
@@ -341,7 +414,12 @@
 
 	if (!f)
 		return 0;
-
+	f->head_bytes += (int64_t)len;
+	if (f->head_bytes > FETCH_MAX_HEAD_BYTES) {
+		COUNT(answers_endless);
+		f->rejected = true;
+		return 0;
+	}
 	if (len >= 5 && !memcmp(line, "HTTP/", 5))
 		g_ptr_array_set_size(f->answer_headers, 0);
 	if (len == 2 && !memcmp(line, "\r\n", 2))
@@ -368,8 +446,16 @@
 	report_head(f);
 	if (f->ops->on_data)
 		accepted = f->ops->on_data(f, data, size * n);
+	else if (f->body_bytes > FETCH_MAX_UNREAD_BYTES)
+		fetch_reject(f);
 	x->callback_depth--;
-	return accepted ? size * n : CURL_WRITEFUNC_PAUSE;
+	if (f->rejected)
+		return 0;
+	f->paused = !accepted;
+	if (!accepted)
+		return CURL_WRITEFUNC_PAUSE;
+	f->body_bytes += (int64_t)(size * n);
+	return size * n;
 }
 
 static void set_body(CURL *easy, const char *method, const void *body,
@@ -463,7 +549,10 @@
 		curl_easy_setopt(f->easy, CURLOPT_FRESH_CONNECT, 1L);
 	set_body(f->easy, method, body, len);
 	set_headers(f, headers);
-	x->n_in_flight++;
+	f->socket = CURL_SOCKET_BAD;
+	g_ptr_array_add(x->in_flight, f);
+	if (!ev_is_active(&x->framing_timer))
+		ev_timer_again(x->loop, &x->framing_timer);
 	curl_multi_add_handle(x->multi, f->easy);
 }
 
@@ -481,6 +570,12 @@
 			 (long)MAX(idle_ms / 1000, 1));
 }
 
+void fetch_reject(struct fetch *f)
+{
+	COUNT(answers_endless);
+	f->rejected = true;
+}
+
 void fetch_cancel(struct fetch *f)
 {
 	GPtrArray *headers = f->answer_headers;
@@ -493,6 +588,8 @@
 
 void fetch_resume(struct fetch *f)
 {
-	if (f->easy)
-		curl_easy_pause(f->easy, CURLPAUSE_CONT);
+	if (!f->easy)
+		return;
+	f->paused = false;
+	curl_easy_pause(f->easy, CURLPAUSE_CONT);
 }
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -12,6 +12,19 @@
  * interface. Used for calls to the backend server and to the platform's log.
  */
 
+/*
+ * The head of an answer, with the interim answers before it and the trailers
+ * after it, may have this many bytes.
+ */
+#define FETCH_MAX_HEAD_BYTES (64 * 1024)
+/* An answer whose body nobody takes (no on_data) may have a body this long. */
+#define FETCH_MAX_UNREAD_BYTES (64 * 1024)
+/*
+ * The bytes received for an answer may exceed those of its head and twice those
+ * of its body by this much: the sizes and extensions of its chunks.
+ */
+#define FETCH_MAX_FRAMING_BYTES (256 * 1024)
+
 struct fetcher {
 	struct ev_loop *loop;
 	CURLM *multi;
@@ -20,9 +33,10 @@
 	GPtrArray *sockets; /* struct fetch_socket */
 	uint32_t callback_depth; /* on_write() calls in progress */
 	GPtrArray *cancelled_handles; /* CURL *, cancelled in a callback */
+	GPtrArray *in_flight; /* struct fetch */
+	ev_timer framing_timer; /* runs while in_flight is not empty */
 	ev_prepare cleanup; /* active while cancelled_handles is not empty */
 	int64_t max_idle_s; /* a connection idle for longer is not reused */
-	uint32_t n_in_flight;
 };
 
 struct fetch;
@@ -39,7 +53,9 @@
 	void (*on_head)(struct fetch *f);
 	/*
 	 * Part of the answer's body. Returning false pauses the transfer until
-	 * fetch_resume(), which delivers the same part again. May be NULL.
+	 * fetch_resume(), which delivers the same part again. May be NULL; then
+	 * an answer with a longer body than FETCH_MAX_UNREAD_BYTES ends with
+	 * RESULT_MIXED.
 	 */
 	bool (*on_data)(struct fetch *f, const void *data, size_t len);
 	/* The fetch ended: RESULT_OK, or why the answer is incomplete. */
@@ -61,7 +77,13 @@
 	int64_t connect_by_ms; /* no connection opened after it, 0 no limit */
 	bool connect_expired; /* failed because connect_by_ms had passed */
 	bool connection_refused; /* no process listens at the address */
-	bool head_rejected; /* check_head returned false */
+	/* check_head returned false, or what is received is no answer */
+	bool rejected;
+	bool paused; /* by on_data */
+	int64_t head_bytes;
+	int64_t body_bytes;
+	curl_socket_t socket; /* that it was sent on */
+	int64_t received_before; /* bytes on that socket, when it was sent */
 	GPtrArray *answer_headers; /* names and values, alternating */
 	char error[CURL_ERROR_SIZE];
 };
@@ -98,6 +120,12 @@
  */
 void fetch_set_idle_timeout(struct fetch *f, int64_t idle_ms);
 
+/*
+ * To be called from on_data: take no more of the answer. The fetch ends with
+ * RESULT_MIXED and its connection is closed.
+ */
+void fetch_reject(struct fetch *f);
+
 /* Cancel a request: on_done is not called, and its connection is closed. */
 void fetch_cancel(struct fetch *f);
 
--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -15,6 +15,7 @@
 
 #define BLOCK_BYTES (64 * 1024)
 #define STATUS_MISDIRECTED 421
+#define MAX_REFUSAL_BYTES (16 * 1024)
 
 static int limit_outcome(const struct gate_request *r, int result)
 {
@@ -112,8 +113,12 @@
 {
 	struct gate_request *r = f->user;
 
-	if (r->server_refused)
+	/* Its caller is told at once, however long the body of a refusal is. */
+	if (r->server_refused) {
+		if (f->body_bytes > MAX_REFUSAL_BYTES)
+			fetch_reject(f);
 		return true;
+	}
 	/*
 	 * When the caller reads slowly, this process must not buffer the whole
 	 * answer: once the window is full, reading from the backend server
--- a/t/faulty-server.c
+++ b/t/faulty-server.c
@@ -28,8 +28,10 @@
  *   .../endless-headers headers without end
  *   .../endless-1xx     interim answers without end
  *   .../endless-body    a body without a length that does not end
- *   .../endless-chunk   the size of a chunk does not end
+ *   .../endless-size    the size of a chunk does not end
+ *   .../endless-chunk   the extension of a chunk does not end
  *   .../endless-trailer trailers without end
+ *   .../endless-refusal the body of a refusal does not end
  *   .../garbage         bytes that are no answer, without end
  *   otherwise           answers
  *
@@ -41,28 +43,44 @@
 #define BLOCK_BYTES (16 * 1024)
 #define BACKLOG 128
 
-/* An answer without end: how it begins, and what then goes on. */
+/* An answer without end. */
 struct endless {
-	const char *name; /* in the request's path */
-	const char *head;
-	const char *repeated;
-	bool with_id; /* the head has the attempt's id and the signature */
+	const char *name; /* at the end of the request's path */
+	const char *head; /* how it begins */
+	const char *named; /* a header that follows the attempt's id, or NULL */
+	const char *more; /* what follows these */
+	const char *repeated; /* what then goes on */
 };
 
-static const struct endless endless_answers[] = {
-	{ "endless-line", "HTTP/1.1 200 ", "OK ", false },
-	{ "endless-headers", "HTTP/1.1 200 OK\r\n", "X-More: 1\r\n", true },
-	{ "endless-header", "HTTP/1.1 200 OK\r\nX-More: ", "more ", false },
-	{ "endless-1xx", "", "HTTP/1.1 100 Continue\r\n\r\n", false },
-	{ "endless-body", "HTTP/1.1 200 OK\r\nConnection: close\r\n", "bytes ",
-	  true },
-	{ "endless-chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
-	  "0", true },
-	{ "endless-trailer",
-	  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", "X-More: 1\r\n",
-	  true },
-	{ "garbage", "", "no answer\n", false },
-};
+#define OK_HEAD "HTTP/1.1 200 OK\r\n"
+#define CHUNKED_HEAD OK_HEAD "Transfer-Encoding: chunked\r\n"
+#define FULL_HEAD "HTTP/1.1 503 Full\r\nConnection: close\r\n"
+#define SIGNED headers_platform.signature
+#define NOT_RUN headers_platform.not_run
+
+/* Filled in by main(), as the names of headers are no constants. */
+static struct endless endless_answers[10];
+
+static void fill_endless_answers(void)
+{
+	const struct endless all[G_N_ELEMENTS(endless_answers)] = {
+		{ "endless-line", "HTTP/1.1 200 ", NULL, "", "OK " },
+		{ "endless-header", OK_HEAD "X-More: ", NULL, "", "more " },
+		{ "endless-headers", OK_HEAD, SIGNED, "", "X-More: 1\r\n" },
+		{ "endless-1xx", "", NULL, "",
+		  "HTTP/1.1 100 Continue\r\n\r\n" },
+		{ "endless-body", OK_HEAD "Connection: close\r\n", SIGNED,
+		  "\r\n", "bytes " },
+		{ "endless-size", CHUNKED_HEAD, SIGNED, "\r\n", "0" },
+		{ "endless-chunk", CHUNKED_HEAD, SIGNED, "\r\n1;", "x" },
+		{ "endless-trailer", CHUNKED_HEAD, SIGNED, "\r\n0\r\n",
+		  "X-More: 1\r\n" },
+		{ "endless-refusal", FULL_HEAD, NOT_RUN, "\r\n", "bytes " },
+		{ "garbage", "", NULL, "", "no answer\n" },
+	};
+
+	memcpy(endless_answers, all, sizeof(all));
+}
 
 struct connection {
 	int fd;
@@ -171,14 +189,11 @@
 	n_endless++;
 	n_endless_open++;
 	g_string_append(c->out, e->head);
-	if (e->with_id)
-		g_string_append_printf(c->out, "%s: %s\r\n%s: 1\r\n%s",
+	if (e->named)
+		g_string_append_printf(c->out, "%s: %s\r\n%s: 1\r\n",
 				       headers_platform.attempt_id, c->id->str,
-				       headers_platform.signature,
-				       strstr(e->name, "headers") ? ""
-								  : "\r\n");
-	if (strstr(e->name, "trailer"))
-		g_string_append(c->out, "0\r\n");
+				       e->named);
+	g_string_append(c->out, e->more);
 	while (c->block->len < BLOCK_BYTES)
 		g_string_append(c->block, e->repeated);
 }
@@ -357,6 +372,7 @@
 		fprintf(stderr, "usage: faulty-server ADDRESS:PORT\n");
 		return 2;
 	}
+	fill_endless_answers();
 	loop = ev_default_loop(0);
 	refused = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	ran = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/t/lib-platform.sh
+++ b/t/lib-platform.sh
@@ -132,7 +132,7 @@
 	local i=$1 method=$2 path=$3
 	shift 3
 	ask -X "$method" -H "Host: ${HOST_NAME:-a.example}" \
-		-H "X-Mesh-Deadline-Ms: 1500" \
+		-H "X-Mesh-Deadline-Ms: ${DEADLINE_MS:-1500}" \
 		-H "X-Mesh-Request-Id: ${REQUEST_ID:-r-$BASHPID-$RANDOM}" \
 		-w '%{http_code}\n' "$@" "http://$(caller_of "$i")$path"
 }
--- a/util/counters.h
+++ b/util/counters.h
@@ -48,6 +48,7 @@
 	X(gate_id_replayed)        \
 	X(gate_id_in_doubt)        \
 	X(gate_cancelled)          \
+	X(answers_endless)         \
 	X(gate_answers_lost)       \
 	X(gate_sent_again)         \
 	X(heartbeats_stale)        \
