net: a read of the store that gets no answer is sent again on a new connection

Cause: the shortest wait of any node's read was 3 s, and a read without an answer was given up 1 s after that. Who reads for the others begins anew together after each change, so that no read ends much earlier.

Evidence: store_lost ("timeout") of the first reader at 12.76 s, its next read answered at 12.82 s, the change at all nodes within 10 ms. Ruled out: handing it on (1 to 150 ms); the store (new connections work at once).

The four readers now wait 0.75 s times their rank, so that one always notices within 0.75 s; a read whose answer is overdue by 0.3 s (by more where answers have been late) is sent again on a new connection; for 6 s both streams use new connections only. A node that comes to be a reader replaces a longer read.

--- a/net/log-client.c
+++ b/net/log-client.c
@@ -26,6 +26,8 @@
  * that the read counts as sent after the append came to be in doubt.
  */
 #define IN_DOUBT_READ_DELAY_MS 5
+/* Longer than net/fetch takes to find a dead connection by keepalive. */
+#define NEW_CONNECTIONS_MS 6000
 
 static bool has_append_in_doubt(const struct log_client *c)
 {
@@ -38,20 +40,78 @@
 	return false;
 }
 
-static void start_read(struct log_client *c)
+static void start_overdue_timer(struct log_client *c)
+{
+	int64_t ms =
+		c->read_wait_ms + answer_delay_overdue_ms(&c->answer_delay);
+
+	ev_timer_stop(c->loop, &c->overdue_timer);
+	ev_timer_set(&c->overdue_timer, ms / 1000.0, 0);
+	ev_timer_start(c->loop, &c->overdue_timer);
+}
+
+static void send_read(struct log_client *c, int64_t wait_ms)
 {
-	if (c->reading)
-		return;
 	c->reading = true;
 	c->read_restarted = false;
 	c->read_sent_at_ms = clock_now_ms();
+	c->read_wait_ms = wait_ms;
 	c->read_from = c->scanning ? c->scan_from : c->next;
 	COUNT(log_reads);
-	if (c->scanning && c->ops->recover)
+	if (c->scanning && c->ops->recover) {
 		c->ops->recover(c);
-	else
-		c->ops->read(c, c->read_from,
-			     has_append_in_doubt(c) ? 0 : c->wait_ms);
+		return;
+	}
+	start_overdue_timer(c);
+	c->ops->read(c, c->read_from, wait_ms);
+}
+
+static void start_read(struct log_client *c)
+{
+	if (!c->reading)
+		send_read(c, has_append_in_doubt(c) ? 0 : c->wait_ms);
+}
+
+static void cancel_read(struct log_client *c)
+{
+	if (c->reading)
+		fetch_cancel(&c->read_fetch);
+	c->reading = false;
+	ev_timer_stop(c->loop, &c->overdue_timer);
+}
+
+bool log_client_needs_new_connection(const struct log_client *c)
+{
+	return clock_now_ms() < c->new_connections_until_ms;
+}
+
+static void distrust_connections(struct log_client *c)
+{
+	c->new_connections_until_ms = clock_now_ms() + NEW_CONNECTIONS_MS;
+}
+
+void log_client_read_overdue(struct log_client *c)
+{
+	if (!c->reading || c->read_restarted || c->scanning ||
+	    c->read_fetch.head_done)
+		return;
+	COUNT(log_reads_overdue);
+	EVENT(store_read_renewed, NULL,
+	      "\"stream\":\"%s\",\"why\":\"overdue\",\"next\":%" PRId64
+	      ",\"age_ms\":%" PRId64,
+	      c->name, c->next, clock_now_ms() - c->read_sent_at_ms);
+	cancel_read(c);
+	ev_timer_stop(c->loop, &c->timer);
+	distrust_connections(c);
+	send_read(c, 0);
+	c->read_restarted = true;
+}
+
+static void on_overdue(struct ev_loop *loop, ev_timer *w, int events)
+{
+	(void)loop;
+	(void)events;
+	log_client_read_overdue(w->data);
 }
 
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
@@ -89,6 +149,8 @@
 	fetcher_init(&c->fetcher, loop, LOG_CONNECTIONS);
 	ev_init(&c->timer, on_timer);
 	c->timer.data = c;
+	ev_init(&c->overdue_timer, on_overdue);
+	c->overdue_timer.data = c;
 	schedule_read(c, 0);
 }
 
@@ -103,8 +165,7 @@
 void log_client_finish(struct log_client *c)
 {
 	ev_timer_stop(c->loop, &c->timer);
-	if (c->reading)
-		fetch_cancel(&c->read_fetch);
+	cancel_read(c);
 	while (c->appends->len) {
 		struct log_append *a = g_ptr_array_index(c->appends, 0);
 
@@ -147,6 +208,18 @@
 	start_read(c);
 }
 
+void log_client_set_wait(struct log_client *c, int64_t wait_ms)
+{
+	int64_t ends_ms = c->read_sent_at_ms + c->read_wait_ms;
+
+	c->wait_ms = wait_ms;
+	if (!c->reading || c->scanning || c->read_fetch.head_done ||
+	    ends_ms <= clock_now_ms() + wait_ms)
+		return;
+	cancel_read(c);
+	send_read(c, wait_ms);
+}
+
 /*
  * Only a read sent after the answer was lost shows whether the append took
  * effect, and until then no other record of its kind is appended. The current
@@ -154,9 +227,7 @@
  */
 static void read_to_resolve_doubt(struct log_client *c)
 {
-	if (c->reading)
-		fetch_cancel(&c->read_fetch);
-	c->reading = false;
+	cancel_read(c);
 	schedule_read(c, IN_DOUBT_READ_DELAY_MS);
 }
 
@@ -178,10 +249,10 @@
 		return;
 	COUNT(log_reads_renewed);
 	EVENT(store_read_renewed, NULL,
-	      "\"stream\":\"%s\",\"next\":%" PRId64 ",\"age_ms\":%" PRId64,
+	      "\"stream\":\"%s\",\"why\":\"stalled\",\"next\":%" PRId64
+	      ",\"age_ms\":%" PRId64,
 	      c->name, c->next, clock_now_ms() - c->read_sent_at_ms);
-	fetch_cancel(&c->read_fetch);
-	c->reading = false;
+	cancel_read(c);
 	ev_timer_stop(c->loop, &c->timer);
 	start_read(c);
 	c->read_restarted = true;
@@ -190,6 +261,7 @@
 void log_client_on_other_stream_up(struct log_client *c)
 {
 	c->other_stream_up = true;
+	distrust_connections(c);
 	if (c->reading)
 		log_client_restart_read(c);
 	else
@@ -200,9 +272,7 @@
 {
 	if (c->scanning || has_append_in_doubt(c))
 		return;
-	if (c->reading)
-		fetch_cancel(&c->read_fetch);
-	c->reading = false;
+	cancel_read(c);
 	schedule_read(c, c->idle_interval_ms);
 }
 
@@ -276,6 +346,11 @@
 	bool has_news, regained;
 
 	c->reading = false;
+	ev_timer_stop(c->loop, &c->overdue_timer);
+	if (!b->result && !c->scanning)
+		answer_delay_on_answer(&c->answer_delay, c->read_wait_ms,
+				       clock_now_ms() - c->read_sent_at_ms,
+				       json_array_size(b->records));
 	if (b->result == RESULT_TRIMMED) {
 		c->n_failures = 0;
 		c->handlers->on_trimmed(c->user, b->first);
@@ -432,7 +507,8 @@
 
 	g_string_set_size(c->read_answer, 0);
 	fetch_start(&c->read_fetch, &c->fetcher, "GET", url, NULL, NULL, 0,
-		    wait_ms + c->answer_timeout_ms, false, &read_ops, c);
+		    wait_ms + c->answer_timeout_ms,
+		    log_client_needs_new_connection(c), &read_ops, c);
 }
 
 static bool on_append_data(struct fetch *f, const void *data, size_t len)
--- a/net/log-client.h
+++ b/net/log-client.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 #include <jansson.h>
 
+#include "net/answer-delay.h"
 #include "net/fetch.h"
 
 /*
@@ -99,6 +100,14 @@
 				   ones */
 	int64_t answer_timeout_ms; /* for the answer, beyond wait_ms */
 	bool reading;
+	int64_t read_wait_ms; /* of the current read */
+	struct answer_delay answer_delay;
+	ev_timer overdue_timer; /* runs until the current read is overdue */
+	/*
+	 * Until then new connections are used: kept ones may be dead as well,
+	 * and keepalive has closed those by then.
+	 */
+	int64_t new_connections_until_ms;
 	bool read_restarted; /* the read replaces one without an answer */
 	bool other_stream_up; /* read was started as another stream is up */
 	json_t *newest_records; /* read by recover so far */
@@ -146,15 +155,32 @@
  */
 void log_client_restart_read(struct log_client *c);
 
+/*
+ * Set how long the log may delay an empty answer. A current read that would end
+ * later by that is replaced.
+ */
+void log_client_set_wait(struct log_client *c, int64_t wait_ms);
+
 /* Read at once, without waiting for the next scheduled read. */
 void log_client_read_now(struct log_client *c);
 
 /*
  * Called when another stream of the same log answers again: read at once
- * instead of at the next retry, and restart a read that is in flight.
+ * instead of at the next retry, and restart a read that is in flight. Kept
+ * connections are not used for some seconds.
  */
 void log_client_on_other_stream_up(struct log_client *c);
 
+/*
+ * The current read is overdue: send it again on a new connection, to be
+ * answered at once. No effect on a read that was itself sent again or whose
+ * answer is arriving, or while scanning.
+ */
+void log_client_read_overdue(struct log_client *c);
+
+/* For struct log_ops: whether to use a new connection now. */
+bool log_client_needs_new_connection(const struct log_client *c);
+
 /*
  * Cancel the current read, which only waits for new records, and schedule the
  * next one after idle_interval_ms. No effect while scanning or while an append
--- a/node/streams.c
+++ b/node/streams.c
@@ -21,10 +21,14 @@
  */
 #define STALLED_READ_MS 200
 /*
- * Of four nodes with short waits, one ends a read within a second on average;
- * more such nodes would make more calls to the store.
+ * Open connections to the store may all turn dead at once, unnoticed until a
+ * read has not been answered after its wait. The first of these nodes by rank
+ * has the shortest wait, so that one of them always notices soon; more such
+ * nodes, or more with the same wait, would make more calls to the store.
  */
 #define N_FIRST_READERS 4
+#define READER_WAIT_STEP_MS 750
+/* Wait of their reads of the fleet's stream. */
 #define LOG_SHORT_WAIT_MS 3000
 /*
  * Nodes that read for others retry at least this often, to notice soon that the
@@ -272,12 +276,12 @@
  * times out. So a few nodes, the first by rank, use a short wait; the others
  * learn from their peers that they have missed records.
  */
-static bool is_first_reader(const struct node *n)
+static uint32_t reader_rank(const struct node *n)
 {
 	const struct member_node *m = &n->member;
 
-	return m->self_id &&
-	       assign_rank(&m->fleet, "publish", m->self_id) < N_FIRST_READERS;
+	return m->self_id ? assign_rank(&m->fleet, "publish", m->self_id)
+			  : UINT32_MAX;
 }
 
 static void update_operator_reads(struct node *n)
@@ -299,6 +303,7 @@
 {
 	struct member_node *m = &n->member;
 	struct read_plan plan;
+	uint32_t rank;
 
 	if (m->log_read_due ||
 	    (m->behind_since_ms && now - m->behind_since_ms > STALLED_READ_MS))
@@ -307,16 +312,19 @@
 	if (now >= n->next_wait_update_at_ms) {
 		n->next_wait_update_at_ms = now + WAIT_UPDATE_INTERVAL_MS;
 		update_operator_reads(n);
-		n->operator_stream.wait_ms = LOG_WAIT_MAX_MS;
 		n->operator_stream.retry_max_ms = RETRY_MAX_MS;
-		n->is_first_reader = is_first_reader(n);
-		if (n->is_first_reader) {
-			n->operator_stream.wait_ms = LOG_SHORT_WAIT_MS;
+		rank = reader_rank(n);
+		n->is_first_reader = rank < N_FIRST_READERS;
+		if (n->is_first_reader)
 			n->operator_stream.retry_max_ms = READER_RETRY_MAX_MS;
-		}
+		log_client_set_wait(&n->operator_stream,
+				    n->is_first_reader
+					    ? (rank + 1) * READER_WAIT_STEP_MS
+					    : LOG_WAIT_MAX_MS);
 	}
-	read_plan_make(m, n->operator_stream.wait_ms, n->is_first_reader,
-		       &plan);
+	read_plan_make(m,
+		       n->is_first_reader ? LOG_SHORT_WAIT_MS : LOG_WAIT_MAX_MS,
+		       n->is_first_reader, &plan);
 	n->operator_stream.batch_delay_ms = plan.operators_batch_delay_ms;
 	n->log.wait_ms = plan.wait_ms;
 	n->log.batch_delay_ms = plan.batch_delay_ms;
--- a/t/platform-store.c
+++ b/t/platform-store.c
@@ -1,4 +1,5 @@
 #include <getopt.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -24,6 +25,8 @@
  *   trim=1        drops the history, except the newest record of each key
  *   deaf=1        never answers the reads that wait at this moment, and leaves
  *                 their connections open
+ *   silent=1      never answers on the connections that are open at this
+ *                 moment, and leaves them open
  *   hold=0|1      answers reads of the newest records only after hold=0
  *   answer_ms=N   sends every answer N ms after it was made, to operators too
  *   overtake=N    appends another record just before each record of the fleet
@@ -95,6 +98,7 @@
 static int64_t trickle_ms;
 static GPtrArray *slow_answers; /* struct slow_answer */
 static GPtrArray *held_reads; /* struct reader, for /-/log-newest */
+static GHashTable *connections, *silent_connections; /* connection_key() */
 static int64_t n_to_lose, late_ms;
 static int64_t answer_ms, overtake_bytes;
 static GPtrArray *late_answers; /* struct late_answer */
@@ -503,6 +507,14 @@
 		((struct reader *)g_ptr_array_index(readers, i))->deaf = true;
 	for (i = 0; int_argument(r, "trim", 0) && i < G_N_ELEMENTS(topics); i++)
 		topics[i].first_offset = topics[i].records->len;
+	if (int_argument(r, "silent", 0)) {
+		for (i = 0; i < readers->len; i++)
+			((struct reader *)g_ptr_array_index(readers, i))->deaf =
+				true;
+		g_hash_table_unref(silent_connections);
+		silent_connections = connections;
+		connections = g_hash_table_new(NULL, NULL);
+	}
 	httpd_reply_text(r, 200, "done\n");
 	answer_readers();
 	answer_held_reads();
@@ -520,11 +532,34 @@
 	httpd_reply_text(r, 200, text);
 }
 
+/* The port of the caller's end of a connection identifies it. */
+static gpointer connection_key(const struct httpd_request *r)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		r->mhd_connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+	const struct sockaddr_in *a = (const void *)info->client_addr;
+
+	return GUINT_TO_POINTER(a->sin_port);
+}
+
+/* Whether the connection of a request has been silenced. */
+static bool is_silent(const struct httpd_request *r)
+{
+	gpointer key = connection_key(r);
+
+	if (g_hash_table_contains(silent_connections, key))
+		return true;
+	g_hash_table_add(connections, key);
+	return false;
+}
+
 static void on_request(void *user, struct httpd_request *r)
 {
 	struct topic *t = find_topic(r);
 
 	(void)user;
+	if (is_silent(r))
+		return;
 	if (!strcmp(r->path, "/control"))
 		on_control(r);
 	else if (!strcmp(r->path, "/stats"))
@@ -599,6 +634,8 @@
 	loop = ev_default_loop(0);
 	for (i = 0; i < G_N_ELEMENTS(topics); i++)
 		topics[i].records = g_ptr_array_new();
+	connections = g_hash_table_new(NULL, NULL);
+	silent_connections = g_hash_table_new(NULL, NULL);
 	readers = g_ptr_array_new();
 	late_appends = g_ptr_array_new();
 	held_reads = g_ptr_array_new();
--- a/t/test-log-client.c
+++ b/t/test-log-client.c
@@ -9,13 +9,15 @@
 static uint32_t n_recovers;
 static uint32_t n_reads;
 static uint32_t n_regained;
+static int64_t last_wait_ms;
+static bool last_on_new_connection;
 
 static void fake_read(struct log_client *c, int64_t from, int64_t wait_ms)
 {
 	n_reads++;
-	(void)c;
+	last_wait_ms = wait_ms;
+	last_on_new_connection = log_client_needs_new_connection(c);
 	(void)from;
-	(void)wait_ms;
 }
 
 static void fake_recover(struct log_client *c)
@@ -156,6 +158,105 @@
 	log_client_finish(&c);
 }
 
+/*
+ * A connection to the store has turned dead without a reset. The read that waits
+ * there is sent again, once and on a new connection, and the other stream too.
+ */
+static void test_overdue_read_is_sent_again(void)
+{
+	struct ev_loop *loop = ev_default_loop(0);
+	struct log_client c;
+	uint32_t before;
+
+	log_client_init(&c, loop, "127.0.0.1:1", &ops, &record_handlers, &c);
+	c.wait_ms = 3000;
+	ev_run(loop, EVRUN_ONCE);
+	g_assert_cmpint(last_wait_ms, ==, 3000);
+	g_assert_false(last_on_new_connection);
+	g_assert_cmpfloat(ev_timer_remaining(loop, &c.overdue_timer), >, 3.0);
+	g_assert_cmpfloat(ev_timer_remaining(loop, &c.overdue_timer), <, 3.5);
+	before = n_reads;
+	log_client_read_overdue(&c);
+	g_assert_cmpuint(n_reads, ==, before + 1);
+	g_assert_cmpint(last_wait_ms, ==, 0);
+	g_assert_true(last_on_new_connection);
+	log_client_read_overdue(&c);
+	g_assert_cmpuint(n_reads, ==, before + 1);
+	n_regained = 0;
+	finish_read(&c, 1);
+	g_assert_cmpuint(n_regained, ==, 1);
+	log_client_finish(&c);
+}
+
+/* An answer that is arriving, if slowly, must not be given up. */
+static void test_arriving_answer_is_not_overdue(void)
+{
+	struct ev_loop *loop = ev_default_loop(0);
+	struct log_client c;
+	uint32_t before;
+
+	log_client_init(&c, loop, "127.0.0.1:1", &ops, &record_handlers, &c);
+	ev_run(loop, EVRUN_ONCE);
+	before = n_reads;
+	c.read_fetch.head_done = true;
+	log_client_read_overdue(&c);
+	g_assert_cmpuint(n_reads, ==, before);
+	log_client_finish(&c);
+}
+
+/* A node that comes to read for others must not wait on with its old read. */
+static void test_shorter_wait_replaces_read(void)
+{
+	struct ev_loop *loop = ev_default_loop(0);
+	struct log_client c;
+	uint32_t before;
+
+	log_client_init(&c, loop, "127.0.0.1:1", &ops, &record_handlers, &c);
+	c.wait_ms = 10000;
+	ev_run(loop, EVRUN_ONCE);
+	before = n_reads;
+	log_client_set_wait(&c, 20000);
+	g_assert_cmpuint(n_reads, ==, before);
+	log_client_set_wait(&c, 750);
+	g_assert_cmpuint(n_reads, ==, before + 1);
+	g_assert_cmpint(last_wait_ms, ==, 750);
+	log_client_finish(&c);
+}
+
+/* When an answer is overdue, by how late the ones before it were. */
+static void test_overdue_follows_delay(void)
+{
+	static const struct {
+		int64_t wait_ms;
+		int64_t took_ms;
+		bool has_records;
+		int64_t overdue_ms;
+	} table[] = {
+		{ 3000, 3004, false, 300 }, /* the usual */
+		{ 3000, 1500, true, 300 }, /* records came: it did not wait */
+		{ 3000, 3250, false, 750 }, /* late */
+		{ 0, 1300, true, 1000 }, /* at most */
+		{ 3000, 900, true, 1000 }, /* tells nothing of the delay */
+		{ 0, 4, true, 1000 }, /* believed by and by */
+		{ 0, 4, true, 1000 },
+		{ 0, 4, true, 1000 },
+		{ 0, 4, true, 1000 },
+		{ 0, 4, true, 930 },
+		{ 0, 4, true, 699 },
+	};
+	struct answer_delay d = { 0 };
+	uint32_t i;
+
+	g_assert_cmpint(answer_delay_overdue_ms(&d), ==, 300);
+	for (i = 0; i < G_N_ELEMENTS(table); i++) {
+		answer_delay_on_answer(&d, table[i].wait_ms, table[i].took_ms,
+				       table[i].has_records);
+		g_test_message("after answer %u: late %d", i, (int)d.late_ms);
+		g_assert_cmpint(answer_delay_overdue_ms(&d), ==,
+				table[i].overdue_ms);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -165,6 +266,14 @@
 			test_new_records_are_batched);
 	g_test_add_func("/log-client/retries-are-bounded",
 			test_retries_are_bounded);
+	g_test_add_func("/log-client/overdue-read-is-sent-again",
+			test_overdue_read_is_sent_again);
+	g_test_add_func("/log-client/arriving-answer-is-not-overdue",
+			test_arriving_answer_is_not_overdue);
+	g_test_add_func("/log-client/shorter-wait-replaces-read",
+			test_shorter_wait_replaces_read);
+	g_test_add_func("/log-client/overdue-follows-delay",
+			test_overdue_follows_delay);
 	g_test_add_func("/log-client/return-holds-for-both",
 			test_other_stream_up_restarts_read);
 	return g_test_run();
--- a/util/counters.h
+++ b/util/counters.h
@@ -104,6 +104,7 @@
 	X(requests_begun_ahead)    \
 	X(log_reads)               \
 	X(log_reads_renewed)       \
+	X(log_reads_overdue)       \
 	X(store_reads_fleet)       \
 	X(store_reads_operators)   \
 	X(store_pages)             \
