net: what waits unread in a socket is no framing

What callers would have seen: a long answer, whose caller reads it slowly, cut and answered 504.

Cause: the check for answers that are neither head nor body compared what the kernel had received with what was passed on. Some megabytes may wait in the socket while the loop is busy. What is unread is now left out, so that a paused transfer needs no exception.

--- a/net/fetch.c
+++ b/net/fetch.c
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "net/clock.h"
@@ -207,16 +208,17 @@
 	return 0;
 }
 
-/* Returns how many bytes have been received on a socket, 0 if unknown. */
-static int64_t received_bytes(curl_socket_t fd)
+/* Returns how many bytes have been read from a socket, 0 if unknown. */
+static int64_t read_bytes(curl_socket_t fd)
 {
 	struct tcp_info info = { 0 };
 	socklen_t len = sizeof(info);
+	int unread = 0;
 
-	if (fd == CURL_SOCKET_BAD ||
+	if (fd == CURL_SOCKET_BAD || ioctl(fd, FIONREAD, &unread) ||
 	    getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len))
 		return 0;
-	return (int64_t)info.tcpi_bytes_received;
+	return (int64_t)info.tcpi_bytes_received - unread;
 }
 
 /* Records which socket a request is sent on. */
@@ -228,7 +230,7 @@
 	if (!f || f->socket == fd)
 		return;
 	f->socket = fd;
-	f->received_before = received_bytes(fd);
+	f->read_before = read_bytes(fd);
 }
 
 static int set_socket(CURL *easy, curl_socket_t fd, int what, void *user,
@@ -266,16 +268,14 @@
 
 static bool has_endless_framing(const struct fetch *f)
 {
-	int64_t received = received_bytes(f->socket) - f->received_before;
+	int64_t n = read_bytes(f->socket) - f->read_before;
 
-	return received - f->head_bytes - 2 * f->body_bytes >
-	       FETCH_MAX_FRAMING_BYTES;
+	return n - f->head_bytes - 2 * f->body_bytes > FETCH_MAX_FRAMING_BYTES;
 }
 
 /*
  * Ends answers that go on without a byte of head or body, as when the extension
- * of a chunk does not end. libcurl reads those and tells nobody. The bytes of a
- * paused transfer wait in the socket, so these are not checked.
+ * of a chunk does not end. libcurl reads those and tells nobody.
  */
 static void on_framing_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -287,7 +287,7 @@
 	while (i-- > 0 && i < x->in_flight->len) {
 		struct fetch *f = g_ptr_array_index(x->in_flight, i);
 
-		if (f->paused || !has_endless_framing(f))
+		if (!has_endless_framing(f))
 			continue;
 		COUNT(answers_endless);
 		end_rejected(f);
@@ -451,7 +451,6 @@
 	x->callback_depth--;
 	if (f->rejected)
 		return 0;
-	f->paused = !accepted;
 	if (!accepted)
 		return CURL_WRITEFUNC_PAUSE;
 	f->body_bytes += (int64_t)(size * n);
@@ -588,8 +587,6 @@
 
 void fetch_resume(struct fetch *f)
 {
-	if (!f->easy)
-		return;
-	f->paused = false;
-	curl_easy_pause(f->easy, CURLPAUSE_CONT);
+	if (f->easy)
+		curl_easy_pause(f->easy, CURLPAUSE_CONT);
 }
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -20,8 +20,8 @@
 /* An answer whose body nobody takes (no on_data) may have a body this long. */
 #define FETCH_MAX_UNREAD_BYTES (64 * 1024)
 /*
- * The bytes received for an answer may exceed those of its head and twice those
- * of its body by this much: the sizes and extensions of its chunks.
+ * The bytes read for an answer may exceed those of its head and twice those of
+ * its body by this much: the sizes and extensions of its chunks.
  */
 #define FETCH_MAX_FRAMING_BYTES (256 * 1024)
 
@@ -79,11 +79,10 @@
 	bool connection_refused; /* no process listens at the address */
 	/* check_head returned false, or what is received is no answer */
 	bool rejected;
-	bool paused; /* by on_data */
 	int64_t head_bytes;
 	int64_t body_bytes;
 	curl_socket_t socket; /* that it was sent on */
-	int64_t received_before; /* bytes on that socket, when it was sent */
+	int64_t read_before; /* bytes from that socket, before it was sent */
 	GPtrArray *answer_headers; /* names and values, alternating */
 	char error[CURL_ERROR_SIZE];
 };
--- a/t/test-log-client.c
+++ b/t/test-log-client.c
@@ -238,10 +238,8 @@
 		{ 0, 1300, true, 1000 }, /* at most */
 		{ 3000, 900, true, 1000 }, /* tells nothing of the delay */
 		{ 0, 4, true, 1000 }, /* believed by and by */
-		{ 0, 4, true, 1000 },
-		{ 0, 4, true, 1000 },
-		{ 0, 4, true, 1000 },
-		{ 0, 4, true, 930 },
+		{ 0, 4, true, 1000 },	    { 0, 4, true, 1000 },
+		{ 0, 4, true, 1000 },	    { 0, 4, true, 930 },
 		{ 0, 4, true, 699 },
 	};
 	struct answer_delay d = { 0 };
