t/soak: a server that has said that it leaves is replaced

So the drain now ends with another instance of the server, as a release does; the checks and bounds are as before.

--- a/t/soak/faults.c
+++ b/t/soak/faults.c
@@ -175,9 +175,10 @@
 	return control_server(f, x, "drain=1");
 }
 
-static bool undrain_server(struct fleet *f, struct fault *x)
+/* An instance that has said that it leaves does not return: another starts. */
+static bool replace_server(struct fleet *f, struct fault *x)
 {
-	return control_server(f, x, "drain=0");
+	return control_server(f, x, "crash=1&drain=0");
 }
 
 static bool inject_answer_faults(struct fleet *f, struct fault *x)
@@ -323,7 +324,7 @@
 	{ "pause store", 1, pause_store, resume_store },
 	{ "new life of server", 2, crash_server, NULL },
 	{ "mute server", 2, mute_server, unmute_server },
-	{ "drain server", 2, drain_server, undrain_server },
+	{ "drain server", 2, drain_server, replace_server },
 	{ "spoil answers", 3, inject_answer_faults, NULL },
 	{ "store", 4, inject_store_fault, clear_store_fault },
 	{ "line", 12, inject_link_fault, clear_link_fault },
