node: a success without the server's signature is told by an event

Neither the gate nor the entry wrote a line for an answer that was passed on, unless its request was traced, so that the hypotheses of docs/incidents/answer-without-head.md could not be told apart. Whoever passes on a success without the signature now says so, the gate also whether the head was checked and how many bytes of head and body had come, on which connection. Counter answers_unsigned. What is passed on is unchanged.

--- a/net/fetch.c
+++ b/net/fetch.c
@@ -357,12 +357,12 @@
 	(void)to;
 	(void)from;
 	(void)to_port;
-	(void)from_port;
 	if (!f || f->sent)
 		return CURL_PREREQFUNC_ABORT;
 	if (f->send_by_ms && clock_now_ms() > f->send_by_ms)
 		return CURL_PREREQFUNC_ABORT;
 	f->sent = true;
+	f->local_port = from_port;
 	f->sent_at_us = clock_now_us();
 	return CURL_PREREQFUNC_OK;
 }
@@ -400,7 +400,8 @@
 static bool on_headers_end(struct fetch *f)
 {
 	curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &f->status);
-	if (f->status < 200 || !f->ops->check_head || f->ops->check_head(f))
+	f->head_checked = f->status >= 200;
+	if (!f->head_checked || !f->ops->check_head || f->ops->check_head(f))
 		return true;
 	f->rejected = true;
 	return false;
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -71,6 +71,7 @@
 	void *user;
 	long status;
 	bool head_done;
+	bool head_checked; /* check_head was called for the final head */
 	bool sent; /* some byte of the request may have been sent */
 	int64_t sent_at_us; /* when a connection was ready for it */
 	int64_t send_by_ms; /* not sent after this time, 0 no limit */
@@ -82,6 +83,7 @@
 	int64_t head_bytes;
 	int64_t body_bytes;
 	curl_socket_t socket; /* that it was sent on */
+	int local_port; /* of that socket */
 	int64_t read_before; /* bytes from that socket, before it was sent */
 	GPtrArray *answer_headers; /* names and values, alternating */
 	char error[CURL_ERROR_SIZE];
--- a/node/entry-answer.c
+++ b/node/entry-answer.c
@@ -1,6 +1,7 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "net/answer-check.h"
 #include "net/clock.h"
 #include "net/headers.h"
 #include "node/entry-request.h"
@@ -219,6 +220,17 @@
 	r->received_bytes += m->len;
 }
 
+/* A success without a server's signature is about to reach the caller. */
+static void emit_unsigned(const struct entry_request *r,
+			  const struct attempt *a, const struct request_msg *m)
+{
+	COUNT(answers_unsigned);
+	EVENT(answer_unsigned, r->attempt_id,
+	      "\"by\":\"entry\",\"gate\":%" PRId64 ",\"status\":%" PRId64
+	      ",\"head_bytes\":-1,\"body_bytes\":%zu,\"connection\":%" PRIu64,
+	      a->member, m->status, m->len, a->connection);
+}
+
 static void emit_answered(struct entry_request *r, const struct attempt *a,
 			  int64_t status)
 {
@@ -268,6 +280,8 @@
 				  RESULT_MIXED);
 		return;
 	}
+	if (!answer_is_signed(m->headers, e->node->settings.headers, m->status))
+		emit_unsigned(r, a, m);
 	plan_attempt_event(&r->plan, a->number, ATTEMPT_EVENT_ANSWERED);
 	entry_on_server_status(e, a->member, m->headers);
 	entry_cancel_others(r, a);
--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -29,6 +29,18 @@
 	return r->unsent_answer ? r->answer_bytes - r->unsent_answer->len : 0;
 }
 
+/* A success without the server's signature is about to be passed on. */
+static void emit_unsigned(const struct gate_request *r)
+{
+	COUNT(answers_unsigned);
+	EVENT(answer_unsigned, r->attempt_id,
+	      "\"by\":\"gate\",\"status\":%ld,\"checked\":%s"
+	      ",\"head_bytes\":%" PRId64 ",\"body_bytes\":%" PRId64
+	      ",\"connection\":%d",
+	      r->fetch.status, r->fetch.head_checked ? "true" : "false",
+	      r->fetch.head_bytes, r->answer_bytes, r->fetch.local_port);
+}
+
 static void send_answer_part(struct gate_request *r, bool end)
 {
 	struct request_msg m = { .type = r->head_sent ? REQ_DATA : REQ_HEAD };
@@ -36,6 +48,9 @@
 	uint32_t i;
 
 	if (!r->head_sent) {
+		if (!answer_is_signed(r->fetch.answer_headers,
+				      gate_header_names(r), r->fetch.status))
+			emit_unsigned(r);
 		headers = g_ptr_array_new();
 		for (i = 0; i + 1 < r->fetch.answer_headers->len; i += 2) {
 			char *name =
--- a/util/counters.h
+++ b/util/counters.h
@@ -33,6 +33,7 @@
 	X(answers_late)            \
 	X(answers_cut)             \
 	X(answers_mixed)           \
+	X(answers_unsigned)        \
 	X(gate_received)           \
 	X(gate_admitted)           \
 	X(gate_queued)             \
