net: an answer counts once its head was accepted and its body is whole

Cause: the head of an answer was checked on the empty line that ends it, and the end of an answer was what libcurl reports as success. libcurl reports success with a status for a connection that ends by FIN after the status line; the check then never ran, and the status was passed on with no header and no body. A check that runs on an event which need not come lets through what never raises it.

Change: net/answer.c is the state of one answer, without I/O: head, body, whole, refused. All bytes of an answer go through it, chunk sizes and trailers included (libcurl no longer decodes them; http_parser, which reads pipelined requests already, does). An answer is whole only once its head was accepted and its body ended by its framing; all else is refused, whatever libcurl reports. Refused as no protocol: lines that do not end with CRLF, a second status line within a head, folded lines, two lengths or a length beside chunks, 101. A 'not run' holds only if the answer that says it is whole (or longer than is read of it). Trailers are no headers of the answer. A connection on which more bytes came than the answers had is not used again (net/connections.c); libcurl drops such bytes where an answer has no body, and takes those that wait for the next answer. The event answer_refused says why, how many bytes had come and on which connection; a counter for each cause.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 # time with -DRULE_SWITCHES, so that tests can disable single safety rules.
 RULE_SRC = $(wildcard member/*.c) gate/grant-call.c gate/reconcile.c \
 	gate/server-instance.c gate/rate-limit.c state/quarantine.c \
-	state/early.c route/plan.c net/answer-check.c
+	state/early.c route/plan.c net/answer-check.c net/answer.c
 RULE_OBJ = $(RULE_SRC:%.c=$(OUT)/rules/%.o)
 OTHER_OBJ = $(filter-out $(RULE_SRC:%.c=$(OUT)/%.o),$(LIB_OBJ))
 
--- /dev/null
+++ b/net/connections.h
@@ -0,0 +1,41 @@
+#ifndef NET_CONNECTIONS_H
+#define NET_CONNECTIONS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <glib.h>
+
+/*
+ * The open connections of an HTTP client, with the bytes that the answers to
+ * its requests had. A server that sends more has sent bytes that belong to no
+ * request, and the connection must not be used again. The client library drops
+ * such bytes without a word where an answer has no body, and takes those that
+ * wait for the next answer.
+ */
+struct connections {
+	GArray *all; /* struct connection */
+};
+
+struct connection {
+	int fd;
+	int local_port; /* 0 until it is first used */
+	int64_t answered_bytes; /* of the answers received on it */
+};
+
+void connections_init(struct connections *t);
+void connections_finish(struct connections *t);
+
+/* A socket was created, or is about to be closed. */
+void connections_opened(struct connections *t, int fd);
+void connections_closed(struct connections *t, int fd);
+
+/*
+ * The connection with this local port, or NULL. Valid until the next call that
+ * takes a socket.
+ */
+struct connection *connections_find(struct connections *t, int local_port);
+
+/* Whether more bytes have arrived than those of the answers. */
+bool connection_has_stray_bytes(const struct connection *c);
+
+#endif
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -1,10 +1,9 @@
 #include <errno.h>
-#include <linux/tcp.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
-#include <strings.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "net/clock.h"
 #include "net/fetch.h"
@@ -19,8 +18,6 @@
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 2
 #define USER_TIMEOUT_MS 3000
-#define MAX_HEADERS 128
-#define FRAMING_CHECK_S 0.1
 
 struct fetch_socket {
 	struct fetcher *fetcher;
@@ -58,9 +55,6 @@
 {
 	struct fetcher *x = f->fetcher;
 
-	g_ptr_array_remove_fast(x->in_flight, f);
-	if (!x->in_flight->len)
-		ev_timer_stop(x->loop, &x->framing_timer);
 	/* A handle that libcurl still uses must not be reset or reused. */
 	if (x->callback_depth || curl_multi_remove_handle(x->multi, f->easy)) {
 		defer_cleanup(f);
@@ -76,6 +70,28 @@
 	f->easy = NULL;
 }
 
+static void free_answer(void *p)
+{
+	answer_finish(p);
+	g_free(p);
+}
+
+/*
+ * Ends the use of an answer whose fetch is cancelled. In a callback its parser
+ * is still running.
+ */
+static void detach_answer(struct fetch *f)
+{
+	struct fetcher *x = f->fetcher;
+
+	f->answer->user = NULL;
+	if (x->callback_depth)
+		g_ptr_array_add(x->cancelled_answers, f->answer);
+	else
+		free_answer(f->answer);
+	f->answer = NULL;
+}
+
 static void on_cleanup(struct ev_loop *loop, ev_prepare *w, int events)
 {
 	struct fetcher *x = w->data;
@@ -88,34 +104,41 @@
 		curl_multi_remove_handle(x->multi, easy);
 		curl_easy_cleanup(easy);
 	}
+	g_ptr_array_set_size(x->cancelled_answers, 0);
 	ev_prepare_stop(loop, w);
 }
 
-static int to_result(const struct fetch *f, CURLcode code)
+static void count_fault(enum answer_fault fault)
+{
+	static const enum counter counter_of[N_ANSWER_FAULTS] = {
+		[ANSWER_FAULT_other] = COUNTER_answers_foreign,
+		[ANSWER_FAULT_unsigned] = COUNTER_answers_not_signed,
+		[ANSWER_FAULT_head_cut] = COUNTER_answers_head_cut,
+		[ANSWER_FAULT_body_cut] = COUNTER_answers_body_cut,
+		[ANSWER_FAULT_protocol] = COUNTER_answers_no_protocol,
+		[ANSWER_FAULT_endless] = COUNTER_answers_endless,
+		[ANSWER_FAULT_cancelled] = COUNTER_answers_unwanted,
+	};
+
+	counters[counter_of[fault]]++;
+}
+
+/* The result of a fetch that libcurl has ended with code. */
+static int to_result(struct fetch *f, CURLcode code)
 {
-	if (f->rejected)
-		return RESULT_MIXED;
-	switch (code) {
-	case CURLE_OK:
+	answer_end(f->answer, code == CURLE_OK);
+	if (f->answer->state == ANSWER_WHOLE)
 		return RESULT_OK;
-	case CURLE_COULDNT_CONNECT:
-	case CURLE_COULDNT_RESOLVE_HOST:
+	if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST)
 		return RESULT_UNREACHABLE;
-	case CURLE_OPERATION_TIMEDOUT:
+	if (code == CURLE_OPERATION_TIMEDOUT)
 		return RESULT_TIMEOUT;
-	default:
+	if (f->sent)
+		count_fault(f->answer->fault);
+	if (f->answer->fault == ANSWER_FAULT_head_cut ||
+	    f->answer->fault == ANSWER_FAULT_body_cut)
 		return RESULT_CUT;
-	}
-}
-
-static void report_head(struct fetch *f)
-{
-	if (f->head_done)
-		return;
-	f->head_done = true;
-	curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &f->status);
-	if (f->ops->on_head)
-		f->ops->on_head(f);
+	return RESULT_MIXED;
 }
 
 static bool connection_was_refused(const CURLMsg *msg)
@@ -128,6 +151,20 @@
 	return err == ECONNREFUSED;
 }
 
+/* Sends a request that was not sent yet on a new connection. */
+static void restart_on_new_connection(struct fetch *f)
+{
+	struct fetcher *x = f->fetcher;
+	int64_t left_ms = f->started_at_ms + f->timeout_ms - clock_now_ms();
+
+	COUNT(connections_stray);
+	f->stray_bytes = false;
+	curl_multi_remove_handle(x->multi, f->easy);
+	curl_easy_setopt(f->easy, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(f->easy, CURLOPT_TIMEOUT_MS, (long)MAX(left_ms, 1));
+	curl_multi_add_handle(x->multi, f->easy);
+}
+
 static void finish_completed(struct fetcher *x)
 {
 	CURLMsg *msg;
@@ -135,7 +172,7 @@
 
 	while ((msg = curl_multi_info_read(x->multi, &left))) {
 		struct fetch *f;
-		GPtrArray *headers;
+		struct answer *answer;
 		int result;
 
 		if (msg->msg != CURLMSG_DONE)
@@ -144,29 +181,19 @@
 				  (char **)&f);
 		if (!f)
 			continue;
+		if (f->stray_bytes && !f->sent) {
+			restart_on_new_connection(f);
+			continue;
+		}
 		result = to_result(f, msg->data.result);
 		f->connection_refused = connection_was_refused(msg);
-		/* on_write() is not called for an answer without a body. */
-		if (!result)
-			report_head(f);
-		headers = f->answer_headers;
+		answer = f->answer;
 		release_handle(f);
 		f->ops->on_done(f, result);
-		g_ptr_array_unref(headers);
+		free_answer(answer);
 	}
 }
 
-/* Ends a fetch whose answer is rejected outside of libcurl's callbacks. */
-static void end_rejected(struct fetch *f)
-{
-	GPtrArray *headers = f->answer_headers;
-
-	f->rejected = true;
-	release_handle(f);
-	f->ops->on_done(f, RESULT_MIXED);
-	g_ptr_array_unref(headers);
-}
-
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct fetcher *x = w->data;
@@ -208,31 +235,6 @@
 	return 0;
 }
 
-/* Returns how many bytes have been read from a socket, 0 if unknown. */
-static int64_t read_bytes(curl_socket_t fd)
-{
-	struct tcp_info info = { 0 };
-	socklen_t len = sizeof(info);
-	int unread = 0;
-
-	if (fd == CURL_SOCKET_BAD || ioctl(fd, FIONREAD, &unread) ||
-	    getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len))
-		return 0;
-	return (int64_t)info.tcpi_bytes_received - unread;
-}
-
-/* Records which socket a request is sent on. */
-static void note_socket(CURL *easy, curl_socket_t fd)
-{
-	struct fetch *f = NULL;
-
-	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&f);
-	if (!f || f->socket == fd)
-		return;
-	f->socket = fd;
-	f->read_before = read_bytes(fd);
-}
-
 static int set_socket(CURL *easy, curl_socket_t fd, int what, void *user,
 		      void *socket_user)
 {
@@ -240,6 +242,7 @@
 	struct fetch_socket *s = socket_user;
 	int events = 0;
 
+	(void)easy;
 	if (what == CURL_POLL_REMOVE) {
 		if (s) {
 			ev_io_stop(x->loop, &s->io);
@@ -255,7 +258,6 @@
 		g_ptr_array_add(x->sockets, s);
 		curl_multi_assign(x->multi, fd, s);
 	}
-	note_socket(easy, fd);
 	if (what & CURL_POLL_IN)
 		events |= EV_READ;
 	if (what & CURL_POLL_OUT)
@@ -266,50 +268,20 @@
 	return 0;
 }
 
-static bool has_endless_framing(const struct fetch *f)
-{
-	int64_t n = read_bytes(f->socket) - f->read_before;
-
-	return n - f->head_bytes - 2 * f->body_bytes > FETCH_MAX_FRAMING_BYTES;
-}
-
-/*
- * Ends answers that go on without a byte of head or body, as when the extension
- * of a chunk does not end. libcurl reads those and tells nobody.
- */
-static void on_framing_timer(struct ev_loop *loop, ev_timer *w, int events)
-{
-	struct fetcher *x = w->data;
-	uint32_t i = x->in_flight->len;
-
-	(void)loop;
-	(void)events;
-	while (i-- > 0 && i < x->in_flight->len) {
-		struct fetch *f = g_ptr_array_index(x->in_flight, i);
-
-		if (!has_endless_framing(f))
-			continue;
-		COUNT(answers_endless);
-		end_rejected(f);
-	}
-}
-
 void fetcher_init(struct fetcher *x, struct ev_loop *loop,
 		  uint32_t max_connections)
 {
 	memset(x, 0, sizeof(*x));
 	x->loop = loop;
 	x->multi = curl_multi_init();
+	connections_init(&x->connections);
 	x->idle_handles = g_ptr_array_new();
 	x->max_idle_s = DEFAULT_MAX_IDLE_S;
 	x->sockets = g_ptr_array_new_with_free_func(g_free);
 	ev_init(&x->timer, on_timer);
 	x->timer.data = x;
 	x->cancelled_handles = g_ptr_array_new();
-	x->in_flight = g_ptr_array_new();
-	ev_init(&x->framing_timer, on_framing_timer);
-	x->framing_timer.repeat = FRAMING_CHECK_S;
-	x->framing_timer.data = x;
+	x->cancelled_answers = g_ptr_array_new_with_free_func(free_answer);
 	ev_prepare_init(&x->cleanup, on_cleanup);
 	x->cleanup.data = x;
 	curl_multi_setopt(x->multi, CURLMOPT_SOCKETFUNCTION, set_socket);
@@ -327,13 +299,13 @@
 	uint32_t i;
 
 	ev_timer_stop(x->loop, &x->timer);
-	ev_timer_stop(x->loop, &x->framing_timer);
 	on_cleanup(x->loop, &x->cleanup, 0);
 	g_ptr_array_unref(x->cancelled_handles);
-	g_ptr_array_unref(x->in_flight);
+	g_ptr_array_unref(x->cancelled_answers);
 	for (i = 0; i < x->idle_handles->len; i++)
 		curl_easy_cleanup(g_ptr_array_index(x->idle_handles, i));
 	curl_multi_cleanup(x->multi);
+	connections_finish(&x->connections);
 	for (i = 0; i < x->sockets->len; i++) {
 		struct fetch_socket *s = g_ptr_array_index(x->sockets, i);
 
@@ -343,6 +315,15 @@
 	g_ptr_array_unref(x->idle_handles);
 }
 
+/* Whether a kept connection has received bytes that belong to no request. */
+static bool has_stray_bytes(struct fetcher *x, int local_port)
+{
+	const struct connection *c =
+		connections_find(&x->connections, local_port);
+
+	return c && connection_has_stray_bytes(c);
+}
+
 /*
  * Called by libcurl each time before it sends a request. When a kept connection
  * turns out to be dead, libcurl sends the request again by itself, although the
@@ -361,6 +342,9 @@
 		return CURL_PREREQFUNC_ABORT;
 	if (f->send_by_ms && clock_now_ms() > f->send_by_ms)
 		return CURL_PREREQFUNC_ABORT;
+	f->stray_bytes = has_stray_bytes(f->fetcher, from_port);
+	if (f->stray_bytes)
+		return CURL_PREREQFUNC_ABORT;
 	f->sent = true;
 	f->local_port = from_port;
 	f->sent_at_us = clock_now_us();
@@ -387,6 +371,8 @@
 		f->connect_expired = true;
 		return CURL_SOCKOPT_ERROR;
 	}
+	if (f)
+		connections_opened(&f->fetcher->connections, fd);
 	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
@@ -397,65 +383,98 @@
 	return CURL_SOCKOPT_OK;
 }
 
-static bool on_headers_end(struct fetch *f)
+static int close_socket(void *user, curl_socket_t fd)
 {
-	curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &f->status);
-	f->head_checked = f->status >= 200;
-	if (!f->head_checked || !f->ops->check_head || f->ops->check_head(f))
-		return true;
-	f->rejected = true;
-	return false;
+	struct fetcher *x = user;
+
+	connections_closed(&x->connections, fd);
+	return close(fd);
+}
+
+static enum answer_fault check_head(struct answer *a)
+{
+	struct fetch *f = a->user;
+	struct fetcher *x = f->fetcher;
+	enum answer_fault fault = ANSWER_FAULT_none;
+
+	f->status = a->status;
+	if (f->ops->check_head)
+		fault = f->ops->check_head(f);
+	if (fault) {
+		f->status = 0;
+		return fault;
+	}
+	f->head_done = true;
+	if (!f->ops->on_head)
+		return ANSWER_FAULT_none;
+	x->callback_depth++;
+	f->ops->on_head(f);
+	x->callback_depth--;
+	return a->user ? ANSWER_FAULT_none : ANSWER_FAULT_cancelled;
+}
+
+static enum answer_fault on_body(struct answer *a, const char *data, size_t len)
+{
+	struct fetch *f = a->user;
+	struct fetcher *x = f->fetcher;
+	bool accepted = a->body_bytes <= FETCH_MAX_UNREAD_BYTES;
+
+	x->callback_depth++;
+	if (f->ops->on_data)
+		accepted = f->ops->on_data(f, data, len);
+	x->callback_depth--;
+	if (!a->user)
+		return ANSWER_FAULT_cancelled;
+	return accepted ? ANSWER_FAULT_none : ANSWER_FAULT_endless;
+}
+
+static const struct answer_ops answer_ops = {
+	.check_head = check_head,
+	.on_body = on_body,
+};
+
+/*
+ * Counts the bytes of a whole answer. libcurl may use its connection for the
+ * next request before it reports the end of this one.
+ */
+static void count_answered_bytes(const struct answer *a)
+{
+	const struct fetch *f = a->user;
+	struct connection *c;
+
+	if (a->state != ANSWER_WHOLE || !f)
+		return;
+	c = connections_find(&f->fetcher->connections, f->local_port);
+	if (c)
+		c->answered_bytes += a->head_bytes + a->framed_bytes;
 }
 
 static size_t on_header(char *line, size_t size, size_t n, void *user)
 {
 	struct fetch *f = user;
-	size_t len = size * n;
-	char *colon = memchr(line, ':', len);
+	struct answer *a = f ? f->answer : NULL;
+	bool goes_on = a && answer_add_line(a, line, size * n);
 
-	if (!f)
-		return 0;
-	f->head_bytes += (int64_t)len;
-	if (f->head_bytes > FETCH_MAX_HEAD_BYTES) {
-		COUNT(answers_endless);
-		f->rejected = true;
-		return 0;
-	}
-	if (len >= 5 && !memcmp(line, "HTTP/", 5))
-		g_ptr_array_set_size(f->answer_headers, 0);
-	if (len == 2 && !memcmp(line, "\r\n", 2))
-		return on_headers_end(f) ? len : 0;
-	if (!colon || f->answer_headers->len >= 2 * MAX_HEADERS)
-		return len;
-	g_ptr_array_add(f->answer_headers, g_strndup(line, colon - line));
-	g_ptr_array_add(
-		f->answer_headers,
-		g_strstrip(g_strndup(colon + 1, len - (colon + 1 - line))));
-	return len;
+	if (goes_on)
+		count_answered_bytes(a);
+	return goes_on ? size * n : 0;
 }
 
+/* CURLOPT_HTTP_TRANSFER_DECODING is off: chunk sizes and trailers are here. */
 static size_t on_write(char *data, size_t size, size_t n, void *user)
 {
 	struct fetch *f = user;
-	struct fetcher *x;
-	bool accepted = true;
+	struct answer *a = f ? f->answer : NULL;
+	bool goes_on;
 
-	if (!f)
-		return 0;
-	x = f->fetcher;
-	x->callback_depth++;
-	report_head(f);
-	if (f->ops->on_data)
-		accepted = f->ops->on_data(f, data, size * n);
-	else if (f->body_bytes > FETCH_MAX_UNREAD_BYTES)
-		fetch_reject(f);
-	x->callback_depth--;
-	if (f->rejected)
+	if (!a)
 		return 0;
-	if (!accepted)
+	if (f->ops->has_room && !f->ops->has_room(f))
 		return CURL_WRITEFUNC_PAUSE;
-	f->body_bytes += (int64_t)(size * n);
-	return size * n;
+	goes_on = answer_add_body(a, data, size * n);
+	if (goes_on)
+		count_answered_bytes(a);
+	return goes_on ? size * n : 0;
 }
 
 static void set_body(CURL *easy, const char *method, const void *body,
@@ -520,7 +539,10 @@
 	f->fetcher = x;
 	f->ops = ops;
 	f->user = user;
-	f->answer_headers = g_ptr_array_new_with_free_func(g_free);
+	f->started_at_ms = clock_now_ms();
+	f->timeout_ms = timeout_ms;
+	f->answer = g_new(struct answer, 1);
+	answer_init(f->answer, method, &answer_ops, f);
 	f->easy = x->idle_handles->len
 			  ? g_ptr_array_remove_index_fast(
 				    x->idle_handles, x->idle_handles->len - 1)
@@ -531,6 +553,7 @@
 	curl_easy_setopt(f->easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(f->easy, CURLOPT_PROTOCOLS_STR, "http");
 	curl_easy_setopt(f->easy, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(f->easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
 	curl_easy_setopt(f->easy, CURLOPT_PRIVATE, f);
 	curl_easy_setopt(f->easy, CURLOPT_ERRORBUFFER, f->error);
 	curl_easy_setopt(f->easy, CURLOPT_HEADERFUNCTION, on_header);
@@ -544,15 +567,13 @@
 	curl_easy_setopt(f->easy, CURLOPT_PREREQDATA, f);
 	curl_easy_setopt(f->easy, CURLOPT_SOCKOPTFUNCTION, configure_socket);
 	curl_easy_setopt(f->easy, CURLOPT_SOCKOPTDATA, f);
+	curl_easy_setopt(f->easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+	curl_easy_setopt(f->easy, CURLOPT_CLOSESOCKETDATA, x);
 	curl_easy_setopt(f->easy, CURLOPT_MAXAGE_CONN, (long)x->max_idle_s);
 	if (fresh)
 		curl_easy_setopt(f->easy, CURLOPT_FRESH_CONNECT, 1L);
 	set_body(f->easy, method, body, len);
 	set_headers(f, headers);
-	f->socket = CURL_SOCKET_BAD;
-	g_ptr_array_add(x->in_flight, f);
-	if (!ev_is_active(&x->framing_timer))
-		ev_timer_again(x->loop, &x->framing_timer);
 	curl_multi_add_handle(x->multi, f->easy);
 }
 
@@ -570,20 +591,12 @@
 			 (long)MAX(idle_ms / 1000, 1));
 }
 
-void fetch_reject(struct fetch *f)
-{
-	COUNT(answers_endless);
-	f->rejected = true;
-}
-
 void fetch_cancel(struct fetch *f)
 {
-	GPtrArray *headers = f->answer_headers;
-
 	if (!f->easy)
 		return;
 	release_handle(f);
-	g_ptr_array_unref(headers);
+	detach_answer(f);
 }
 
 void fetch_resume(struct fetch *f)
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -7,34 +7,26 @@
 #include <ev.h>
 #include <glib.h>
 
+#include "net/answer.h"
+#include "net/connections.h"
+
 /*
  * HTTP client on the event loop of the process, on top of libcurl's multi
  * interface. Used for calls to the backend server and to the platform's log.
  */
 
-/*
- * The head of an answer, with the interim answers before it and the trailers
- * after it, may have this many bytes.
- */
-#define FETCH_MAX_HEAD_BYTES (64 * 1024)
 /* An answer whose body nobody takes (no on_data) may have a body this long. */
 #define FETCH_MAX_UNREAD_BYTES (64 * 1024)
-/*
- * The bytes read for an answer may exceed those of its head and twice those of
- * its body by this much: the sizes and extensions of its chunks.
- */
-#define FETCH_MAX_FRAMING_BYTES (256 * 1024)
-
 struct fetcher {
 	struct ev_loop *loop;
 	CURLM *multi;
+	struct connections connections;
 	ev_timer timer;
 	GPtrArray *idle_handles; /* CURL *, kept for reuse */
 	GPtrArray *sockets; /* struct fetch_socket */
 	uint32_t callback_depth; /* on_write() calls in progress */
 	GPtrArray *cancelled_handles; /* CURL *, cancelled in a callback */
-	GPtrArray *in_flight; /* struct fetch */
-	ev_timer framing_timer; /* runs while in_flight is not empty */
+	GPtrArray *cancelled_answers; /* struct answer, of these */
 	ev_prepare cleanup; /* active while cancelled_handles is not empty */
 	int64_t max_idle_s; /* a connection idle for longer is not reused */
 };
@@ -43,22 +35,25 @@
 
 struct fetch_ops {
 	/*
-	 * Called before on_head, once all headers of the answer are received.
-	 * Returns false when the answer belongs to another request: the fetch
-	 * then ends with RESULT_MIXED and its connection is closed. May be
-	 * NULL.
+	 * The head of the answer is whole. Returns ANSWER_FAULT_none to accept
+	 * it, or why it is refused: the fetch then ends with RESULT_MIXED and
+	 * its connection is closed. May be NULL.
 	 */
-	bool (*check_head)(struct fetch *f);
-	/* Status and headers of the answer are received. May be NULL. */
+	enum answer_fault (*check_head)(struct fetch *f);
+	/* The head of the answer was accepted. May be NULL. */
 	void (*on_head)(struct fetch *f);
 	/*
-	 * Part of the answer's body. Returning false pauses the transfer until
-	 * fetch_resume(), which delivers the same part again. May be NULL; then
-	 * an answer with a longer body than FETCH_MAX_UNREAD_BYTES ends with
-	 * RESULT_MIXED.
+	 * Whether on_data may be called. Returning false pauses the transfer
+	 * until fetch_resume(). NULL: always.
+	 */
+	bool (*has_room)(const struct fetch *f);
+	/*
+	 * Part of the answer's body. Returns false to take no more of it: the
+	 * fetch then ends with RESULT_MIXED and its connection is closed. May
+	 * be NULL; then that happens beyond FETCH_MAX_UNREAD_BYTES.
 	 */
 	bool (*on_data)(struct fetch *f, const void *data, size_t len);
-	/* The fetch ended: RESULT_OK, or why the answer is incomplete. */
+	/* The fetch ended: RESULT_OK, or why there is no whole answer. */
 	void (*on_done)(struct fetch *f, int result);
 };
 
@@ -69,23 +64,20 @@
 	struct curl_slist *headers;
 	const struct fetch_ops *ops;
 	void *user;
-	long status;
-	bool head_done;
-	bool head_checked; /* check_head was called for the final head */
+	long status; /* of the answer whose head was accepted, else 0 */
+	bool head_done; /* the head was accepted */
 	bool sent; /* some byte of the request may have been sent */
 	int64_t sent_at_us; /* when a connection was ready for it */
 	int64_t send_by_ms; /* not sent after this time, 0 no limit */
 	int64_t connect_by_ms; /* no connection opened after it, 0 no limit */
 	bool connect_expired; /* failed because connect_by_ms had passed */
 	bool connection_refused; /* no process listens at the address */
-	/* check_head returned false, or what is received is no answer */
-	bool rejected;
-	int64_t head_bytes;
-	int64_t body_bytes;
-	curl_socket_t socket; /* that it was sent on */
-	int local_port; /* of that socket */
+	bool stray_bytes; /* not sent: its connection has received some */
+	int64_t started_at_ms;
+	int64_t timeout_ms;
+	struct answer *answer; /* NULL before fetch_start() */
+	int local_port; /* of the connection that it was sent on */
 	int64_t read_before; /* bytes from that socket, before it was sent */
-	GPtrArray *answer_headers; /* names and values, alternating */
 	char error[CURL_ERROR_SIZE];
 };
 
@@ -121,16 +113,10 @@
  */
 void fetch_set_idle_timeout(struct fetch *f, int64_t idle_ms);
 
-/*
- * To be called from on_data: take no more of the answer. The fetch ends with
- * RESULT_MIXED and its connection is closed.
- */
-void fetch_reject(struct fetch *f);
-
 /* Cancel a request: on_done is not called, and its connection is closed. */
 void fetch_cancel(struct fetch *f);
 
-/* Resume a transfer that on_data paused by returning false. */
+/* Resume a transfer that has_room paused. */
 void fetch_resume(struct fetch *f);
 
 #endif
--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -29,18 +29,6 @@
 	return r->unsent_answer ? r->answer_bytes - r->unsent_answer->len : 0;
 }
 
-/* A success without the server's signature is about to be passed on. */
-static void emit_unsigned(const struct gate_request *r)
-{
-	COUNT(answers_unsigned);
-	EVENT(answer_unsigned, r->attempt_id,
-	      "\"by\":\"gate\",\"status\":%ld,\"checked\":%s"
-	      ",\"head_bytes\":%" PRId64 ",\"body_bytes\":%" PRId64
-	      ",\"connection\":%d",
-	      r->fetch.status, r->fetch.head_checked ? "true" : "false",
-	      r->fetch.head_bytes, r->answer_bytes, r->fetch.local_port);
-}
-
 static void send_answer_part(struct gate_request *r, bool end)
 {
 	struct request_msg m = { .type = r->head_sent ? REQ_DATA : REQ_HEAD };
@@ -48,13 +36,10 @@
 	uint32_t i;
 
 	if (!r->head_sent) {
-		if (!answer_is_signed(r->fetch.answer_headers,
-				      gate_header_names(r), r->fetch.status))
-			emit_unsigned(r);
 		headers = g_ptr_array_new();
-		for (i = 0; i + 1 < r->fetch.answer_headers->len; i += 2) {
+		for (i = 0; i + 1 < r->fetch.answer->headers->len; i += 2) {
 			char *name =
-				g_ptr_array_index(r->fetch.answer_headers, i);
+				g_ptr_array_index(r->fetch.answer->headers, i);
 
 			/* Kept: it gives the length of a streamed answer. */
 			if (header_is_hop_by_hop(name) &&
@@ -63,7 +48,7 @@
 			g_ptr_array_add(headers, name);
 			g_ptr_array_add(
 				headers,
-				g_ptr_array_index(r->fetch.answer_headers,
+				g_ptr_array_index(r->fetch.answer->headers,
 						  i + 1));
 		}
 	}
@@ -86,17 +71,20 @@
 		g_ptr_array_unref(headers);
 }
 
-/* An answer that is not the one to this attempt is dropped. */
-static bool check_head(struct fetch *f)
+static enum answer_fault check_head(struct fetch *f)
 {
 	const struct gate_request *r = f->user;
 	const struct header_names *names = gate_header_names(r);
 
-	if (answer_is_for(f->answer_headers, names, r->attempt_id) &&
-	    answer_is_signed(f->answer_headers, names, f->status))
-		return true;
-	COUNT(answers_mixed);
-	return false;
+	if (!answer_is_for(f->answer->headers, names, r->attempt_id)) {
+		COUNT(answers_mixed);
+		return ANSWER_FAULT_other;
+	}
+	if (!answer_is_signed(f->answer->headers, names, f->status)) {
+		COUNT(answers_mixed);
+		return ANSWER_FAULT_unsigned;
+	}
+	return ANSWER_FAULT_none;
 }
 
 static double connect_ms(const struct gate_request *r)
@@ -116,12 +104,24 @@
 	 * 421 comes from another server instance, or from one that does not
 	 * hold the shard. In both cases the request was not run.
 	 */
-	r->server_refused =
-		header_find(f->answer_headers, gate_header_names(r)->not_run) ||
-		f->status == STATUS_MISDIRECTED;
+	r->server_refused = header_find(f->answer->headers,
+					gate_header_names(r)->not_run) ||
+			    f->status == STATUS_MISDIRECTED;
 	/* It may be from another instance of the server. */
 	if (f->status != STATUS_MISDIRECTED)
-		gate_on_server_status(r, f->answer_headers);
+		gate_on_server_status(r, f->answer->headers);
+}
+
+/*
+ * When the caller reads slowly, this process must not buffer the whole answer:
+ * once the window is full, reading from the backend server pauses.
+ */
+static bool has_room(const struct fetch *f)
+{
+	const struct gate_request *r = f->user;
+
+	return r->uncredited < GATE_WINDOW_BYTES || r->cancelled ||
+	       r->server_refused;
 }
 
 static bool on_data(struct fetch *f, const void *data, size_t len)
@@ -129,18 +129,8 @@
 	struct gate_request *r = f->user;
 
 	/* Its caller is told at once, however long the body of a refusal is. */
-	if (r->server_refused) {
-		if (f->body_bytes > MAX_REFUSAL_BYTES)
-			fetch_reject(f);
-		return true;
-	}
-	/*
-	 * When the caller reads slowly, this process must not buffer the whole
-	 * answer: once the window is full, reading from the backend server
-	 * pauses.
-	 */
-	if (r->uncredited >= GATE_WINDOW_BYTES && !r->cancelled)
-		return false;
+	if (r->server_refused)
+		return f->answer->body_bytes <= MAX_REFUSAL_BYTES;
 	g_byte_array_append(r->unsent_answer, data, len);
 	XXH64_update(&r->digest, data, len);
 	r->answer_bytes += len;
@@ -168,6 +158,29 @@
 	grants_misdirected(g, r->shard, now);
 }
 
+static void emit_refused_answer(const struct gate_request *r)
+{
+	const struct answer *a = r->fetch.answer;
+
+	EVENT(answer_refused, r->attempt_id,
+	      "\"why\":\"%s\",\"member\":%" PRId64 ",\"status\":%ld"
+	      ",\"head_bytes\":%" PRId64 ",\"body_bytes\":%" PRId64
+	      ",\"connection\":%d,\"fingerprint\":\"%016" PRIx64 "\"",
+	      answer_fault_text(a->fault), r->gate->node->member.self_id,
+	      a->status, a->head_bytes, a->body_bytes, r->fetch.local_port,
+	      r->fingerprint);
+}
+
+/*
+ * Whether the server's "not run" holds: the answer that says so is whole, or
+ * its body is longer than what is read of it.
+ */
+static bool refusal_holds(const struct gate_request *r, int result)
+{
+	return r->server_refused &&
+	       (!result || r->fetch.answer->fault == ANSWER_FAULT_endless);
+}
+
 static void on_done(struct fetch *f, int result)
 {
 	struct gate_request *r = f->user;
@@ -175,6 +188,9 @@
 	int64_t now = clock_now_ms();
 	double ms = (clock_now_us() - r->started_at_us) / 1000.0;
 
+	r->server_refused = refusal_holds(r, result);
+	if (result && result != RESULT_TIMEOUT && f->sent)
+		emit_refused_answer(r);
 	admission_done(&g->admission, r->class_index, limit_outcome(r, result),
 		       ms, r->started_at_us / 1000, now);
 	gate_record_outcome(r, result);
@@ -227,6 +243,7 @@
 const struct fetch_ops gate_fetch_ops = {
 	.check_head = check_head,
 	.on_head = on_head,
+	.has_room = has_room,
 	.on_data = on_data,
 	.on_done = on_done,
 };
--- a/node/gate-health.c
+++ b/node/gate-health.c
@@ -89,14 +89,14 @@
 }
 
 /* A probe shares its connection with requests: their answers have ids. */
-static bool check_probe_head(struct fetch *f)
+static enum answer_fault check_probe_head(struct fetch *f)
 {
 	const struct gate *g = f->user;
 
-	if (answer_is_for(f->answer_headers, g->node->settings.headers, NULL))
-		return true;
+	if (answer_is_for(f->answer->headers, g->node->settings.headers, NULL))
+		return ANSWER_FAULT_none;
 	COUNT(answers_mixed);
-	return false;
+	return ANSWER_FAULT_other;
 }
 
 static const struct fetch_ops probe_ops = {
--- a/node/gate-ids.c
+++ b/node/gate-ids.c
@@ -112,7 +112,7 @@
 		ids_end(t, r->id_hash, SEEN_UNKNOWN, 0, NULL, NULL, 0);
 	else
 		ids_end(t, r->id_hash, SEEN_ANSWERED, r->fetch.status,
-			header_find(r->fetch.answer_headers, "Content-Type"),
+			header_find(r->fetch.answer->headers, "Content-Type"),
 			whole ? r->stored_answer->str : NULL,
 			r->stored_answer->len);
 }
--- a/node/granter.c
+++ b/node/granter.c
@@ -94,7 +94,8 @@
 	count_outcome(g, &r->call, outcome);
 	emit_outcome(r, outcome, result);
 	grant_call_done(g, &r->call, outcome,
-			grant_wire_handover(f->answer_headers), clock_now_ms());
+			grant_wire_handover(f->answer->headers),
+			clock_now_ms());
 	/*
 	 * At the limit, other calls may be due. Otherwise all due calls have
 	 * been started, and the next tick checks again.
@@ -104,15 +105,15 @@
 }
 
 /* Grants have no id, so an answer with one belongs to another call. */
-static bool check_head(struct fetch *f)
+static enum answer_fault check_head(struct fetch *f)
 {
 	const struct granter_request *r = f->user;
 
-	if (answer_is_for(f->answer_headers, r->granter->node->settings.headers,
-			  NULL))
-		return true;
+	if (answer_is_for(f->answer->headers,
+			  r->granter->node->settings.headers, NULL))
+		return ANSWER_FAULT_none;
 	COUNT(answers_mixed);
-	return false;
+	return ANSWER_FAULT_other;
 }
 
 static const struct fetch_ops grant_fetch_ops = {
--- a/t/load.c
+++ b/t/load.c
@@ -56,7 +56,7 @@
 {
 	struct call *c = f->user;
 	const char *outcome =
-		header_find(f->answer_headers, headers_default.outcome);
+		header_find(f->answer->headers, headers_default.outcome);
 	const char *name = "failed";
 
 	n_in_flight--;
--- a/t/soak/callers.c
+++ b/t/soak/callers.c
@@ -46,7 +46,7 @@
 {
 	g_autofree char *expected =
 		g_strdup_printf("%s %s for ", kinds[c->kind].method, c->path);
-	GPtrArray *headers = c->fetch.answer_headers;
+	GPtrArray *headers = c->fetch.answer->headers;
 
 	if (!g_str_has_prefix(c->body->str, expected) ||
 	    c->body->str[c->body->len - 1] != '\n')
--- a/util/counters.h
+++ b/util/counters.h
@@ -50,6 +50,13 @@
 	X(gate_id_in_doubt)        \
 	X(gate_cancelled)          \
 	X(answers_endless)         \
+	X(answers_foreign)         \
+	X(answers_not_signed)      \
+	X(answers_head_cut)        \
+	X(answers_body_cut)        \
+	X(answers_no_protocol)     \
+	X(answers_unwanted)        \
+	X(connections_stray)       \
 	X(gate_answers_lost)       \
 	X(gate_sent_again)         \
 	X(heartbeats_stale)        \
