node: gate_failed says why the server's answer is none

The event answer_refused repeated gate_failed, which is written for the same requests; t0021, which prints the lines of a failed request, took it for a part of another one. gate_failed now has the fault, the status, the bytes of head and body that had come and our port of the connection. t0021 is green unchanged.

--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -158,19 +158,6 @@
 	grants_misdirected(g, r->shard, now);
 }
 
-static void emit_refused_answer(const struct gate_request *r)
-{
-	const struct answer *a = r->fetch.answer;
-
-	EVENT(answer_refused, r->attempt_id,
-	      "\"why\":\"%s\",\"member\":%" PRId64 ",\"status\":%ld"
-	      ",\"head_bytes\":%" PRId64 ",\"body_bytes\":%" PRId64
-	      ",\"connection\":%d,\"fingerprint\":\"%016" PRIx64 "\"",
-	      answer_fault_text(a->fault), r->gate->node->member.self_id,
-	      a->status, a->head_bytes, a->body_bytes, r->fetch.local_port,
-	      r->fingerprint);
-}
-
 /*
  * Whether the server's "not run" holds: the answer that says so is whole, or
  * its body is longer than what is read of it.
@@ -189,8 +176,6 @@
 	double ms = (clock_now_us() - r->started_at_us) / 1000.0;
 
 	r->server_refused = refusal_holds(r, result);
-	if (result && result != RESULT_TIMEOUT && f->sent)
-		emit_refused_answer(r);
 	admission_done(&g->admission, r->class_index, limit_outcome(r, result),
 		       ms, r->started_at_us / 1000, now);
 	gate_record_outcome(r, result);
--- a/node/gate.c
+++ b/node/gate.c
@@ -396,6 +396,26 @@
 	gate_request_free(r);
 }
 
+/*
+ * Further fields: what of an answer had come, and why it is none; "" if nothing
+ * was sent. Valid until the next call.
+ */
+static const char *answer_fields(const struct gate_request *r)
+{
+	static char out[160];
+	const struct answer *a = r->fetch.answer;
+
+	out[0] = '\0';
+	if (a && r->fetch.sent)
+		g_snprintf(out, sizeof(out),
+			   ",\"fault\":\"%s\",\"status\":%ld"
+			   ",\"head_bytes\":%" PRId64 ",\"body_bytes\":%" PRId64
+			   ",\"connection\":%d",
+			   answer_fault_text(a->fault), a->status,
+			   a->head_bytes, a->body_bytes, r->fetch.local_port);
+	return out;
+}
+
 void gate_fail(struct gate_request *r, int result)
 {
 	struct request_msg m = { .type = REQ_FAILED,
@@ -407,12 +427,13 @@
 	EVENT(gate_failed, r->attempt_id,
 	      "\"why\":\"%s\",\"member\":%" PRId64 ",\"server_ms\":%" PRId64
 	      ",\"left_ms\":%" PRId64 ",\"sent_ms\":%" PRId64
-	      ",\"arrived_ms\":%" PRId64 ",\"fingerprint\":\"%016" PRIx64 "\"",
+	      ",\"arrived_ms\":%" PRId64 ",\"fingerprint\":\"%016" PRIx64
+	      "\"%s",
 	      result_name(result), r->gate->node->member.self_id,
 	      r->started_at_us ? (clock_now_us() - r->started_at_us) / 1000
 			       : -1,
 	      r->deadline_ms - clock_now_ms(), r->sent_at_ms, r->arrived_at_ms,
-	      gate_fingerprint(r));
+	      gate_fingerprint(r), answer_fields(r));
 
 	gate_send_for(r, &m);
 	gate_request_free(r);
