--- a/net/httpd.c
+++ b/net/httpd.c
@@ -242,8 +242,23 @@
 	return r;
 }
 
+static void count_head(struct httpd_connection *n)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		n->mhd_connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+
+	if (info)
+		n->parsed_bytes += (int64_t)info->header_size;
+	if (!info ||
+	    MHD_lookup_connection_value(n->mhd_connection, MHD_HEADER_KIND,
+					MHD_HTTP_HEADER_TRANSFER_ENCODING))
+		n->parsed_unknown = true;
+}
+
 static void take_body(struct httpd_request *r, const char *data, size_t *len)
 {
+	if (r->conn)
+		r->conn->parsed_bytes += (int64_t)*len;
 	if (r->body->len + *len > r->httpd->max_body_bytes)
 		r->too_large = true;
 	if (!r->too_large)
@@ -286,6 +301,8 @@
 		r->path = g_strdup(path);
 		g_free(r->method);
 		r->method = g_strdup(method);
+		if (r->conn)
+			count_head(r->conn);
 		return MHD_YES;
 	}
 	if (*len) {
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -81,6 +81,8 @@
 	ev_timer poll_timer; /* checks for pipelined requests meanwhile */
 	GQueue pipelined; /* struct httpd_request, begun early */
 	size_t pipelined_bytes; /* of those still unread in the socket */
+	int64_t parsed_bytes; /* of requests that libmicrohttpd has parsed */
+	bool parsed_unknown; /* a chunked body: its framing is not counted */
 };
 
 struct httpd_request {
--- a/net/pipeline.c
+++ b/net/pipeline.c
@@ -1,6 +1,9 @@
 #include <errno.h>
+#include <linux/tcp.h>
+#include <netinet/in.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <http_parser.h>
 
@@ -125,13 +128,30 @@
 	return r;
 }
 
+/*
+ * Whether the first unread byte of the socket begins a request. libmicrohttpd
+ * may have read a part of the next request into its own buffer; then the rest
+ * of that one comes first, whose body may look like a request.
+ */
+static bool begins_with_request(const struct httpd_connection *c)
+{
+	struct tcp_info info = { 0 };
+	socklen_t len = sizeof(info);
+	int unread = 0;
+
+	return !c->parsed_unknown && !ioctl(c->fd, FIONREAD, &unread) &&
+	       !getsockopt(c->fd, IPPROTO_TCP, TCP_INFO, &info, &len) &&
+	       (int64_t)info.tcpi_bytes_received - unread == c->parsed_bytes;
+}
+
 void pipeline_poll(struct httpd_connection *c)
 {
 	struct httpd *d = c->httpd;
 	char data[PEEK_BYTES];
 	ssize_t n = recv(c->fd, data, sizeof(data), MSG_PEEK | MSG_DONTWAIT);
 
-	if (!d->ops->may_begin_early || n <= 0 || n == sizeof(data))
+	if (!d->ops->may_begin_early || n <= 0 || n == sizeof(data) ||
+	    !begins_with_request(c))
 		return;
 	while (c->pipelined_bytes < (size_t)n &&
 	       g_queue_get_length(&c->pipelined) < MAX_PIPELINED) {
