net: a head with two ids or two signatures is no answer

What callers could get: the answer of another request, or a success whose signature was not looked at. answer_is_for() and answer_is_signed() looked at the first header of a name. A server that breaks off a head and sends another one leaves both in one head where no line shows it; then the first id may be the caller's, and the rest another's.

All ids of a head must be the attempt's, and all signatures the same. A call without an id takes no answer that has one, in whichever header.

Evidence: on the code before, /sendings/heads-of-two-answers failed at a head with the ids a and b (taken for a's), and /sendings/second-id-of-call-without-id at an empty id followed by one. No server was seen that sends such heads: found by reading.

--- a/net/answer-check.c
+++ b/net/answer-check.c
@@ -1,4 +1,5 @@
 #include <string.h>
+#include <strings.h>
 
 #include "net/answer-check.h"
 
@@ -8,6 +9,22 @@
 #define answer_check_disabled false
 #endif
 
+/*
+ * Whether all headers of a name have this value. A head that has several with
+ * different values may be made of the heads of two answers.
+ */
+static bool all_are(const GPtrArray *headers, const char *name,
+		    const char *value)
+{
+	guint i;
+
+	for (i = 0; headers && i + 1 < headers->len; i += 2)
+		if (!strcasecmp(g_ptr_array_index(headers, i), name) &&
+		    strcmp(g_ptr_array_index(headers, i + 1), value))
+			return false;
+	return true;
+}
+
 bool answer_is_for(const GPtrArray *headers, const struct header_names *names,
 		   const char *attempt_id)
 {
@@ -15,16 +32,19 @@
 
 	if (answer_check_disabled)
 		return true;
-	if (!attempt_id)
-		return !echo || !*echo;
-	return echo && !strcmp(echo, attempt_id);
+	if (!echo)
+		return !attempt_id;
+	return all_are(headers, names->attempt_id,
+		       attempt_id ? attempt_id : "");
 }
 
 bool answer_is_signed(const GPtrArray *headers,
 		      const struct header_names *names, long status)
 {
+	const char *signature = header_find(headers, names->signature);
+
 	if (!names->signature || status >= 300)
 		return true;
-	return header_find(headers, names->signature) &&
+	return signature && all_are(headers, names->signature, signature) &&
 	       !header_find(headers, "Content-Encoding");
 }
--- a/net/answer-check.h
+++ b/net/answer-check.h
@@ -14,7 +14,8 @@
 
 /*
  * Whether the head of an answer may be one to this attempt. An attempt without
- * an id (NULL) takes only answers without one. Attempts under the same id
+ * an id (NULL) takes only answers without one. A head with two ids that differ
+ * is to no attempt. Attempts under the same id
  * cannot be told apart: they must not share a connection, see
  * plan_server_may_have_it().
  */
@@ -28,8 +29,8 @@
 extern bool answer_check_disabled;
 
 /*
- * Whether a successful answer is the server's: it has the signature header, if
- * servers here send one, and is not encoded.
+ * Whether a successful answer is the server's: it has one signature, if servers
+ * here send any, and is not encoded.
  */
 bool answer_is_signed(const GPtrArray *headers,
 		      const struct header_names *names, long status);
--- a/t/test-sendings.c
+++ b/t/test-sendings.c
@@ -408,6 +408,56 @@
 	}
 }
 
+/* A head with the ids or signatures of two answers is in doubt. */
+static void test_heads_of_two_answers(void)
+{
+	static const struct {
+		const char *ids[2];
+		const char *signatures[2];
+		bool is_for;
+		bool is_signed;
+	} table[] = {
+		{ { "a" }, { "s" }, true, true },
+		{ { "a", "a" }, { "s", "s" }, true, true },
+		{ { "a", "b" }, { "s", "t" }, false, false },
+		{ { "b", "a" }, { "s", "" }, false, false },
+		{ { "a", "" }, { "", "s" }, false, false },
+		{ { "a" }, { NULL }, true, false },
+	};
+	uint32_t i, j;
+
+	for (i = 0; i < G_N_ELEMENTS(table); i++) {
+		GPtrArray *headers = headers_new();
+
+		for (j = 0; j < 2; j++) {
+			if (table[i].ids[j])
+				header_add(headers, headers_platform.attempt_id,
+					   table[i].ids[j]);
+			if (table[i].signatures[j])
+				header_add(headers, headers_platform.signature,
+					   table[i].signatures[j]);
+		}
+		g_test_message("heads %u", i);
+		g_assert_cmpint(answer_is_for(headers, &headers_platform, "a"),
+				==, table[i].is_for);
+		g_assert_cmpint(answer_is_signed(headers, &headers_platform,
+						 200),
+				==, table[i].is_signed);
+		g_ptr_array_unref(headers);
+	}
+}
+
+/* An answer to a call without an id has none, in no header. */
+static void test_second_id_of_call_without_id(void)
+{
+	GPtrArray *headers = headers_new();
+
+	header_add(headers, headers_platform.attempt_id, "");
+	header_add(headers, headers_platform.attempt_id, "a");
+	g_assert_false(answer_is_for(headers, &headers_platform, NULL));
+	g_ptr_array_unref(headers);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -417,6 +467,10 @@
 		first_seed = atoi(g_getenv("FIRST_SEED"));
 	g_test_add_func("/sendings/who-may-have-it", test_who_may_have_it);
 	g_test_add_func("/sendings/answer-heads", test_answer_heads);
+	g_test_add_func("/sendings/heads-of-two-answers",
+			test_heads_of_two_answers);
+	g_test_add_func("/sendings/second-id-of-call-without-id",
+			test_second_id_of_call_without_id);
 	g_test_add_func("/sendings/random", test_random_sendings);
 	g_test_add_func("/sendings/rule-is-needed/other-connection",
 			test_connection_rule_is_needed);
