--- a/net/fetch.c
+++ b/net/fetch.c
@@ -151,8 +151,8 @@
 	return err == ECONNREFUSED;
 }
 
-/* Sends a request again whose connection was closed before it was sent. */
-static void restart(struct fetch *f)
+/* Sends a request that was not sent yet on a new connection. */
+static void restart_on_new_connection(struct fetch *f)
 {
 	struct fetcher *x = f->fetcher;
 	int64_t left_ms = f->started_at_ms + f->timeout_ms - clock_now_ms();
@@ -160,6 +160,7 @@
 	COUNT(connections_stray);
 	f->stray_bytes = false;
 	curl_multi_remove_handle(x->multi, f->easy);
+	curl_easy_setopt(f->easy, CURLOPT_FRESH_CONNECT, 1L);
 	curl_easy_setopt(f->easy, CURLOPT_TIMEOUT_MS, (long)MAX(left_ms, 1));
 	curl_multi_add_handle(x->multi, f->easy);
 }
@@ -181,7 +182,7 @@
 		if (!f)
 			continue;
 		if (f->stray_bytes && !f->sent) {
-			restart(f);
+			restart_on_new_connection(f);
 			continue;
 		}
 		result = to_result(f, msg->data.result);
