--- a/net/answer.h
+++ b/net/answer.h
@@ -110,9 +110,10 @@
 /* The text of a fault for logs. */
 const char *answer_fault_text(enum answer_fault fault);
 
-#ifdef RULE_SWITCHES
-/* Tests only: takes for an answer whatever the HTTP client takes for one. */
+/*
+ * Tests only: true when whatever the HTTP client takes for an answer is to be
+ * one. Defined when built with RULE_SWITCHES.
+ */
 extern bool answer_rules_disabled;
-#endif
 
 #endif
