net: an answer that is chunked twice is refused

A server's answer with two lines "Transfer-Encoding: chunked" was taken for one that is chunked once, and passed on. Two codings say that a body is chunked twice (RFC 9112, 6.1), which no server means; the second line is of another answer or of a broken server, so what the length is, is in doubt, as with two lengths. Cause: the parser keeps one flag for both.

--- a/net/answer.c
+++ b/net/answer.c
@@ -160,7 +160,8 @@
 		return false;
 	value = g_strstrip(g_strndup(line + name_len + 1, len - name_len - 1));
 	if (!strncasecmp(line, "Transfer-Encoding:", name_len + 1) &&
-	    g_ascii_strcasecmp(value, "chunked"))
+	    (g_ascii_strcasecmp(value, "chunked") ||
+	     header_find(a->headers, "Transfer-Encoding")))
 		return false;
 	g_ptr_array_add(a->headers, g_strndup(line, name_len));
 	g_ptr_array_add(a->headers, g_steal_pointer(&value));
--- a/t/test-answer.c
+++ b/t/test-answer.c
@@ -261,6 +261,10 @@
 	  BROKEN, PROTOCOL, 0, "", false },
 	{ "GET", OK "Transfer-Encoding: identity\r\n\r\n", "hello", IN_ORDER,
 	  PROTOCOL, 0, "", false },
+	{ "GET",
+	  OK "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"
+	     "\r\n",
+	  "0\r\n\r\n", BROKEN, PROTOCOL, 0, "", false },
 	{ "GET",
 	  "HTTP/1.0 200 OK\r\nId: 1\r\nSig: a\r\n"
 	  "Transfer-Encoding: chunked\r\n\r\n",
