net: an answer in whose trailers another one begins is refused

Callers got an answer in chunks as whole though it had broken off within the last chunk's line or within a trailer and another answer followed on the connection: its status line was taken for the rest of that line, its headers for trailers. The body was that of the first answer. Within the line of an earlier chunk, bytes of the other answer were handed on as the body before the answer was refused. Cause: the parser takes any text for an extension and for a trailer's value.

Change: what stands around the chunks is searched for a status line, as the lines of heads are; across the parts in which it arrives.

Two rows more show that a status line within a chunk's data stays part of the body.

--- a/net/answer.c
+++ b/net/answer.c
@@ -9,8 +9,9 @@
 #define HTTP_NOT_MODIFIED 304
 #define FIRST_FINAL_STATUS 200
 #define NO_BODY 1 /* from on_headers() to the parser */
-/* Shortest text that can begin a head: "HTTP/1.1 200". */
 #define MIN_STATUS_LINE 12
+/* How a status line begins; 0 stands for any digit. */
+#define STATUS_LINE_BEGIN "HTTP/0.0 0"
 #define TOKEN_CHARS                                          \
 	"!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXY" \
 	"Zabcdefghijklmnopqrstuvwxyz"
@@ -40,6 +41,36 @@
 	a->fault = fault;
 }
 
+/*
+ * A head, the size of a chunk or a trailer that broke off may be followed by
+ * another answer on the connection. Then that one's status line stands within
+ * a line of the first. *matched is what is matched so far, 0 at first.
+ */
+static bool has_status_line(uint8_t *matched, const char *text, size_t len)
+{
+	static const char begin[] = STATUS_LINE_BEGIN;
+
+	for (; len && begin[*matched]; text++, len--) {
+		char next = begin[*matched];
+
+		if (next == '0' ? g_ascii_isdigit(*text) : *text == next)
+			(*matched)++;
+		else
+			*matched = *text == begin[0];
+	}
+	return !begin[*matched];
+}
+
+/* Checks the chunk sizes, extensions and trailers that end at end. */
+static bool framing_is_valid(struct answer *a, const char *end)
+{
+	const char *begin = a->unchecked;
+
+	a->unchecked = end;
+	return !a->is_chunked ||
+	       !has_status_line(&a->framing_matched, begin, end - begin);
+}
+
 static bool has_no_body(const struct answer *a)
 {
 	return a->no_body || a->status == HTTP_NO_CONTENT ||
@@ -49,11 +80,11 @@
 static int on_headers(http_parser *p)
 {
 	struct answer *a = p->data;
-	bool is_chunked = header_find(a->headers, "Transfer-Encoding");
 	enum answer_fault fault = ANSWER_FAULT_none;
 
+	a->is_chunked = header_find(a->headers, "Transfer-Encoding");
 	if (p->http_major != 1 || p->status_code == HTTP_SWITCHING_PROTOCOLS ||
-	    (is_chunked && !p->http_minor)) {
+	    (a->is_chunked && !p->http_minor)) {
 		answer_refuse(a, ANSWER_FAULT_protocol);
 		return -1;
 	}
@@ -75,6 +106,11 @@
 	struct answer *a = p->data;
 	enum answer_fault fault = ANSWER_FAULT_none;
 
+	if (!framing_is_valid(a, data)) {
+		answer_refuse(a, ANSWER_FAULT_protocol);
+		return -1;
+	}
+	a->unchecked = data + len;
 	a->body_bytes += (int64_t)len;
 	if (a->ops->on_body)
 		fault = a->ops->on_body(a, data, len);
@@ -120,26 +156,6 @@
 	g_clear_pointer(&a->headers, g_ptr_array_unref);
 }
 
-/*
- * A head that broke off may be followed by another one on the connection. Then
- * the second one's status line stands within a line of the first.
- */
-static bool has_status_line(const char *text, size_t len)
-{
-	const char *end = text + len;
-
-	while ((text = memchr(text, 'H', end - text))) {
-		if (end - text < MIN_STATUS_LINE)
-			return false;
-		if (!memcmp(text, "HTTP/", 5) && g_ascii_isdigit(text[5]) &&
-		    text[6] == '.' && g_ascii_isdigit(text[7]) &&
-		    text[8] == ' ' && g_ascii_isdigit(text[9]))
-			return true;
-		text++;
-	}
-	return false;
-}
-
 static bool is_status_line(const char *line, size_t len)
 {
 	return len > MIN_STATUS_LINE && !memcmp(line, "HTTP/1.", 7) &&
@@ -175,10 +191,11 @@
 static bool line_is_valid(struct answer *a, const char *line, size_t len)
 {
 	bool is_first = !a->in_head;
+	uint8_t matched = 0;
 
 	if (len < 2 || memcmp(line + len - 2, "\r\n", 2) ||
 	    memchr(line, '\r', len - 2) || memchr(line, '\0', len) ||
-	    has_status_line(line + is_first, len - is_first))
+	    has_status_line(&matched, line + is_first, len - is_first))
 		return false;
 	if (is_first) {
 		a->in_head = true;
@@ -252,7 +269,10 @@
 	if (a->state != ANSWER_BODY)
 		return false;
 	a->framed_bytes += (int64_t)len;
+	a->unchecked = data;
 	parsed = http_parser_execute(&a->parser, &settings, data, len);
+	if (a->state != ANSWER_REFUSED && !framing_is_valid(a, data + parsed))
+		answer_refuse(a, ANSWER_FAULT_protocol);
 	if (a->state == ANSWER_WHOLE) {
 		a->surplus = parsed < len;
 		return !a->surplus;
--- a/net/answer.h
+++ b/net/answer.h
@@ -70,11 +70,14 @@
 	bool no_body; /* the request was a HEAD */
 	bool in_head; /* the first line of the head has been received */
 	bool surplus; /* bytes followed the whole answer */
+	bool is_chunked;
 	long status; /* of the final head, 0 until that is whole */
 	GPtrArray *headers; /* names and values, alternating; no trailers */
 	int64_t head_bytes;
 	int64_t body_bytes; /* without chunk sizes, extensions and trailers */
 	int64_t framed_bytes; /* with these */
+	const char *unchecked; /* of the bytes being parsed: framing follows */
+	uint8_t framing_matched; /* of a status line within the framing */
 	http_parser parser;
 	const struct answer_ops *ops;
 	void *user;
--- a/t/test-answer.c
+++ b/t/test-answer.c
@@ -75,6 +75,11 @@
 	  "\r\n",
 	  "hello", BROKEN, NONE, 200, "hello", false },
 	{ "GET", LENGTH, "HTTP/", BROKEN, NONE, 200, "HTTP/", false },
+	{ "GET", CHUNKED, "e\r\nHTTP/1.1 200 O\r\n0\r\n\r\n", BROKEN, NONE, 200,
+	  "HTTP/1.1 200 O", false },
+	{ "GET", CHUNKED,
+	  "4\r\nHTTP\r\n5;a=H\r\n/1.1 \r\n0\r\nA: HTTP/1\r\n\r\n", BROKEN, NONE,
+	  200, "HTTP/1.1 ", false },
 };
 
 /* A whole answer, and bytes that belong to none. */
@@ -272,6 +277,8 @@
 	/* chunks */
 	{ "GET", CHUNKED, OTHER, BROKEN, PROTOCOL, 200, "", false },
 	{ "GET", CHUNKED, "5" OTHER, BROKEN, PROTOCOL, 200, "", false },
+	{ "GET", CHUNKED, "5;a" OTHER, BROKEN, PROTOCOL, 200, "", false },
+	{ "GET", CHUNKED, "5;" OTHER, BROKEN, PROTOCOL, 200, "", false },
 	{ "GET", CHUNKED, "5\r\nhello" OTHER, BROKEN, PROTOCOL, 200, "hello",
 	  false },
 	{ "GET", CHUNKED, "5\r\nhello\r\n" OTHER, BROKEN, PROTOCOL, 200,
@@ -292,6 +299,10 @@
 	  "hello", false },
 	{ "GET", CHUNKED, "5\r\nhello\r\n0\r\nA: b\r\n" OTHER, BROKEN, PROTOCOL,
 	  200, "hello", false },
+	{ "GET", CHUNKED, "5\r\nhello\r\n0\r\nA: " OTHER, BROKEN, PROTOCOL, 200,
+	  "hello", false },
+	{ "GET", CHUNKED, "5\r\nhello\r\n0;" OTHER, BROKEN, PROTOCOL, 200,
+	  "hello", false },
 	{ "GET", CHUNKED, "5\r\nhello\r\n0\r\nno trailer\r\n\r\n", BROKEN,
 	  PROTOCOL, 200, "hello", false },
 };
