t: answers whose bytes are cut, doubled, split and delayed (test-answer-bytes)

The HTTP client's answers, with real sockets on one loop: 12 callers on at most six connections to a server that breaks off, repeats, splits and delays the bytes of its answers at random places; with a length, chunks, no body, and without a length; to GET and HEAD; callers that pause and that cancel by a timer, on a head and on a body's part. What is delivered must be, byte for byte, what was sent as one whole answer to this request (status, signature, "not run", body); every whole answer on a connection without other bytes must be delivered, also one that a second one follows.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 
 PROGRAMS = briargrade log-standin backend-standin platform-store faulty-server \
 	platform-server load slope
-TESTS = test-answer test-fetch test-changes test-published test-grants test-member test-schedules test-recovery test-start test-readers test-log-client test-state test-gate test-reconcile test-quarantine test-rate-limit test-server-instance test-sendings test-route test-settings test-net
+TESTS = test-answer test-answer-bytes test-fetch test-changes test-published test-grants test-member test-schedules test-recovery test-start test-readers test-log-client test-state test-gate test-reconcile test-quarantine test-rate-limit test-server-instance test-sendings test-route test-settings test-net
 BINARIES = $(PROGRAMS:%=$(OUT)/bin/%) $(TESTS:%=$(OUT)/bin/%) \
 	$(OUT)/bin/fault-soak
 SOURCES = $(wildcard *.c builtin/*.[ch] t/*.[ch] t/soak/*.[ch] \
@@ -68,7 +68,7 @@
 	@echo "  CC $@"; $(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
 $(OUT)/bin/test-reconcile $(OUT)/bin/test-quarantine \
-		$(OUT)/bin/test-answer \
+		$(OUT)/bin/test-answer $(OUT)/bin/test-answer-bytes \
 		$(OUT)/bin/test-rate-limit \
 		$(OUT)/bin/test-server-instance $(OUT)/bin/test-sendings: $(OUT)/bin/%: \
 		$(OUT)/t/%.o $(RULE_OBJ) $(OTHER_OBJ)
@@ -107,10 +107,12 @@
 
 SEEDS ?= 1000
 FIRST_SEED ?= 1
-soak: $(OUT)/bin/test-member
+soak: $(OUT)/bin/test-member $(OUT)/bin/test-answer-bytes
 	SEEDS=$(SEEDS) FIRST_SEED=$(FIRST_SEED) $(OUT)/bin/test-member \
 		-p /member/random-faults -p /member/random-grants \
 		-p /member/random-calls
+	SEEDS=$(SEEDS) FIRST_SEED=$(FIRST_SEED) $(OUT)/bin/test-answer-bytes \
+		-p /answer-bytes/any
 
 SEED ?= 1
 MINUTES ?= 2
