net: an answer is refused whose chunks the parser does not see

A caller got chunk sizes as part of the body (whole, RESULT_OK) from a server that writes a tab after "Transfer-Encoding: chunked". Cause: our check of the header trims the value as the client library does, while the parser does not know this value and takes all that comes for the body; the library ends the answer at its last chunk.

Change: both must find chunks, or neither.

Evidence: the row of test-answer, fed in each of its 13 ways: accepted with the chunk sizes as body in all before, refused as "no protocol" since. Seven rows of other spellings show that these stay accepted.

--- a/net/answer.c
+++ b/net/answer.c
@@ -84,7 +84,9 @@
 
 	a->is_chunked = header_find(a->headers, "Transfer-Encoding");
 	if (p->http_major != 1 || p->status_code == HTTP_SWITCHING_PROTOCOLS ||
-	    (a->is_chunked && !p->http_minor)) {
+	    (a->is_chunked && !p->http_minor) ||
+	    /* The HTTP client trims the value, the parser may not. */
+	    a->is_chunked != !!(p->flags & F_CHUNKED)) {
 		answer_refuse(a, ANSWER_FAULT_protocol);
 		return -1;
 	}
--- a/t/test-answer.c
+++ b/t/test-answer.c
@@ -80,6 +80,20 @@
 	{ "GET", CHUNKED,
 	  "4\r\nHTTP\r\n5;a=H\r\n/1.1 \r\n0\r\nA: HTTP/1\r\n\r\n", BROKEN, NONE,
 	  200, "HTTP/1.1 ", false },
+	{ "GET", OK "Transfer-Encoding: CHUNKED\r\n\r\n",
+	  "2\r\nhi\r\n0\r\n\r\n", IN_ORDER, NONE, 200, "hi", false },
+	{ "GET", OK "Transfer-Encoding:chunked\r\n\r\n", "2\r\nhi\r\n0\r\n\r\n",
+	  IN_ORDER, NONE, 200, "hi", false },
+	{ "GET", OK "Transfer-Encoding:\tchunked\r\n\r\n",
+	  "2\r\nhi\r\n0\r\n\r\n", IN_ORDER, NONE, 200, "hi", false },
+	{ "GET", OK "Transfer-Encoding: chunked \r\n\r\n",
+	  "2\r\nhi\r\n0\r\n\r\n", IN_ORDER, NONE, 200, "hi", false },
+	{ "GET", OK "transfer-encoding:  \t chunked\r\n\r\n",
+	  "2\r\nhi\r\n0\r\n\r\n", IN_ORDER, NONE, 200, "hi", false },
+	{ "GET", OK "content-length:\t5 \r\n\r\n", "hello", BROKEN, NONE, 200,
+	  "hello", false },
+	{ "GET", OK "Content-Length:  005\r\n\r\n", "hello", BROKEN, NONE, 200,
+	  "hello", false },
 };
 
 /* A whole answer, and bytes that belong to none. */
@@ -274,6 +288,10 @@
 	  "HTTP/1.0 200 OK\r\nId: 1\r\nSig: a\r\n"
 	  "Transfer-Encoding: chunked\r\n\r\n",
 	  "0\r\n\r\n", BROKEN, PROTOCOL, 0, "", false },
+	{ "GET", OK "Transfer-Encoding: chunked\t\r\n\r\n",
+	  "2\r\nhi\r\n0\r\n\r\n", IN_ORDER, PROTOCOL, 0, "", false },
+	{ "GET", OK "Content-Length: 5\t\r\n\r\n", "hello", IN_ORDER, PROTOCOL,
+	  0, "", false },
 	/* chunks */
 	{ "GET", CHUNKED, OTHER, BROKEN, PROTOCOL, 200, "", false },
 	{ "GET", CHUNKED, "5" OTHER, BROKEN, PROTOCOL, 200, "", false },
