net: a server that talks first is connected to twice at most

A server that sends bytes as soon as it accepts a connection was connected to again and again, without a pause, until the request's time was over: a request that finds bytes on its connection before it is sent is started again on a new one, where it finds bytes again.

Change: only a request that may use a kept connection is started again; one on a new connection ends unsent. The field read_before, unused since connections count their bytes, is gone.

--- a/net/fetch.c
+++ b/net/fetch.c
@@ -159,6 +159,7 @@
 
 	COUNT(connections_stray);
 	f->stray_bytes = false;
+	f->fresh = true;
 	curl_multi_remove_handle(x->multi, f->easy);
 	curl_easy_setopt(f->easy, CURLOPT_FRESH_CONNECT, 1L);
 	curl_easy_setopt(f->easy, CURLOPT_TIMEOUT_MS, (long)MAX(left_ms, 1));
@@ -181,7 +182,7 @@
 				  (char **)&f);
 		if (!f)
 			continue;
-		if (f->stray_bytes && !f->sent) {
+		if (f->stray_bytes && !f->sent && !f->fresh) {
 			restart_on_new_connection(f);
 			continue;
 		}
@@ -541,6 +542,7 @@
 	f->user = user;
 	f->started_at_ms = clock_now_ms();
 	f->timeout_ms = timeout_ms;
+	f->fresh = fresh;
 	f->answer = g_new(struct answer, 1);
 	answer_init(f->answer, method, &answer_ops, f);
 	f->easy = x->idle_handles->len
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -73,11 +73,11 @@
 	bool connect_expired; /* failed because connect_by_ms had passed */
 	bool connection_refused; /* no process listens at the address */
 	bool stray_bytes; /* not sent: its connection has received some */
+	bool fresh; /* on a new connection only */
 	int64_t started_at_ms;
 	int64_t timeout_ms;
 	struct answer *answer; /* NULL before fetch_start() */
 	int local_port; /* of the connection that it was sent on */
-	int64_t read_before; /* bytes from that socket, before it was sent */
 	char error[CURL_ERROR_SIZE];
 };
 
--- a/t/test-fetch.c
+++ b/t/test-fetch.c
@@ -49,6 +49,7 @@
 	ev_io listener;
 	GPtrArray *scripts; /* struct script */
 	GPtrArray *served; /* struct served */
+	const char *greeting; /* sent on each new connection, or NULL */
 	uint32_t n_open;
 };
 
@@ -122,6 +123,9 @@
 	ev_io_start(loop, &s->reader);
 	ev_init(&s->end_timer, on_end_timer);
 	s->end_timer.data = s;
+	if (s->fixture->greeting)
+		send(s->fd, s->fixture->greeting, strlen(s->fixture->greeting),
+		     MSG_NOSIGNAL);
 	g_ptr_array_add(s->fixture->served, s);
 }
 
@@ -464,6 +468,28 @@
 	fixture_finish(&x);
 }
 
+/* A server that talks first is connected to again and again. */
+static void test_greeting_server_is_left(void)
+{
+	struct call c = { 0 };
+	struct fixture x;
+
+	fixture_init(&x);
+	/* The greeting is sent before the client learns of the connection. */
+	ev_io_stop(x.loop, &x.listener);
+	ev_set_priority(&x.listener, EV_MAXPRI);
+	ev_io_start(x.loop, &x.listener);
+	x.greeting = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+	call_start(&x, &c, "GET",
+		   add_script(&x, FIVE, strlen(FIVE), NULL, STAYS_OPEN), false);
+	ev_run(x.loop, 0);
+	g_assert_cmpint(c.result, !=, RESULT_OK);
+	g_assert_false(c.fetch.sent);
+	g_assert_cmpuint(x.served->len, <=, 2);
+	call_finish(&c);
+	fixture_finish(&x);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -475,5 +501,7 @@
 			test_further_answer_reaches_nobody);
 	g_test_add_func("/fetch/connections-are-kept",
 			test_connections_are_kept);
+	g_test_add_func("/fetch/greeting-server-is-left",
+			test_greeting_server_is_left);
 	return g_test_run();
 }
