node: answer_refused names what was asked for

The event answer_refused gave the fingerprint 0 for every answer but those of suspected requests, so that refused answers could not be told apart by what was asked for, nor matched with gate_failed.

Cause: the fingerprint is worked out when it is first needed, and the event read it before that.

--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -158,7 +158,7 @@
 	grants_misdirected(g, r->shard, now);
 }
 
-static void emit_refused_answer(const struct gate_request *r)
+static void emit_refused_answer(struct gate_request *r)
 {
 	const struct answer *a = r->fetch.answer;
 
@@ -168,7 +168,7 @@
 	      ",\"connection\":%d,\"fingerprint\":\"%016" PRIx64 "\"",
 	      answer_fault_text(a->fault), r->gate->node->member.self_id,
 	      a->status, a->head_bytes, a->body_bytes, r->fetch.local_port,
-	      r->fingerprint);
+	      gate_fingerprint(r));
 }
 
 /*
--- a/t/t0019-platform-mixed.sh
+++ b/t/t0019-platform-mixed.sh
@@ -4,6 +4,7 @@
 # get such an answer as its own. A lookup must be retried elsewhere; a booking
 # must not be, since it may have run.
 . "$(dirname "$0")/lib-platform.sh"
+EXTRA_SETTINGS='"log_format": "json",'
 start_platform "records bookings" "hakata tenjin kurume kitakyu"
 platform_config 7
 wait_platform
@@ -19,3 +20,7 @@
 		sort | uniq -c | sed 's/^ *//'
 	bookings "$fault=0"
 done
+# Each refused answer is told with what was asked for.
+refused() { cat "$DIR"/node-*.log | grep '"event":"answer_refused"'; }
+[ "$(refused | grep -c .)" -ge 3 ] && echo "bad answers were told"
+echo "told without a fingerprint: $(refused | grep -c '"fingerprint":"0*"')"
