net, node: names and comments of answers read as a newcomer

The end of a refused and of a whole answer are functions of their own, an unused field of struct fetch is gone, and net/connections.h says that connections are told apart by local port and so must lead to one address.

--- a/net/connections.c
+++ b/net/connections.c
@@ -24,11 +24,11 @@
 
 void connections_closed(struct connections *t, int fd)
 {
-	uint32_t i;
+	uint32_t i = t->all->len;
 
-	for (i = 0; i < t->all->len; i++)
+	while (i-- > 0)
 		if (g_array_index(t->all, struct connection, i).fd == fd)
-			g_array_remove_index_fast(t->all, i--);
+			g_array_remove_index_fast(t->all, i);
 }
 
 static int read_local_port(int fd)
--- a/net/connections.h
+++ b/net/connections.h
@@ -6,11 +6,14 @@
 #include <glib.h>
 
 /*
- * The open connections of an HTTP client, with the bytes that the answers to
- * its requests had. A server that sends more has sent bytes that belong to no
- * request, and the connection must not be used again. The client library drops
- * such bytes without a word where an answer has no body, and takes those that
- * wait for the next answer.
+ * The open connections of an HTTP client, with the bytes of the answers
+ * received on each. When more have arrived, some belong to no request, and the
+ * connection must not be used again. The client library drops such bytes
+ * silently where an answer has no body, and takes those that wait for the next
+ * answer.
+ *
+ * Connections are told apart by their local ports, so all must lead to one
+ * address.
  */
 struct connections {
 	GArray *all; /* struct connection */
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -17,6 +17,7 @@
 
 /* An answer whose body nobody takes (no on_data) may have a body this long. */
 #define FETCH_MAX_UNREAD_BYTES (64 * 1024)
+
 struct fetcher {
 	struct ev_loop *loop;
 	CURLM *multi;
@@ -24,7 +25,7 @@
 	ev_timer timer;
 	GPtrArray *idle_handles; /* CURL *, kept for reuse */
 	GPtrArray *sockets; /* struct fetch_socket */
-	uint32_t callback_depth; /* on_write() calls in progress */
+	uint32_t callback_depth; /* calls of fetch_ops within libcurl */
 	GPtrArray *cancelled_handles; /* CURL *, cancelled in a callback */
 	GPtrArray *cancelled_answers; /* struct answer, of these */
 	ev_prepare cleanup; /* active while cancelled_handles is not empty */
@@ -77,7 +78,6 @@
 	int64_t timeout_ms;
 	struct answer *answer; /* NULL before fetch_start() */
 	int local_port; /* of the connection that it was sent on */
-	int64_t read_before; /* bytes from that socket, before it was sent */
 	char error[CURL_ERROR_SIZE];
 };
 
--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -158,6 +158,7 @@
 	grants_misdirected(g, r->shard, now);
 }
 
+/* Tells why the bytes that were received are no answer to the request. */
 static void emit_refused_answer(struct gate_request *r)
 {
 	const struct answer *a = r->fetch.answer;
@@ -181,6 +182,39 @@
 	       (!result || r->fetch.answer->fault == ANSWER_FAULT_endless);
 }
 
+/* The server did not run the request. */
+static void end_refused(struct gate_request *r, int64_t now)
+{
+	bool misdirected = r->fetch.status == STATUS_MISDIRECTED;
+
+	COUNT(gate_backend_shed);
+	if (misdirected && r->keyed)
+		handle_misdirected(r, now);
+	else if (misdirected)
+		gate_connect_failed(r->gate, &r->fetch);
+	gate_refuse(r, misdirected ? RESULT_NOT_OWNER : RESULT_OVERLOAD);
+}
+
+/* The answer is whole. ms: since the request was started. */
+static void end_answered(struct gate_request *r, double ms)
+{
+	struct gate *g = r->gate;
+
+	MEASURE(server_ms, ms);
+	if (r->traced)
+		EVENT(gate_answered, r->attempt_id,
+		      "\"member\":%" PRId64 ",\"status\":%ld"
+		      ",\"connect_ms\":%.0f,\"server_ms\":%.0f"
+		      ",\"bytes\":%" PRId64 ",\"sent_ms\":%" PRId64
+		      ",\"arrived_ms\":%" PRId64,
+		      g->node->member.self_id, r->fetch.status, connect_ms(r),
+		      ms, r->answer_bytes, r->sent_at_ms, r->arrived_at_ms);
+	queue_update_answer_bytes(&g->admission.queue, r->class_index,
+				  r->answer_bytes);
+	send_answer_part(r, true);
+	gate_request_free(r);
+}
+
 static void on_done(struct fetch *f, int result)
 {
 	struct gate_request *r = f->user;
@@ -205,29 +239,9 @@
 	if (result == RESULT_UNREACHABLE)
 		gate_connect_failed(g, f);
 	if (r->server_refused) {
-		COUNT(gate_backend_shed);
-		if (f->status == STATUS_MISDIRECTED && r->keyed)
-			handle_misdirected(r, now);
-		else if (f->status == STATUS_MISDIRECTED)
-			gate_connect_failed(g, f);
-		gate_refuse(r, f->status == STATUS_MISDIRECTED
-				       ? RESULT_NOT_OWNER
-				       : RESULT_OVERLOAD);
+		end_refused(r, now);
 	} else if (!result) {
-		MEASURE(server_ms, ms);
-		if (r->traced)
-			EVENT(gate_answered, r->attempt_id,
-			      "\"member\":%" PRId64 ",\"status\":%ld"
-			      ",\"connect_ms\":%.0f,\"server_ms\":%.0f"
-			      ",\"bytes\":%" PRId64 ",\"sent_ms\":%" PRId64
-			      ",\"arrived_ms\":%" PRId64,
-			      g->node->member.self_id, f->status, connect_ms(r),
-			      ms, r->answer_bytes, r->sent_at_ms,
-			      r->arrived_at_ms);
-		queue_update_answer_bytes(&g->admission.queue, r->class_index,
-					  r->answer_bytes);
-		send_answer_part(r, true);
-		gate_request_free(r);
+		end_answered(r, ms);
 	} else if (!f->sent) {
 		COUNT(gate_backend_failed);
 		gate_refuse(r, RESULT_UNREACHABLE);
