net: connections of one local port are told apart

The kernel gives one local port to connections to different addresses. The bytes of such connections were counted for the first one found. Only clients of several addresses can have such connections: the granter's calls, and a gate whose server starts at another address.

Change: a connection is found by its local port and the address of its other end.

Evidence: test-fetch, connections-of-one-local-port: two sockets with one local port, the second was taken for the first; found since.

--- a/net/connections.c
+++ b/net/connections.c
@@ -1,5 +1,6 @@
+#include <arpa/inet.h>
 #include <linux/tcp.h>
-#include <netinet/in.h>
+#include <string.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -31,17 +32,46 @@
 			g_array_remove_index_fast(t->all, i--);
 }
 
-static int read_local_port(int fd)
+union address {
+	struct sockaddr any;
+	struct sockaddr_in ip4;
+	struct sockaddr_in6 ip6;
+};
+
+/* The ports of both families are at the same place. */
+static int port_of(const union address *a)
+{
+	return ntohs(a->ip4.sin_port);
+}
+
+static void read_ends(int fd, struct connection_ends *ends)
 {
-	struct sockaddr_in sa = { 0 };
-	socklen_t len = sizeof(sa);
+	union address local = { 0 }, other = { 0 };
+	socklen_t len = sizeof(local);
+	const void *ip = &other.ip4.sin_addr;
 
-	if (getsockname(fd, (struct sockaddr *)&sa, &len))
-		return 0;
-	return ntohs(sa.sin_port);
+	if (getsockname(fd, &local.any, &len))
+		return;
+	len = sizeof(other);
+	if (getpeername(fd, &other.any, &len))
+		return;
+	if (other.any.sa_family == AF_INET6)
+		ip = &other.ip6.sin6_addr;
+	if (!inet_ntop(other.any.sa_family, ip, ends->ip, sizeof(ends->ip)))
+		return;
+	ends->port = port_of(&other);
+	ends->local_port = port_of(&local);
+}
+
+static bool ends_equal(const struct connection_ends *a,
+		       const struct connection_ends *b)
+{
+	return a->local_port == b->local_port && a->port == b->port &&
+	       !strcmp(a->ip, b->ip);
 }
 
-struct connection *connections_find(struct connections *t, int local_port)
+struct connection *connections_find(struct connections *t,
+				    const struct connection_ends *ends)
 {
 	uint32_t i;
 
@@ -49,9 +79,9 @@
 		struct connection *c =
 			&g_array_index(t->all, struct connection, i);
 
-		if (!c->local_port)
-			c->local_port = read_local_port(c->fd);
-		if (c->local_port == local_port)
+		if (!c->ends.local_port)
+			read_ends(c->fd, &c->ends);
+		if (ends_equal(&c->ends, ends))
 			return c;
 	}
 	return NULL;
--- a/net/connections.h
+++ b/net/connections.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 #include <glib.h>
+#include <netinet/in.h>
 
 /*
  * The open connections of an HTTP client, with the bytes that the answers to
@@ -16,9 +17,16 @@
 	GArray *all; /* struct connection */
 };
 
+/* Connections to different addresses may have the same local port. */
+struct connection_ends {
+	int local_port; /* 0 until it is connected */
+	int port;
+	char ip[INET6_ADDRSTRLEN]; /* of the other end, as port is */
+};
+
 struct connection {
 	int fd;
-	int local_port; /* 0 until it is first used */
+	struct connection_ends ends;
 	int64_t answered_bytes; /* of the answers received on it */
 };
 
@@ -30,10 +38,11 @@
 void connections_closed(struct connections *t, int fd);
 
 /*
- * The connection with this local port, or NULL. Valid until the next call that
- * takes a socket.
+ * The connection with these ends, or NULL. Valid until the next call that takes
+ * a socket.
  */
-struct connection *connections_find(struct connections *t, int local_port);
+struct connection *connections_find(struct connections *t,
+				    const struct connection_ends *ends);
 
 /* Whether more bytes have arrived than those of the answers. */
 bool connection_has_stray_bytes(const struct connection *c);
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -317,10 +317,10 @@
 }
 
 /* Whether a kept connection has received bytes that belong to no request. */
-static bool has_stray_bytes(struct fetcher *x, int local_port)
+static bool has_stray_bytes(struct fetcher *x,
+			    const struct connection_ends *ends)
 {
-	const struct connection *c =
-		connections_find(&x->connections, local_port);
+	const struct connection *c = connections_find(&x->connections, ends);
 
 	return c && connection_has_stray_bytes(c);
 }
@@ -336,18 +336,18 @@
 {
 	struct fetch *f = user;
 
-	(void)to;
 	(void)from;
-	(void)to_port;
 	if (!f || f->sent)
 		return CURL_PREREQFUNC_ABORT;
 	if (f->send_by_ms && clock_now_ms() > f->send_by_ms)
 		return CURL_PREREQFUNC_ABORT;
-	f->stray_bytes = has_stray_bytes(f->fetcher, from_port);
+	f->connection.local_port = from_port;
+	f->connection.port = to_port;
+	g_strlcpy(f->connection.ip, to, sizeof(f->connection.ip));
+	f->stray_bytes = has_stray_bytes(f->fetcher, &f->connection);
 	if (f->stray_bytes)
 		return CURL_PREREQFUNC_ABORT;
 	f->sent = true;
-	f->local_port = from_port;
 	f->sent_at_us = clock_now_us();
 	return CURL_PREREQFUNC_OK;
 }
@@ -445,7 +445,7 @@
 
 	if (a->state != ANSWER_WHOLE || !f)
 		return;
-	c = connections_find(&f->fetcher->connections, f->local_port);
+	c = connections_find(&f->fetcher->connections, &f->connection);
 	if (c)
 		c->answered_bytes += a->head_bytes + a->framed_bytes;
 }
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -77,7 +77,7 @@
 	int64_t started_at_ms;
 	int64_t timeout_ms;
 	struct answer *answer; /* NULL before fetch_start() */
-	int local_port; /* of the connection that it was sent on */
+	struct connection_ends connection; /* that it was sent on */
 	char error[CURL_ERROR_SIZE];
 };
 
--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -167,8 +167,8 @@
 	      ",\"head_bytes\":%" PRId64 ",\"body_bytes\":%" PRId64
 	      ",\"connection\":%d,\"fingerprint\":\"%016" PRIx64 "\"",
 	      answer_fault_text(a->fault), r->gate->node->member.self_id,
-	      a->status, a->head_bytes, a->body_bytes, r->fetch.local_port,
-	      r->fingerprint);
+	      a->status, a->head_bytes, a->body_bytes,
+	      r->fetch.connection.local_port, r->fingerprint);
 }
 
 /*
--- a/t/test-fetch.c
+++ b/t/test-fetch.c
@@ -490,6 +490,52 @@
 	fixture_finish(&x);
 }
 
+/* A socket that is bound to this local port, 0 for any, and connected. */
+static int connect_from(int local_port, int port)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET,
+				  .sin_port = htons(local_port) };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int on = 1;
+
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	g_assert_cmpint(bind(fd, (struct sockaddr *)&sa, sizeof(sa)), ==, 0);
+	sa.sin_port = htons(port);
+	g_assert_cmpint(connect(fd, (struct sockaddr *)&sa, sizeof(sa)), ==, 0);
+	return fd;
+}
+
+/* Two connections may share a local port; one is taken for the other. */
+static void test_connections_of_one_local_port(void)
+{
+	struct sockaddr_in sa;
+	socklen_t len = sizeof(sa);
+	struct fixture x, y;
+	struct connections t;
+	struct connection_ends ends = { .ip = "127.0.0.1" };
+	int first, second;
+
+	fixture_init(&x);
+	fixture_init(&y);
+	connections_init(&t);
+	first = connect_from(0, x.port);
+	getsockname(first, (struct sockaddr *)&sa, &len);
+	ends.local_port = ntohs(sa.sin_port);
+	second = connect_from(ends.local_port, y.port);
+	connections_opened(&t, first);
+	connections_opened(&t, second);
+	ends.port = x.port;
+	g_assert_cmpint(connections_find(&t, &ends)->fd, ==, first);
+	ends.port = y.port;
+	g_assert_cmpint(connections_find(&t, &ends)->fd, ==, second);
+	connections_finish(&t);
+	close(first);
+	close(second);
+	fixture_finish(&x);
+	fixture_finish(&y);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -501,6 +547,8 @@
 			test_further_answer_reaches_nobody);
 	g_test_add_func("/fetch/connections-are-kept",
 			test_connections_are_kept);
+	g_test_add_func("/fetch/connections-of-one-local-port",
+			test_connections_of_one_local_port);
 	g_test_add_func("/fetch/greeting-server-is-left",
 			test_greeting_server_is_left);
 	return g_test_run();
