t: connections with further bytes are closed, kept and counted right

test-fetch: at a limit of one connection a request that finds bytes beyond the answers on it is answered on a new one, and the old one is closed by then; one that is started again keeps its deadlines. No fault found.

--- a/t/test-answer-bytes.c
+++ b/t/test-answer-bytes.c
@@ -43,6 +43,7 @@
 /* What the server does with an answer. */
 #define FORM_LIST(X)                                                      \
 	X(plain, "whole")                                                 \
+	X(kept, "whole, on a connection that is kept")                    \
 	X(cut, "broken off")                                              \
 	X(doubled, "a second one at once")                                \
 	X(doubled_cut, "part of a second one at once")                    \
@@ -784,6 +785,8 @@
 
 static enum form random_form(struct world *w)
 {
+	if (w->form == FORM_kept)
+		return FORM_kept;
 	if (w->form == FORM_any)
 		return (enum form)number(w, 0, FIRST_UNTOLD - 1);
 	return chance(w, SHARE_OF_FORM) ? w->form : FORM_plain;
@@ -888,6 +891,7 @@
 	ev_run(w.loop, 0);
 	add_tallies(sums, w.tallies);
 	n_connections = w.served->len;
+	g_assert_cmpuint(w.fetcher.connections.all->len, <=, MAX_CONNECTIONS);
 	world_finish(&w);
 	return n_connections;
 }
@@ -934,6 +938,14 @@
 	}
 }
 
+/* A wrong count of an answer's bytes opens a connection for each request. */
+static void test_connections_are_kept(void)
+{
+	struct tally sums[N_FORMS] = { 0 };
+
+	g_assert_cmpuint(run(first_seed, FORM_kept, sums), <=, MAX_CONNECTIONS);
+}
+
 /* Without the rules, some of what broke off is delivered. */
 static void test_rules_are_needed(void)
 {
@@ -986,6 +998,8 @@
 		first_seed = atoi(g_getenv("FIRST_SEED"));
 	add_form_tests("answer-bytes", 0, FIRST_UNTOLD);
 	add_form_tests("answer-bytes", FORM_any, FORM_any + 1);
+	g_test_add_func("/answer-bytes/connections-are-kept",
+			test_connections_are_kept);
 	g_test_add_func("/answer-bytes/rules-are-needed",
 			test_rules_are_needed);
 	g_test_add_func("/answer-bytes/id-check-is-needed",
--- a/t/test-fetch.c
+++ b/t/test-fetch.c
@@ -2,11 +2,13 @@
 #include <glib-unix.h>
 #include <glib.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "net/clock.h"
 #include "net/fetch.h"
 #include "util/result.h"
 
@@ -111,6 +113,7 @@
 static void on_accept(struct ev_loop *loop, ev_io *w, int events)
 {
 	struct served *s = g_new0(struct served, 1);
+	int on = 1;
 
 	(void)events;
 	s->fixture = w->data;
@@ -118,6 +121,8 @@
 	s->in = g_string_new(NULL);
 	g_assert_cmpint(s->fd, >=, 0);
 	g_unix_set_fd_nonblocking(s->fd, TRUE, NULL);
+	/* What is sent late waits for no acknowledgement. */
+	setsockopt(s->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	ev_io_init(&s->reader, on_readable, s->fd, EV_READ);
 	s->reader.data = s;
 	ev_io_start(loop, &s->reader);
@@ -139,7 +144,7 @@
 	g_free(s);
 }
 
-static void fixture_init(struct fixture *x)
+static void fixture_init_with(struct fixture *x, uint32_t max_connections)
 {
 	struct sockaddr_in sa = { .sin_family = AF_INET };
 	socklen_t len = sizeof(sa);
@@ -157,7 +162,12 @@
 	ev_io_init(&x->listener, on_accept, fd, EV_READ);
 	x->listener.data = x;
 	ev_io_start(x->loop, &x->listener);
-	fetcher_init(&x->fetcher, x->loop, MAX_CONNECTIONS);
+	fetcher_init(&x->fetcher, x->loop, max_connections);
+}
+
+static void fixture_init(struct fixture *x)
+{
+	fixture_init_with(x, MAX_CONNECTIONS);
 }
 
 static void fixture_finish(struct fixture *x)
@@ -536,6 +546,82 @@
 	fixture_finish(&y);
 }
 
+/* Leaves a kept connection that has received more than its answer. */
+static void leave_stray_bytes(struct fixture *x, const char *answer)
+{
+	struct call c = { 0 };
+
+	call_start(x, &c, "GET",
+		   add_script(x, answer, strlen(answer), "H", STAYS_OPEN),
+		   false);
+	ev_run(x->loop, 0);
+	g_assert_cmpint(c.result, ==, RESULT_OK);
+	call_finish(&c);
+	run_for(x, 2 * END_DELAY_S * 1000);
+}
+
+static uint32_t n_open_at_server(const struct fixture *x)
+{
+	uint32_t i, n = 0;
+	char byte;
+
+	for (i = 0; i < x->served->len; i++) {
+		const struct served *s = g_ptr_array_index(x->served, i);
+
+		n += s->fd >= 0 && recv(s->fd, &byte, 1, MSG_PEEK) != 0;
+	}
+	return n;
+}
+
+/* A connection with stray bytes keeps its place below the limit. */
+static void test_refused_connection_is_closed(void)
+{
+	struct call calls[3] = { 0 };
+	struct fixture x;
+	uint32_t i, script;
+
+	fixture_init_with(&x, 1);
+	script = add_script(&x, FIVE, strlen(FIVE), NULL, STAYS_OPEN);
+	for (i = 0; i < G_N_ELEMENTS(calls); i++) {
+		leave_stray_bytes(&x, FIVE);
+		call_start(&x, &calls[i], "GET", script, false);
+		ev_run(x.loop, 0);
+		g_assert_cmpint(calls[i].result, ==, RESULT_OK);
+		g_assert_cmpuint(n_open_at_server(&x), ==, 1);
+		call_finish(&calls[i]);
+	}
+	g_assert_cmpuint(x.served->len, ==, G_N_ELEMENTS(calls) + 1);
+	fixture_finish(&x);
+}
+
+/* A request that is started again forgets by when it must be sent. */
+static void test_restart_keeps_deadlines(void)
+{
+	struct call no_connect = { 0 }, no_send = { 0 };
+	int64_t past = clock_now_ms() - 1;
+	struct fixture x;
+	uint32_t script;
+
+	fixture_init(&x);
+	script = add_script(&x, FIVE, strlen(FIVE), NULL, STAYS_OPEN);
+	leave_stray_bytes(&x, FIVE);
+	call_start(&x, &no_connect, "GET", script, false);
+	fetch_set_deadlines(&no_connect.fetch, 0, past);
+	ev_run(x.loop, 0);
+	g_assert_cmpint(no_connect.result, !=, RESULT_OK);
+	g_assert_false(no_connect.fetch.sent);
+	g_assert_true(no_connect.fetch.connect_expired);
+	leave_stray_bytes(&x, FIVE);
+	call_start(&x, &no_send, "GET", script, false);
+	fetch_set_deadlines(&no_send.fetch, past, 0);
+	ev_run(x.loop, 0);
+	g_assert_cmpint(no_send.result, !=, RESULT_OK);
+	g_assert_false(no_send.fetch.sent);
+	call_finish(&no_connect);
+	call_finish(&no_send);
+	fixture_finish(&x);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -547,6 +633,10 @@
 			test_further_answer_reaches_nobody);
 	g_test_add_func("/fetch/connections-are-kept",
 			test_connections_are_kept);
+	g_test_add_func("/fetch/refused-connection-is-closed",
+			test_refused_connection_is_closed);
+	g_test_add_func("/fetch/restart-keeps-deadlines",
+			test_restart_keeps_deadlines);
 	g_test_add_func("/fetch/connections-of-one-local-port",
 			test_connections_of_one_local_port);
 	g_test_add_func("/fetch/greeting-server-is-left",
