node: an entry passes on only what is an answer to the request

What callers could get: a success without the server's signature, an answer with another request's id, or a body that is not as long as its head states, from a gate of an earlier version. The entry compared length and digest with what the gate had counted, and of a head without signature it only wrote the event answer_unsigned. A second head while an answer was being streamed ended the entry's process (plan_cause() of no attempt).

An answer counts at the entry only if its status is a final one, its id the attempt's, a success has one signature that is not empty, its length is not in doubt and the body as long as stated; a HEAD, 204 and 304 have no body. All else ends the attempt as invalid (mixed), as a digest that differs: what may be repeated is tried again, the rest told 504. A streamed answer that grows beyond its length, ends before it or begins once more is broken off before the bytes that do not belong to it. An empty signature is refused at the gate as well: libmicrohttpd sends no header without a value, so the caller would get none.

The event answer_unsigned becomes answer_refused with by="entry"; the counter answers_unsigned stays.

Evidence: test-entry-answer, a caller's socket at a real entry. On the code before, of 22 forms of what is no answer all 22 were passed on with the status that the gate had sent; two parts with a length of 4 and 5 bytes looked whole (4 bytes); a second head ended the process. Now all 22 are told 504.

--- a/net/answer-check.c
+++ b/net/answer-check.c
@@ -3,6 +3,9 @@
 
 #include "net/answer-check.h"
 
+#define HTTP_NO_CONTENT 204
+#define HTTP_NOT_MODIFIED 304
+
 #ifdef RULE_SWITCHES
 bool answer_check_disabled;
 #else
@@ -45,6 +48,26 @@
 
 	if (!names->signature || status >= 300)
 		return true;
-	return signature && all_are(headers, names->signature, signature) &&
+	return signature && *signature &&
+	       all_are(headers, names->signature, signature) &&
 	       !header_find(headers, "Content-Encoding");
 }
+
+int64_t answer_length(const GPtrArray *headers)
+{
+	const char *text = header_find(headers, "Content-Length");
+	guint64 length;
+
+	if (!text)
+		return ANSWER_LENGTH_NONE;
+	if (!all_are(headers, "Content-Length", text) ||
+	    !g_ascii_string_to_unsigned(text, 10, 0, INT64_MAX, &length, NULL))
+		return ANSWER_LENGTH_IN_DOUBT;
+	return (int64_t)length;
+}
+
+bool answer_has_body(const char *method, long status)
+{
+	return strcmp(method, "HEAD") && status != HTTP_NO_CONTENT &&
+	       status != HTTP_NOT_MODIFIED;
+}
--- a/net/answer-check.h
+++ b/net/answer-check.h
@@ -2,6 +2,7 @@
 #define NET_ANSWER_CHECK_H
 
 #include <stdbool.h>
+#include <stdint.h>
 #include <glib.h>
 
 #include "net/headers.h"
@@ -35,4 +36,13 @@
 bool answer_is_signed(const GPtrArray *headers,
 		      const struct header_names *names, long status);
 
+#define ANSWER_LENGTH_NONE (-1)
+#define ANSWER_LENGTH_IN_DOUBT (-2) /* no number, or several that differ */
+
+/* The length of the body that a head states, or ANSWER_LENGTH_*. */
+int64_t answer_length(const GPtrArray *headers);
+
+/* Whether an answer with this status to such a request has a body. */
+bool answer_has_body(const char *method, long status);
+
 #endif
--- a/node/entry-answer.c
+++ b/node/entry-answer.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "net/answer-check.h"
+#include "net/answer.h"
 #include "net/clock.h"
 #include "net/headers.h"
 #include "node/entry-request.h"
@@ -17,6 +18,9 @@
 /* Largest random addition to Retry-After in whole seconds. */
 #define RETRY_AFTER_SPREAD_S 2
 #define MS_PER_S 1000
+/* Statuses of answers that end a request. */
+#define MIN_STATUS 200
+#define MAX_STATUS 599
 
 void entry_record_attempt(struct entry_request *r, const struct attempt *a,
 			  int result)
@@ -183,20 +187,17 @@
 	reply(r, status, NULL, -1, text);
 }
 
-/* Headers for the caller. *length: of the body, -1 if it is not stated. */
-static GPtrArray *answer_headers(const struct request_msg *m, int64_t *length)
+/* Headers for the caller, without the length. */
+static GPtrArray *answer_headers(const struct request_msg *m)
 {
 	GPtrArray *headers = headers_new();
 	uint32_t i;
 
-	*length = -1;
 	for (i = 0; m->headers && i + 1 < m->headers->len; i += 2) {
 		const char *name = g_ptr_array_index(m->headers, i);
 		const char *value = g_ptr_array_index(m->headers, i + 1);
 
-		if (!g_ascii_strcasecmp(name, "Content-Length"))
-			*length = g_ascii_strtoll(value, NULL, 10);
-		else if (!header_is_hop_by_hop(name))
+		if (!header_is_hop_by_hop(name))
 			header_add(headers, name, value);
 	}
 	return headers;
@@ -220,15 +221,62 @@
 	r->received_bytes += m->len;
 }
 
-/* A success without a server's signature is about to reach the caller. */
-static void emit_unsigned(const struct entry_request *r,
-			  const struct attempt *a, const struct request_msg *m)
+/* Whether all of a body can be as long as the head of its answer states. */
+static bool length_fits(const struct entry_request *r,
+			const struct request_msg *m, bool has_body)
 {
-	COUNT(answers_unsigned);
-	EVENT(answer_unsigned, r->attempt_id,
-	      "\"by\":\"entry\",\"gate\":%" PRId64 ",\"status\":%" PRId64
+	bool end = m->flags & REQ_FLAG_END;
+
+	if (!has_body)
+		return end && !m->len;
+	if (r->answer_length < 0)
+		return true;
+	return end ? r->answer_length == r->received_bytes
+		   : r->answer_length >= r->received_bytes;
+}
+
+/*
+ * Why the answer that m begins is none to the request. Gates check answers, but
+ * those of earlier versions accept more.
+ */
+static enum answer_fault find_fault(const struct entry_request *r,
+				    const struct request_msg *m)
+{
+	const struct header_names *names = r->entry->node->settings.headers;
+	bool has_body = answer_has_body(r->http->method, m->status);
+
+	if (m->status < MIN_STATUS || m->status > MAX_STATUS ||
+	    r->answer_length == ANSWER_LENGTH_IN_DOUBT)
+		return ANSWER_FAULT_protocol;
+	if (!answer_is_for(m->headers, names, r->attempt_id))
+		return ANSWER_FAULT_other;
+	if (!answer_is_signed(m->headers, names, m->status))
+		return ANSWER_FAULT_unsigned;
+	if (((m->flags & REQ_FLAG_END) && !answer_is_complete(r, m)) ||
+	    !length_fits(r, m, has_body))
+		return ANSWER_FAULT_body_cut;
+	return ANSWER_FAULT_none;
+}
+
+/* Ends an attempt whose gate sent no answer to it. */
+static void refuse_answer(struct entry_request *r, struct attempt *a,
+			  const struct request_msg *m, enum answer_fault fault)
+{
+	if (fault == ANSWER_FAULT_body_cut)
+		COUNT(answers_cut);
+	else
+		COUNT(answers_mixed);
+	if (fault == ANSWER_FAULT_unsigned)
+		COUNT(answers_unsigned);
+	EVENT(answer_refused, r->attempt_id,
+	      "\"by\":\"entry\",\"why\":\"%s\",\"gate\":%" PRId64
+	      ",\"status\":%" PRId64
 	      ",\"head_bytes\":-1,\"body_bytes\":%zu,\"connection\":%" PRIu64,
-	      a->member, m->status, m->len, a->connection);
+	      answer_fault_text(fault), a->member, m->status, m->len,
+	      a->connection);
+	if (!(m->flags & REQ_FLAG_END))
+		entry_send_cancel(r->entry, a);
+	entry_end_attempt(r, a, ATTEMPT_EVENT_INVALID_ANSWER, RESULT_MIXED);
 }
 
 static void emit_answered(struct entry_request *r, const struct attempt *a,
@@ -264,31 +312,52 @@
 	entry_remove_attempt(r->entry, a);
 }
 
+/* Ends an answer whose head has been sent to the caller, and stops its gate. */
+static void break_off(struct entry_request *r, struct attempt *a)
+{
+	entry_send_cancel(r->entry, a);
+	entry_end_answer(r, a, false);
+}
+
+/* Sends an answer that has more parts, or the head alone for a HEAD. */
+static void begin_stream(struct entry_request *r, struct attempt *a,
+			 const struct request_msg *m, const GPtrArray *headers)
+{
+	r->winner = a;
+	r->streaming = true;
+	httpd_stream_begin(r->http, m->status, headers, r->answer_length);
+	httpd_stream_write(r->http, m->data, m->len);
+	if (m->flags & REQ_FLAG_END)
+		entry_end_answer(r, a, true);
+}
+
 void entry_on_answer_head(struct entry_request *r, struct attempt *a,
 			  const struct request_msg *m)
 {
 	struct entry *e = r->entry;
+	enum answer_fault fault;
 	GPtrArray *headers;
-	int64_t length;
 
+	if (r->streaming) {
+		break_off(r, a);
+		return;
+	}
 	XXH64_reset(&r->digest, 0);
 	r->received_bytes = 0;
+	r->answer_length = answer_length(m->headers);
 	add_answer_bytes(r, m);
-	if ((m->flags & REQ_FLAG_END) && !answer_is_complete(r, m)) {
-		COUNT(answers_cut);
-		entry_end_attempt(r, a, ATTEMPT_EVENT_INVALID_ANSWER,
-				  RESULT_MIXED);
+	fault = find_fault(r, m);
+	if (fault) {
+		refuse_answer(r, a, m, fault);
 		return;
 	}
-	if (!answer_is_signed(m->headers, e->node->settings.headers, m->status))
-		emit_unsigned(r, a, m);
 	plan_attempt_event(&r->plan, a->number, ATTEMPT_EVENT_ANSWERED);
 	entry_on_server_status(e, a->member, m->headers);
 	entry_cancel_others(r, a);
 	emit_answered(r, a, m->status);
 	if (a->hedge)
 		COUNT(hedges_won);
-	headers = answer_headers(m, &length);
+	headers = answer_headers(m);
 	if ((m->flags & REQ_FLAG_END) && strcmp(r->http->method, "HEAD")) {
 		COUNT(requests_answered);
 		update_answer_size(r);
@@ -296,12 +365,7 @@
 		httpd_reply(r->http, m->status, headers, m->data, m->len);
 		entry_remove_attempt(e, a);
 	} else {
-		r->winner = a;
-		r->streaming = true;
-		httpd_stream_begin(r->http, m->status, headers, length);
-		httpd_stream_write(r->http, m->data, m->len);
-		if (m->flags & REQ_FLAG_END)
-			entry_end_answer(r, a, true);
+		begin_stream(r, a, m, headers);
 	}
 	g_ptr_array_unref(headers);
 }
@@ -322,11 +386,14 @@
 	if (!r->streaming || r->winner != a)
 		return;
 	if (follows_gap(r, m)) {
-		entry_send_cancel(r->entry, a);
-		entry_end_answer(r, a, false);
+		break_off(r, a);
 		return;
 	}
 	add_answer_bytes(r, m);
+	if (!length_fits(r, m, true)) {
+		break_off(r, a);
+		return;
+	}
 	httpd_stream_write(r->http, m->data, m->len);
 	if (m->flags & REQ_FLAG_END)
 		entry_end_answer(r, a, answer_is_complete(r, m));
--- a/node/entry-request.h
+++ b/node/entry-request.h
@@ -67,6 +67,7 @@
 	int64_t refused_at_us; /* last refusal by a gate, 0: none */
 	struct attempt *attempts[MAX_ATTEMPTS]; /* open ones, or NULL */
 	struct attempt *winner; /* whose answer is being streamed */
+	int64_t answer_length; /* of the answer's body, or ANSWER_LENGTH_* */
 	int64_t received_bytes; /* of the answer's body */
 	int64_t credited_bytes; /* of these, credited to the gate */
 	XXH64_state_t digest; /* of the bytes received */
--- a/util/event.h
+++ b/util/event.h
@@ -58,7 +58,6 @@
 	X(gate_set_aside, 5, 20)             \
 	X(gate_refused, 20, 60)              \
 	X(gate_failed, 20, 60)               \
-	X(answer_unsigned, 20, 60)           \
 	X(answer_refused, 20, 60)            \
 	X(grant_in_doubt, 5, 20)             \
 	X(grant_fenced, 5, 20)               \
