builtin: an answer of a node that breaks off is not believed

What operators saw: a subcommand could take a status for an answer when the connection to the node ended within the head, such as a publication that failed or succeeded by its status line alone. The client of the subcommands used curl_easy directly, and libcurl reports success for a connection that ends by FIN after the status line.

It uses net/fetch now, as all other readers of answers do: an answer counts once its head was accepted and its body is whole.

Evidence: test-client, a server that ends the connection after each number of bytes of an answer. On the code before it failed at the first 17 bytes, the status line with its line end; now each of the shorter ones is "unreachable" and the whole answer is read.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 
 PROGRAMS = briargrade log-standin backend-standin platform-store faulty-server \
 	platform-server load slope
-TESTS = test-fetch test-changes test-published test-grants test-member test-schedules test-recovery test-start test-readers test-log-client test-state test-gate test-reconcile test-quarantine test-rate-limit test-server-instance test-sendings test-entry-answer test-route test-settings test-net
+TESTS = test-fetch test-changes test-published test-grants test-member test-schedules test-recovery test-start test-readers test-log-client test-state test-gate test-reconcile test-quarantine test-rate-limit test-server-instance test-sendings test-entry-answer test-client test-route test-settings test-net
 BINARIES = $(PROGRAMS:%=$(OUT)/bin/%) $(TESTS:%=$(OUT)/bin/%) \
 	$(OUT)/bin/fault-soak
 SOURCES = $(wildcard *.c builtin/*.[ch] t/*.[ch] t/soak/*.[ch] \
@@ -79,6 +79,11 @@
 	@mkdir -p $(@D)
 	@echo "  CC $@"; $(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
+$(OUT)/bin/test-client: $(OUT)/t/test-client.o $(OUT)/builtin/client.o \
+		$(LIB_OBJ)
+	@mkdir -p $(@D)
+	@echo "  CC $@"; $(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+
 $(OUT)/bin/%: $(OUT)/t/%.o $(LIB_OBJ)
 	@mkdir -p $(@D)
 	@echo "  CC $@"; $(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
--- a/builtin/client.c
+++ b/builtin/client.c
@@ -1,58 +1,68 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
-#include <curl/curl.h>
 
 #include "builtin/builtin.h"
 #include "builtin/client.h"
+#include "net/fetch.h"
+#include "net/headers.h"
 #include "util/result.h"
 
-#define TIMEOUT_MS 12000L
+#define TIMEOUT_MS 12000
 
-static size_t on_body(char *data, size_t size, size_t n, void *user)
+struct client_call {
+	struct ev_loop *loop;
+	struct client_answer *answer;
+	int result;
+	char problem[CURL_ERROR_SIZE];
+};
+
+static bool on_data(struct fetch *f, const void *data, size_t len)
 {
-	g_string_append_len(user, data, size * n);
-	return size * n;
+	struct client_call *c = f->user;
+
+	g_string_append_len(c->answer->body, data, (gssize)len);
+	return true;
 }
 
-static size_t on_header(char *line, size_t size, size_t n, void *user)
+static void on_done(struct fetch *f, int result)
 {
-	struct client_answer *a = user;
-	g_autofree char *text = g_strndup(line, size * n);
+	struct client_call *c = f->user;
+	const char *next = header_find(f->answer->headers, "Next");
 
-	if (!g_ascii_strncasecmp(text, "Next:", 5))
-		a->next = g_ascii_strtoll(text + 5, NULL, 10);
-	return size * n;
+	c->result = result;
+	c->answer->status = f->status;
+	if (next)
+		c->answer->next = g_ascii_strtoll(next, NULL, 10);
+	g_strlcpy(c->problem,
+		  f->error[0] ? f->error : answer_fault_text(f->answer->fault),
+		  sizeof(c->problem));
+	ev_break(c->loop, EVBREAK_ALL);
 }
 
+static const struct fetch_ops ops = { .on_data = on_data, .on_done = on_done };
+
 int client_request(const char *address, const char *path, const json_t *body,
 		   struct client_answer *out)
 {
 	g_autofree char *url = g_strdup_printf("http://%s%s", address, path);
 	char *text = body ? json_dumps(body, JSON_COMPACT) : NULL;
-	char error[CURL_ERROR_SIZE] = "";
-	CURL *curl = curl_easy_init();
-	CURLcode code;
+	struct client_call c = { .loop = ev_loop_new(0), .answer = out };
+	struct fetcher fetcher;
+	struct fetch f;
 
 	out->next = -1;
 	out->body = g_string_new(NULL);
-	curl_easy_setopt(curl, CURLOPT_URL, url);
-	curl_easy_setopt(curl, CURLOPT_PROXY, "");
-	curl_easy_setopt(curl, CURLOPT_ERRORBUFFER, error);
-	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, TIMEOUT_MS);
-	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(curl, CURLOPT_WRITEDATA, out->body);
-	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, on_header);
-	curl_easy_setopt(curl, CURLOPT_HEADERDATA, out);
-	if (text)
-		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, text);
-	code = curl_easy_perform(curl);
-	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &out->status);
-	curl_easy_cleanup(curl);
+	fetcher_init(&fetcher, c.loop, 1);
+	fetch_start(&f, &fetcher, text ? "POST" : "GET", url, NULL, text,
+		    text ? strlen(text) : 0, TIMEOUT_MS, true, &ops, &c);
+	ev_run(c.loop, 0);
+	fetcher_finish(&fetcher);
+	ev_loop_destroy(c.loop);
 	free(text);
-	if (code == CURLE_OK)
+	if (!c.result)
 		return RESULT_OK;
-	fprintf(stderr, "briargrade: node %s: %s\n", address, error);
+	fprintf(stderr, "briargrade: node %s: %s\n", address, c.problem);
 	client_answer_finish(out);
 	return RESULT_UNREACHABLE;
 }
