--- a/Makefile
+++ b/Makefile
@@ -79,6 +79,8 @@
 	@mkdir -p $(@D)
 	@echo "  CC $@"; $(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
+$(OUT)/bin/faulty-server: $(OUT)/t/faulty-answers.o $(OUT)/t/endless-answers.o
+
 $(OUT)/bin/%: $(OUT)/t/%.o $(LIB_OBJ)
 	@mkdir -p $(@D)
 	@echo "  CC $@"; $(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
--- a/t/faulty-server.c
+++ b/t/faulty-server.c
@@ -14,6 +14,8 @@
 #include "net/address.h"
 #include "net/clock.h"
 #include "platform/request.h"
+#include "t/endless-answers.h"
+#include "t/faulty-answers.h"
 
 /*
  * A backend server of the platform whose answers break the protocol. It sends
@@ -33,55 +35,19 @@
  *   .../endless-trailer trailers without end
  *   .../endless-refusal the body of a refusal does not end
  *   .../garbage         bytes that are no answer, without end
+ *   a form of t/faulty-answers.h answers in it
  *   otherwise           answers
  *
  * GET /stats returns the number of connections accepted, of requests run, of
- * answers without end begun and still open, the bytes of these and how long one
- * was open at most, in ms. GET /ran/ID returns how often an attempt ran.
+ * answers in a form of t/faulty-answers.h, of answers without end begun and
+ * still open, the bytes of these and how long one was open at most, in ms. GET
+ * /ran/ID returns how often an attempt ran, GET /ledger/PREFIX the same for
+ * each one that ran and begins so.
  */
 
 #define BLOCK_BYTES (16 * 1024)
 #define BACKLOG 128
 
-/* An answer without end. */
-struct endless {
-	const char *name; /* at the end of the request's path */
-	const char *head; /* how it begins */
-	const char *named; /* a header that follows the attempt's id, or NULL */
-	const char *more; /* what follows these */
-	const char *repeated; /* what then goes on */
-};
-
-#define OK_HEAD "HTTP/1.1 200 OK\r\n"
-#define CHUNKED_HEAD OK_HEAD "Transfer-Encoding: chunked\r\n"
-#define FULL_HEAD "HTTP/1.1 503 Full\r\nConnection: close\r\n"
-#define SIGNED headers_platform.signature
-#define NOT_RUN headers_platform.not_run
-
-/* Filled in by main(), as the names of headers are no constants. */
-static struct endless endless_answers[10];
-
-static void fill_endless_answers(void)
-{
-	const struct endless all[G_N_ELEMENTS(endless_answers)] = {
-		{ "endless-line", "HTTP/1.1 200 ", NULL, "", "OK " },
-		{ "endless-header", OK_HEAD "X-More: ", NULL, "", "more " },
-		{ "endless-headers", OK_HEAD, SIGNED, "", "X-More: 1\r\n" },
-		{ "endless-1xx", "", NULL, "",
-		  "HTTP/1.1 100 Continue\r\n\r\n" },
-		{ "endless-body", OK_HEAD "Connection: close\r\n", SIGNED,
-		  "\r\n", "bytes " },
-		{ "endless-size", CHUNKED_HEAD, SIGNED, "\r\n", "0" },
-		{ "endless-chunk", CHUNKED_HEAD, SIGNED, "\r\n1;", "x" },
-		{ "endless-trailer", CHUNKED_HEAD, SIGNED, "\r\n0\r\n",
-		  "X-More: 1\r\n" },
-		{ "endless-refusal", FULL_HEAD, NOT_RUN, "\r\n", "bytes " },
-		{ "garbage", "", NULL, "", "no answer\n" },
-	};
-
-	memcpy(endless_answers, all, sizeof(all));
-}
-
 struct connection {
 	int fd;
 	ev_io reader;
@@ -91,8 +57,10 @@
 	GString *id;
 	GString *name; /* of the header that is being read */
 	GString *copy; /* sent when the next request arrives */
-	GString *out;
-	const struct endless *endless;
+	GQueue parts; /* struct part, to be sent */
+	ev_timer delay; /* active while the first part waits */
+	bool ended; /* sends nothing more */
+	const struct endless_answer *endless;
 	GString *block; /* of the answer without end */
 	size_t block_sent;
 	int64_t endless_since_ms;
@@ -100,13 +68,15 @@
 
 static struct ev_loop *loop;
 static GHashTable *refused, *ran;
-static uint64_t n_connections, n_ran, n_endless, n_endless_open, endless_bytes;
+static uint64_t n_connections, n_ran, n_forms;
+static uint64_t n_endless, n_endless_open, endless_bytes;
 static int64_t longest_ms;
 
 static void connection_close(struct connection *c)
 {
 	ev_io_stop(loop, &c->reader);
 	ev_io_stop(loop, &c->writer);
+	ev_timer_stop(loop, &c->delay);
 	close(c->fd);
 	if (c->endless) {
 		n_endless_open--;
@@ -117,7 +87,7 @@
 	g_string_free(c->id, TRUE);
 	g_string_free(c->name, TRUE);
 	g_string_free(c->copy, TRUE);
-	g_string_free(c->out, TRUE);
+	g_queue_clear_full(&c->parts, (GDestroyNotify)part_free);
 	g_string_free(c->block, TRUE);
 	g_free(c);
 }
@@ -133,6 +103,15 @@
 	g_string_append_printf(out, "%zu\r\n\r\n%s", strlen(body), body);
 }
 
+static void send_answer(struct connection *c, int status, bool is_run,
+			const char *body)
+{
+	GString *out = g_string_new(NULL);
+
+	append_answer(c, out, status, is_run, body);
+	parts_add(&c->parts, 0, out, PART_CONTINUES);
+}
+
 static void add_one(GHashTable *counts, const char *id)
 {
 	gpointer n = g_hash_table_lookup(counts, id);
@@ -141,11 +120,16 @@
 			    GUINT_TO_POINTER(GPOINTER_TO_UINT(n) + 1));
 }
 
-static void answer_run(struct connection *c)
+static void record_run(const struct connection *c)
 {
 	n_ran++;
 	add_one(ran, c->id->str);
-	append_answer(c, c->out, 200, true, "done\n");
+}
+
+static void answer_run(struct connection *c)
+{
+	record_run(c);
+	send_answer(c, 200, true, "done\n");
 }
 
 static void answer_refuse_once(struct connection *c)
@@ -155,7 +139,7 @@
 		return;
 	}
 	add_one(refused, c->id->str);
-	append_answer(c, c->out, 503, false, "full\n");
+	send_answer(c, 503, false, "full\n");
 	append_answer(c, c->copy, 503, false, "full\n");
 }
 
@@ -163,15 +147,15 @@
 {
 	g_autofree char *text = g_strdup_printf(
 		"connections %" G_GUINT64_FORMAT "\nran %" G_GUINT64_FORMAT
-		"\nendless %" G_GUINT64_FORMAT
+		"\nforms %" G_GUINT64_FORMAT "\nendless %" G_GUINT64_FORMAT
 		"\nendless_open %" G_GUINT64_FORMAT
 		"\nendless_bytes %" G_GUINT64_FORMAT
 		"\nendless_longest_ms %" G_GINT64_FORMAT "\n",
-		(guint64)n_connections, (guint64)n_ran, (guint64)n_endless,
-		(guint64)n_endless_open, (guint64)endless_bytes,
-		(gint64)longest_ms);
+		(guint64)n_connections, (guint64)n_ran, (guint64)n_forms,
+		(guint64)n_endless, (guint64)n_endless_open,
+		(guint64)endless_bytes, (gint64)longest_ms);
 
-	append_answer(c, c->out, 200, true, text);
+	send_answer(c, 200, true, text);
 }
 
 static void answer_ran(struct connection *c, const char *id)
@@ -179,53 +163,83 @@
 	g_autofree char *text = g_strdup_printf(
 		"%u", GPOINTER_TO_UINT(g_hash_table_lookup(ran, id)));
 
-	append_answer(c, c->out, 200, true, text);
+	send_answer(c, 200, true, text);
 }
 
-static void begin_endless(struct connection *c, const struct endless *e)
+static void answer_ledger(struct connection *c, const char *prefix)
 {
+	g_autoptr(GString) text = g_string_new(NULL);
+	GHashTableIter iter;
+	gpointer id, n;
+
+	g_hash_table_iter_init(&iter, ran);
+	while (g_hash_table_iter_next(&iter, &id, &n))
+		if (g_str_has_prefix(id, prefix))
+			g_string_append_printf(text, "%s %u\n", (char *)id,
+					       GPOINTER_TO_UINT(n));
+	send_answer(c, 200, true, text->str);
+}
+
+static bool answer_in_form(struct connection *c)
+{
+	bool is_run;
+
+	if (!faulty_answer_add(&c->parts, c->copy, c->path->str, c->id->str,
+			       &is_run))
+		return false;
+	n_forms++;
+	if (is_run)
+		record_run(c);
+	return true;
+}
+
+static void begin_endless(struct connection *c, const struct endless_answer *e)
+{
+	GString *out = g_string_new(e->head);
+
 	c->endless = e;
 	c->endless_since_ms = clock_now_ms();
 	n_endless++;
 	n_endless_open++;
-	g_string_append(c->out, e->head);
 	if (e->named)
-		g_string_append_printf(c->out, "%s: %s\r\n%s: 1\r\n",
+		g_string_append_printf(out, "%s: %s\r\n%s: 1\r\n",
 				       headers_platform.attempt_id, c->id->str,
 				       e->named);
-	g_string_append(c->out, e->more);
+	g_string_append(out, e->more);
+	parts_add(&c->parts, 0, out, PART_CONTINUES);
 	while (c->block->len < BLOCK_BYTES)
 		g_string_append(c->block, e->repeated);
 }
 
-static const struct endless *find_endless(const char *path)
+static void send_copy(struct connection *c)
 {
-	uint32_t i;
-
-	for (i = 0; i < G_N_ELEMENTS(endless_answers); i++)
-		if (g_str_has_suffix(path, endless_answers[i].name))
-			return &endless_answers[i];
-	return NULL;
+	if (!c->copy->len)
+		return;
+	parts_add(&c->parts, 0, g_string_new_len(c->copy->str, c->copy->len),
+		  PART_CONTINUES);
+	g_string_truncate(c->copy, 0);
 }
 
 static int on_complete(http_parser *p)
 {
 	struct connection *c = p->data;
-	const struct endless *e = find_endless(c->path->str);
+	const struct endless_answer *e = endless_answer_find(c->path->str);
 
-	g_string_append(c->out, c->copy->str);
-	g_string_truncate(c->copy, 0);
+	send_copy(c);
 	if (e)
 		begin_endless(c, e);
 	else if (!strcmp(c->path->str, "/stats"))
 		answer_stats(c);
 	else if (g_str_has_prefix(c->path->str, "/ran/"))
 		answer_ran(c, c->path->str + strlen("/ran/"));
+	else if (g_str_has_prefix(c->path->str, "/ledger/"))
+		answer_ledger(c, c->path->str + strlen("/ledger/"));
 	else if (strstr(c->path->str, "refuse-once"))
 		answer_refuse_once(c);
-	else
+	else if (!answer_in_form(c))
 		answer_run(c);
-	ev_io_start(loop, &c->writer);
+	if (!ev_is_active(&c->delay))
+		ev_io_start(loop, &c->writer);
 	return 0;
 }
 
@@ -282,6 +296,8 @@
 	(void)events;
 	if (n < 0 && errno == EAGAIN)
 		return;
+	if (n > 0 && c->ended)
+		return;
 	if (n <= 0 || http_parser_execute(&c->parser, &parser_settings, bytes,
 					  n) != (size_t)n)
 		connection_close(c);
@@ -295,27 +311,84 @@
 	return n < 0 && errno == EAGAIN ? 0 : n;
 }
 
-static void on_writable(struct ev_loop *l, ev_io *w, int events)
+static void on_delay(struct ev_loop *l, ev_timer *w, int events)
 {
 	struct connection *c = w->data;
-	ssize_t n;
 
 	(void)events;
-	if (c->out->len) {
-		n = send_some(c->fd, c->out->str, c->out->len);
-		if (n > 0)
-			g_string_erase(c->out, 0, n);
-	} else if (c->endless) {
-		n = send_some(c->fd, c->block->str + c->block_sent,
+	ev_io_start(l, &c->writer);
+}
+
+static void wait_for_part(struct connection *c, struct part *p)
+{
+	ev_io_stop(loop, &c->writer);
+	ev_timer_set(&c->delay, p->delay_ms / 1000.0, 0);
+	p->delay_ms = 0;
+	ev_now_update(loop);
+	ev_timer_start(loop, &c->delay);
+}
+
+/* Ends the sending side; what still arrives is read and dropped. */
+static void send_fin(struct connection *c)
+{
+	c->ended = true;
+	g_queue_clear_full(&c->parts, (GDestroyNotify)part_free);
+	shutdown(c->fd, SHUT_WR);
+}
+
+static void set_reset_on_close(int fd)
+{
+	struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+}
+
+/* Returns false if the connection has ended. */
+static bool send_part(struct connection *c, struct part *p)
+{
+	ssize_t n = send_some(c->fd, p->bytes->str, p->bytes->len);
+	enum part_end end = p->end;
+
+	if (n < 0)
+		return false;
+	g_string_erase(p->bytes, 0, n);
+	if (p->bytes->len)
+		return true;
+	part_free(g_queue_pop_head(&c->parts));
+	if (end == PART_FIN)
+		send_fin(c);
+	if (end == PART_RESET)
+		set_reset_on_close(c->fd);
+	return end != PART_RESET;
+}
+
+static bool send_endless(struct connection *c)
+{
+	ssize_t n = send_some(c->fd, c->block->str + c->block_sent,
 			      c->block->len - c->block_sent);
-		endless_bytes += MAX(n, 0);
-		if (n > 0)
-			c->block_sent = (c->block_sent + n) % c->block->len;
-	} else {
+
+	endless_bytes += MAX(n, 0);
+	if (n > 0)
+		c->block_sent = (c->block_sent + n) % c->block->len;
+	return n >= 0;
+}
+
+static void on_writable(struct ev_loop *l, ev_io *w, int events)
+{
+	struct connection *c = w->data;
+	struct part *p = g_queue_peek_head(&c->parts);
+	bool lives = true;
+
+	(void)events;
+	if (p && p->delay_ms)
+		wait_for_part(c, p);
+	else if (p)
+		lives = send_part(c, p);
+	else if (c->endless)
+		lives = send_endless(c);
+	else
 		ev_io_stop(l, w);
-		return;
-	}
-	if (n < 0)
+	if (!lives)
 		connection_close(c);
 }
 
@@ -337,12 +410,13 @@
 	c->id = g_string_new(NULL);
 	c->name = g_string_new(NULL);
 	c->copy = g_string_new(NULL);
-	c->out = g_string_new(NULL);
 	c->block = g_string_new(NULL);
 	http_parser_init(&c->parser, HTTP_REQUEST);
 	c->parser.data = c;
 	ev_io_init(&c->reader, on_readable, fd, EV_READ);
 	ev_io_init(&c->writer, on_writable, fd, EV_WRITE);
+	ev_init(&c->delay, on_delay);
+	c->delay.data = c;
 	c->reader.data = c;
 	c->writer.data = c;
 	ev_io_start(l, &c->reader);
@@ -372,7 +446,6 @@
 		fprintf(stderr, "usage: faulty-server ADDRESS:PORT\n");
 		return 2;
 	}
-	fill_endless_answers();
 	loop = ev_default_loop(0);
 	refused = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	ran = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
