t/soak: what backend servers send is broken off at any byte

The soak's proxy delayed, silenced and reset connections, but none ended within an answer by FIN, so that the soak could not find successes without a signature.

Change: the proxy ends 2 or 40 of 100 pieces of what a server sends at a random byte, by FIN or by reset; requests, health checks and grants by call pass through it. Up to four such faults a phase, drawn from a generator of their own, so that a seed draws all other faults as before. A success must have its request's id, besides the signature and the whole body.

--- a/t/soak/callers.c
+++ b/t/soak/callers.c
@@ -41,7 +41,10 @@
 	c->body = NULL;
 }
 
-/* An answer must name its request and carry the backend server's signature. */
+/*
+ * A success must name its request, carry the backend server's signature and
+ * have its whole body.
+ */
 static void check_answer(struct call *c)
 {
 	g_autofree char *expected =
@@ -52,6 +55,10 @@
 	    c->body->str[c->body->len - 1] != '\n')
 		report_broken(c->callers->fleet, "whole answer: %s got \"%s\"",
 			      c->id, c->body->str);
+	if (g_strcmp0(header_find(headers, "X-Mesh-Request-Id"), c->id))
+		report_broken(c->callers->fleet,
+			      "whole answer: %s got the id %s", c->id,
+			      header_find(headers, "X-Mesh-Request-Id"));
 	if (!header_find(headers, "X-Mesh-Stamp"))
 		report_broken(c->callers->fleet,
 			      "whole answer: %s has no signature", c->id);
@@ -61,7 +68,7 @@
 {
 	if (result)
 		return CALL_FAILED;
-	if (c->status == 200) {
+	if (c->status >= 200 && c->status < 300) {
 		check_answer(c);
 		return CALL_ANSWERED;
 	}
--- a/t/soak/faults.c
+++ b/t/soak/faults.c
@@ -10,6 +10,9 @@
 #define MIN_DURATION_MS 200
 #define MAX_DURATION_MS 6000
 #define PLANNED_PHASE_MS 2000
+#define MAX_BREAKS 4
+#define FEW_BREAKS 0.02
+#define MANY_BREAKS 0.4
 
 /*
  * begin() returns false when the fault cannot be applied now; it is then
@@ -262,6 +265,28 @@
 	return true;
 }
 
+/* What a backend server sends to nodes ends at any byte. */
+static bool begin_breaks(struct fleet *f, struct fault *x)
+{
+	struct proxy *link = &host_of(f, x)->links[LINK_SERVER];
+	bool by_reset = x->random_bits & 1;
+	double share = x->random_bits & 2 ? MANY_BREAKS : FEW_BREAKS;
+
+	if (link->break_share > 0)
+		return false;
+	x->description = g_strdup_printf("server %u breaks off %g by %s",
+					 x->node, share,
+					 by_reset ? "reset" : "FIN");
+	proxy_set_breaks(link, share, by_reset, x->random_bits);
+	return true;
+}
+
+static bool end_breaks(struct fleet *f, struct fault *x)
+{
+	proxy_set_breaks(&host_of(f, x)->links[LINK_SERVER], 0, false, 0);
+	return true;
+}
+
 static bool set_cut(struct fleet *f, uint32_t i, uint32_t from, bool on)
 {
 	g_autofree char *path = g_strdup_printf("/test/cut?peer=%s&on=%d",
@@ -315,6 +340,8 @@
 static const struct fault_kind reload_kind = { "reload node", 2, reload_node,
 					       NULL };
 static const struct fault_kind publish_kind = { "publish", 2, publish, NULL };
+static const struct fault_kind break_kind = { "break off", 0, begin_breaks,
+					      end_breaks };
 
 static const struct fault_kind unplanned_kinds[] = {
 	{ "kill node", 4, kill_node, restart_node },
@@ -335,6 +362,7 @@
 {
 	s->fleet = f;
 	s->rand = g_rand_new_with_seed(seed);
+	s->break_rand = g_rand_new_with_seed(~seed);
 	s->all = g_ptr_array_new();
 	s->phase_started_at_ms = clock_now_ms();
 }
@@ -353,15 +381,16 @@
 	s->phase_started_at_ms = clock_now_ms();
 }
 
-static void add_fault(struct faults *s, const struct fault_kind *kind,
-		      int64_t begin_offset_ms, int64_t duration_ms)
+static void add_fault(struct faults *s, GRand *rand,
+		      const struct fault_kind *kind, int64_t begin_offset_ms,
+		      int64_t duration_ms)
 {
 	struct fault *x = g_new0(struct fault, 1);
 
 	x->kind = kind;
-	x->node = g_rand_int_range(s->rand, 0, N_NODES);
-	x->link = g_rand_int_range(s->rand, 0, N_LINKS);
-	x->random_bits = g_rand_int(s->rand) >> 1;
+	x->node = g_rand_int_range(rand, 0, N_NODES);
+	x->link = g_rand_int_range(rand, 0, N_LINKS);
+	x->random_bits = g_rand_int(rand) >> 1;
 	x->begin_offset_ms = begin_offset_ms;
 	x->end_offset_ms = begin_offset_ms + duration_ms;
 	g_ptr_array_add(s->all, x);
@@ -401,22 +430,38 @@
 	uint32_t i;
 
 	for (i = 0; i < n; i++)
-		add_fault(s, kinds[i],
+		add_fault(s, s->rand, kinds[i],
 			  g_rand_int_range(s->rand, 0, PLANNED_PHASE_MS),
 			  g_rand_int_range(s->rand, MIN_DURATION_MS,
 					   PLANNED_PHASE_MS));
 }
 
+static void draw_breaks(struct faults *s, int64_t duration_ms)
+{
+	uint32_t n = g_rand_int_range(s->break_rand, 0, MAX_BREAKS + 1);
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		GRand *r = s->break_rand;
+		int64_t at_ms = g_rand_int_range(r, 0, duration_ms);
+		int64_t for_ms =
+			g_rand_int_range(r, MIN_DURATION_MS, MAX_DURATION_MS);
+
+		add_fault(s, r, &break_kind, at_ms, for_ms);
+	}
+}
+
 void faults_draw_unplanned(struct faults *s, int64_t duration_ms)
 {
 	uint32_t n = g_rand_int_range(s->rand, MIN_FAULTS, MAX_FAULTS + 1);
 	uint32_t i;
 
 	for (i = 0; i < n; i++)
-		add_fault(s, draw_kind(s),
+		add_fault(s, s->rand, draw_kind(s),
 			  g_rand_int_range(s->rand, 0, duration_ms),
 			  g_rand_int_range(s->rand, MIN_DURATION_MS,
 					   MAX_DURATION_MS));
+	draw_breaks(s, duration_ms);
 }
 
 static void begin_fault(struct faults *s, struct fault *x)
--- a/t/soak/faults.h
+++ b/t/soak/faults.h
@@ -27,6 +27,8 @@
 struct faults {
 	struct fleet *fleet;
 	GRand *rand;
+	/* Of breaks alone, so that a seed draws the other faults as before. */
+	GRand *break_rand;
 	GPtrArray *all; /* of this phase, struct fault */
 	int64_t phase_started_at_ms;
 };
--- a/t/soak/proxy.c
+++ b/t/soak/proxy.c
@@ -19,6 +19,7 @@
 	int64_t due_at_ms;
 	size_t n_sent;
 	GByteArray *bytes;
+	bool resets; /* this end is a reset */
 };
 
 /* One direction of a connection. */
@@ -83,6 +84,10 @@
 	ssize_t n;
 
 	*would_block = false;
+	if (c->resets) {
+		connection_close(p->connection, true);
+		return false;
+	}
 	if (!c->bytes->len) {
 		shutdown(p->to, SHUT_WR);
 		p->eof_sent = true;
@@ -132,12 +137,42 @@
 		ev_io_start(x->loop, &p->read_watcher);
 }
 
+static struct chunk *push_chunk(struct pipe *p, const guint8 *data, size_t len)
+{
+	struct chunk *c = g_new0(struct chunk, 1);
+
+	c->due_at_ms = clock_now_ms() + p->connection->proxy->delay_ms;
+	c->bytes = g_byte_array_new();
+	g_byte_array_append(c->bytes, data, len);
+	g_queue_push_tail(&p->chunks, c);
+	p->queued_bytes += len;
+	return c;
+}
+
+static bool draw_break(const struct pipe *p)
+{
+	const struct proxy *x = p->connection->proxy;
+
+	return p->direction == PROXY_DOWN && x->break_share > 0 &&
+	       g_rand_double(x->rand) < x->break_share;
+}
+
+static void break_off(struct pipe *p, const guint8 *data, size_t len)
+{
+	struct proxy *x = p->connection->proxy;
+	size_t kept = g_rand_int_range(x->rand, 0, (gint32)len);
+
+	if (kept)
+		push_chunk(p, data, kept);
+	push_chunk(p, NULL, 0)->resets = x->break_by_reset;
+	p->eof_read = true;
+}
+
 static void on_in(struct ev_loop *loop, ev_io *w, int events)
 {
 	struct pipe *p = w->data;
 	guint8 data[READ_BYTES];
 	ssize_t n = recv(p->from, data, sizeof(data), 0);
-	struct chunk *c;
 
 	(void)events;
 	if (n < 0 && errno == EAGAIN)
@@ -146,14 +181,12 @@
 		connection_close(p->connection, true);
 		return;
 	}
-	c = g_new0(struct chunk, 1);
-	c->due_at_ms = clock_now_ms() + p->connection->proxy->delay_ms;
-	c->bytes = g_byte_array_new();
-	g_byte_array_append(c->bytes, data, n);
-	g_queue_push_tail(&p->chunks, c);
-	p->queued_bytes += n;
 	p->eof_read = !n;
-	if (!n || p->queued_bytes >= MAX_QUEUED_BYTES)
+	if (n && draw_break(p))
+		break_off(p, data, n);
+	else
+		push_chunk(p, data, n);
+	if (p->eof_read || p->queued_bytes >= MAX_QUEUED_BYTES)
 		ev_io_stop(loop, w);
 	pump(p);
 }
@@ -264,6 +297,16 @@
 	p->delay_ms = delay_ms;
 }
 
+void proxy_set_breaks(struct proxy *p, double share, bool by_reset,
+		      uint32_t seed)
+{
+	if (!p->rand)
+		p->rand = g_rand_new();
+	g_rand_set_seed(p->rand, seed);
+	p->break_share = share;
+	p->break_by_reset = by_reset;
+}
+
 void proxy_block(struct proxy *p, bool up, bool down)
 {
 	uint32_t i, d;
--- a/t/soak/proxy.h
+++ b/t/soak/proxy.h
@@ -9,8 +9,9 @@
 
 /*
  * A TCP proxy on loopback that can delay data, block it in one direction or
- * both, and reset connections. Blocked data is queued and forwarded in order
- * when the direction is unblocked, as TCP would retransmit it.
+ * both, reset connections, and break off what is sent down. Blocked data is
+ * queued and forwarded in order when the direction is unblocked, as TCP would
+ * retransmit it.
  */
 
 enum proxy_direction {
@@ -26,6 +27,10 @@
 	GPtrArray *connections; /* struct proxy_connection */
 	int64_t delay_ms;
 	bool blocked[PROXY_DIRECTIONS];
+	/* Share of the data read from the listening side that is broken off. */
+	double break_share;
+	bool break_by_reset;
+	GRand *rand; /* of the breaks */
 };
 
 /*
@@ -40,5 +45,11 @@
 void proxy_set_delay(struct proxy *p, int64_t delay_ms);
 /* Blocks or unblocks each direction, for current and new connections. */
 void proxy_block(struct proxy *p, bool up, bool down);
+/*
+ * From now on, a share of the data sent down is broken off at a random byte and
+ * its connection ends there, by FIN or by reset. 0: none.
+ */
+void proxy_set_breaks(struct proxy *p, double share, bool by_reset,
+		      uint32_t seed);
 
 #endif
