--- a/Makefile
+++ b/Makefile
@@ -85,6 +85,8 @@
 	@mkdir -p $(@D)
 	@echo "  CC $@"; $(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
+$(OUT)/bin/faulty-server: $(OUT)/t/faulty-answers.o $(OUT)/t/endless-answers.o
+
 $(OUT)/bin/%: $(OUT)/t/%.o $(LIB_OBJ)
 	@mkdir -p $(@D)
 	@echo "  CC $@"; $(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
