net: the lines around chunks end as they must, or the answer is refused

Callers got answers in chunks as whole whose framing was broken: other bytes than CR LF after a chunk's data, a CR or LF alone in a chunk's line, in a trailer, or at the end. In one form the body delivered was other than the client library's: an extension with a LF alone, by which the library ends the line and the parser does not. Cause: the parser that is installed is built without its strict checks: it skips two bytes after a chunk and one after a CR unread. The library finds some of these errors, after it has handed the bytes on, and by then the answer was whole.

Change: the bytes around the chunks are checked as those of heads are.

--- a/net/answer.c
+++ b/net/answer.c
@@ -61,14 +61,32 @@
 	return !begin[*matched];
 }
 
+/*
+ * Whether the lines around the chunks end with CR LF, and nowhere else. The
+ * parser skips two bytes after a chunk, and one after a CR, whatever they are.
+ */
+static bool has_valid_line_ends(struct answer *a, const char *text, size_t len)
+{
+	for (; len; text++, len--) {
+		if ((*text == '\n') != (a->framing_last == '\r') ||
+		    (a->after_chunk && *text != '\r'))
+			return false;
+		a->framing_last = *text;
+		a->after_chunk = false;
+	}
+	return true;
+}
+
 /* Checks the chunk sizes, extensions and trailers that end at end. */
 static bool framing_is_valid(struct answer *a, const char *end)
 {
 	const char *begin = a->unchecked;
+	size_t len = end - begin;
 
 	a->unchecked = end;
 	return !a->is_chunked ||
-	       !has_status_line(&a->framing_matched, begin, end - begin);
+	       (has_valid_line_ends(a, begin, len) &&
+		!has_status_line(&a->framing_matched, begin, len));
 }
 
 static bool has_no_body(const struct answer *a)
@@ -113,6 +131,7 @@
 		return -1;
 	}
 	a->unchecked = data + len;
+	a->after_chunk = true;
 	a->body_bytes += (int64_t)len;
 	if (a->ops->on_body)
 		fault = a->ops->on_body(a, data, len);
--- a/net/answer.h
+++ b/net/answer.h
@@ -78,6 +78,8 @@
 	int64_t framed_bytes; /* with these */
 	const char *unchecked; /* of the bytes being parsed: framing follows */
 	uint8_t framing_matched; /* of a status line within the framing */
+	char framing_last; /* byte of the framing */
+	bool after_chunk; /* its data was the last that was received */
 	http_parser parser;
 	const struct answer_ops *ops;
 	void *user;
--- a/t/test-fetch.c
+++ b/t/test-fetch.c
@@ -372,6 +372,11 @@
 	"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 	CHUNKED "5HTTP/1.1 200 OK\r\nhello\r\n0\r\n\r\n",
 	CHUNKED "5\r\nhello\r\n0\r\n" OTHER_503 "\r\n",
+	CHUNKED "5\r\nhelloXX0\r\n\r\n",
+	CHUNKED "5\rXhello\r\n0\r\n\r\n",
+	CHUNKED "5;a\nhello\r\n0\r\n\r\n\r\n0\r\n\r\n",
+	CHUNKED "5\r\nhello\r\n0\r\n\rX",
+	CHUNKED "5\r\nhello\r\n0\r\nA: b\n\r\n",
 	/* no heads */
 	"HTTP/1.1 101 Go\r\n\r\nhello",
 	"HTTP/1.1 20 OK\r\nContent-Length: 5\r\n\r\nhello",
