net: a read of the log that does not say where it ends has failed

What operators could see: an append told as not done that had been. An answer to a read without "next" was taken for one of a log that ends at 0: the node took itself to be at its end, and appends in doubt for shown to have had no effect. A refusal of trimmed records without "first" was taken for a log that begins at 0.

Such an answer is a failed read now, which is repeated.

Evidence: /store/odd-reads, which failed on the code before at the first answer without "next". No such answer was seen: found by reading.

--- a/net/log-client.c
+++ b/net/log-client.c
@@ -472,6 +472,22 @@
 	return true;
 }
 
+/* Reads the answer to a read. Without the log's end, nothing is known. */
+static int read_batch(long status, const json_t *answer, struct log_batch *b)
+{
+	json_t *first = json_object_get(answer, "first");
+	json_t *next = json_object_get(answer, "next");
+
+	b->first = json_integer_value(first);
+	b->next = json_integer_value(next);
+	b->records = json_object_get(answer, "records");
+	if (status == 410)
+		return json_is_integer(first) ? RESULT_TRIMMED : RESULT_INVALID;
+	return json_is_integer(next) && json_is_array(b->records)
+		       ? RESULT_OK
+		       : RESULT_INVALID;
+}
+
 static void on_read_done(struct fetch *f, int result)
 {
 	struct log_client *c = f->user;
@@ -481,14 +497,10 @@
 	if (!result && (f->status == 200 || f->status == 410))
 		answer = json_loadb(c->read_answer->str, c->read_answer->len, 0,
 				    NULL);
-	if (!answer) {
+	if (answer)
+		b.result = read_batch(f->status, answer, &b);
+	else
 		b.result = result ? result : RESULT_IO;
-	} else {
-		b.first = json_integer_value(json_object_get(answer, "first"));
-		b.next = json_integer_value(json_object_get(answer, "next"));
-		b.records = json_object_get(answer, "records");
-		b.result = f->status == 410 ? RESULT_TRIMMED : RESULT_OK;
-	}
 	log_client_read_done(c, &b);
 	json_decref(answer);
 }
--- a/t/test-store.c
+++ b/t/test-store.c
@@ -380,6 +380,29 @@
 	}
 }
 
+/* A log that does not say where it ends has not been read to its end. */
+static void test_odd_reads(void)
+{
+	static const struct {
+		const char *status;
+		const char *body;
+	} all[] = {
+		{ "200 .", "{\"first\":0,\"records\":[]}" },
+		{ "200 .", "{\"first\":0,\"next\":\"1\",\"records\":[]}" },
+		{ "200 .", "{\"first\":0,\"next\":0}" },
+		{ "200 .", "[]" },
+		{ "410 .", "{}" },
+		{ "410 .", "{\"first\":\"3\"}" },
+	};
+	uint32_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(all); i++) {
+		g_test_message("%s", all[i].body);
+		set_answer(all[i].status, all[i].body, strlen(all[i].body));
+		g_assert_true(read_fails(&log_http_ops, false));
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -389,5 +412,6 @@
 	g_test_add_func("/store/broken-appends", test_broken_appends);
 	g_test_add_func("/store/odd-pages", test_odd_pages);
 	g_test_add_func("/store/page-without-more", test_page_without_more);
+	g_test_add_func("/store/odd-reads", test_odd_reads);
 	return g_test_run();
 }
