--- a/t/load.c
+++ b/t/load.c
@@ -11,6 +11,8 @@
  * Load generator: sends requests at a constant rate, whether or not earlier
  * ones have been answered, and prints the outcomes, latencies and the longest
  * time that a key went without an answer. %d in the path stands for the key.
+ * Where backend servers sign their answers, --signature names the header: a
+ * success without it is counted as wrong.
  */
 
 #define MAX_TARGETS 64
@@ -34,8 +36,10 @@
 static uint32_t n_keys = 64;
 static bool with_ids;
 static const char *print_ids;
+static const char *signature; /* header of each success, or NULL */
 static int64_t run_started_at_us;
-static uint64_t n_sent, n_answered, n_not_run, n_unknown, n_other, n_failed;
+static uint64_t n_sent, n_answered, n_not_run, n_unknown, n_other, n_failed,
+	n_wrong;
 static uint32_t n_in_flight;
 static GArray *latencies; /* double, ms */
 static int64_t last_answered_at_us[MAX_KEYS], longest_gap_us[MAX_KEYS];
@@ -62,6 +66,10 @@
 	n_in_flight--;
 	if (result) {
 		n_failed++;
+	} else if (f->status < 300 && signature &&
+		   !header_find(f->answer->headers, signature)) {
+		name = "wrong";
+		n_wrong++;
 	} else if (f->status < 300) {
 		name = "answered";
 		record_answer(c, clock_now_us());
@@ -157,6 +165,8 @@
 	       " other %" G_GUINT64_FORMAT " failed %" G_GUINT64_FORMAT "\n",
 	       (guint64)n_sent, (guint64)n_answered, (guint64)n_not_run,
 	       (guint64)n_unknown, (guint64)n_other, (guint64)n_failed);
+	if (signature)
+		printf("wrong %" G_GUINT64_FORMAT "\n", (guint64)n_wrong);
 	printf("p50_ms %.2f p99_ms %.2f p999_ms %.2f max_ms %.2f\n",
 	       percentile(0.5), percentile(0.99), percentile(0.999),
 	       percentile(1));
@@ -172,6 +182,7 @@
 	{ "keys", required_argument, NULL, 'k' },
 	{ "ids", no_argument, NULL, 'i' },
 	{ "print-ids", required_argument, NULL, 'P' },
+	{ "signature", required_argument, NULL, 'S' },
 	{ 0 }
 };
 
@@ -208,6 +219,9 @@
 		case 'P':
 			print_ids = optarg;
 			break;
+		case 'S':
+			signature = optarg;
+			break;
 		default:
 			return 2;
 		}
