net: a connection given up on while it is made is forgotten

Each request that was cancelled while its connection was being made left an entry in the client's list of connections. The list, which is searched for each request, grew, and its file descriptor soon was another socket: bytes of that one could be taken for those of a connection. Cause: libcurl 7.88 closes a socket that did not connect yet without the callback for it.

Change: an entry whose connection was never used goes when the request that opened it ends.

--- a/net/connections.c
+++ b/net/connections.c
@@ -16,9 +16,9 @@
 	g_array_unref(t->all);
 }
 
-void connections_opened(struct connections *t, int fd)
+void connections_opened(struct connections *t, int fd, const void *opener)
 {
-	struct connection c = { .fd = fd };
+	struct connection c = { .fd = fd, .opener = opener };
 
 	g_array_append_val(t->all, c);
 }
@@ -32,6 +32,16 @@
 			g_array_remove_index_fast(t->all, i--);
 }
 
+void connections_opener_ended(struct connections *t, const void *opener)
+{
+	uint32_t i;
+
+	for (i = 0; i < t->all->len; i++)
+		if (g_array_index(t->all, struct connection, i).opener ==
+		    opener)
+			g_array_remove_index_fast(t->all, i--);
+}
+
 union address {
 	struct sockaddr any;
 	struct sockaddr_in ip4;
--- a/net/connections.h
+++ b/net/connections.h
@@ -26,6 +26,7 @@
 
 struct connection {
 	int fd;
+	const void *opener; /* for whom it is connected; NULL once it is used */
 	struct connection_ends ends;
 	int64_t answered_bytes; /* of the answers received on it */
 };
@@ -34,9 +35,15 @@
 void connections_finish(struct connections *t);
 
 /* A socket was created, or is about to be closed. */
-void connections_opened(struct connections *t, int fd);
+void connections_opened(struct connections *t, int fd, const void *opener);
 void connections_closed(struct connections *t, int fd);
 
+/*
+ * The opener has ended. The client library closes a socket that did not connect
+ * without telling.
+ */
+void connections_opener_ended(struct connections *t, const void *opener);
+
 /*
  * The connection with these ends, or NULL. Valid until the next call that takes
  * a socket.
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -55,6 +55,7 @@
 {
 	struct fetcher *x = f->fetcher;
 
+	connections_opener_ended(&x->connections, f);
 	/* A handle that libcurl still uses must not be reset or reused. */
 	if (x->callback_depth || curl_multi_remove_handle(x->multi, f->easy)) {
 		defer_cleanup(f);
@@ -316,12 +317,17 @@
 	g_ptr_array_unref(x->idle_handles);
 }
 
-/* Whether a kept connection has received bytes that belong to no request. */
-static bool has_stray_bytes(struct fetcher *x,
-			    const struct connection_ends *ends)
+/*
+ * Takes a connection into use. Returns whether it has received bytes that
+ * belong to no request.
+ */
+static bool use_finds_stray_bytes(struct fetcher *x,
+				  const struct connection_ends *ends)
 {
-	const struct connection *c = connections_find(&x->connections, ends);
+	struct connection *c = connections_find(&x->connections, ends);
 
+	if (c)
+		c->opener = NULL;
 	return c && connection_has_stray_bytes(c);
 }
 
@@ -344,7 +350,7 @@
 	f->connection.local_port = from_port;
 	f->connection.port = to_port;
 	g_strlcpy(f->connection.ip, to, sizeof(f->connection.ip));
-	f->stray_bytes = has_stray_bytes(f->fetcher, &f->connection);
+	f->stray_bytes = use_finds_stray_bytes(f->fetcher, &f->connection);
 	if (f->stray_bytes)
 		return CURL_PREREQFUNC_ABORT;
 	f->sent = true;
@@ -373,7 +379,7 @@
 		return CURL_SOCKOPT_ERROR;
 	}
 	if (f)
-		connections_opened(&f->fetcher->connections, fd);
+		connections_opened(&f->fetcher->connections, fd, f);
 	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
--- a/t/test-fetch.c
+++ b/t/test-fetch.c
@@ -538,8 +538,8 @@
 	getsockname(first, (struct sockaddr *)&sa, &len);
 	ends.local_port = ntohs(sa.sin_port);
 	second = connect_from(ends.local_port, y.port);
-	connections_opened(&t, first);
-	connections_opened(&t, second);
+	connections_opened(&t, first, NULL);
+	connections_opened(&t, second, NULL);
 	ends.port = x.port;
 	g_assert_cmpint(connections_find(&t, &ends)->fd, ==, first);
 	ends.port = y.port;
@@ -627,6 +627,36 @@
 	fixture_finish(&x);
 }
 
+/* Sockets that never connected stay in the list of connections. */
+static void test_failed_connections_are_forgotten(void)
+{
+	struct call calls[10] = { 0 };
+	struct fixture x;
+	uint32_t i;
+
+	fixture_init(&x);
+	for (i = 0; i < G_N_ELEMENTS(calls) / 2; i++) {
+		call_start(&x, &calls[i], "GET", 0, false);
+		while (!x.fetcher.connections.all->len)
+			ev_run(x.loop, EVRUN_ONCE);
+		g_assert_false(calls[i].fetch.sent);
+		fetch_cancel(&calls[i].fetch);
+		g_assert_cmpuint(x.fetcher.connections.all->len, ==, 0);
+		x.n_open--;
+	}
+	/* From here on, connections are refused. */
+	ev_io_stop(x.loop, &x.listener);
+	shutdown(x.listener.fd, SHUT_RDWR);
+	for (; i < G_N_ELEMENTS(calls); i++)
+		call_start(&x, &calls[i], "GET", 0, false);
+	ev_run(x.loop, 0);
+	for (i = 0; i < G_N_ELEMENTS(calls); i++)
+		call_finish(&calls[i]);
+	g_assert_cmpint(calls[9].result, ==, RESULT_UNREACHABLE);
+	g_assert_cmpuint(x.fetcher.connections.all->len, ==, 0);
+	fixture_finish(&x);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -642,6 +672,8 @@
 			test_refused_connection_is_closed);
 	g_test_add_func("/fetch/restart-keeps-deadlines",
 			test_restart_keeps_deadlines);
+	g_test_add_func("/fetch/failed-connections-are-forgotten",
+			test_failed_connections_are_forgotten);
 	g_test_add_func("/fetch/connections-of-one-local-port",
 			test_connections_of_one_local_port);
 	g_test_add_func("/fetch/greeting-server-is-left",
