net: an answer broken off on HTTP/1.0 ends with a reset

What callers got: a streamed answer without a length that was broken off, by its server, its gate or this node, looked whole to a caller of HTTP/1.0. To such a caller its end is that of the connection, and libmicrohttpd ends connections in order (FIN) whatever the reader of the body returns.

The connection is reset before libmicrohttpd closes it. Callers of HTTP/1.1 are sent chunks, whose last one is missing then.

--- a/net/httpd.c
+++ b/net/httpd.c
@@ -281,8 +281,8 @@
 	struct httpd_request *begun;
 
 	(void)c;
-	(void)version;
 	if (!r->path) {
+		r->is_http_1_0 = !strcmp(version, MHD_HTTP_VERSION_1_0);
 		r->path = g_strdup(path);
 		g_free(r->method);
 		r->method = g_strdup(method);
@@ -662,6 +662,7 @@
 		return;
 	r->answered = true;
 	r->streaming = true;
+	r->ends_with_connection = r->is_http_1_0 && length < 0;
 	r->status = status;
 	r->unsent = g_byte_array_new();
 	r->response = MHD_create_response_from_callback(
@@ -677,8 +678,23 @@
 	resume(r);
 }
 
+/*
+ * libmicrohttpd ends connections in order (FIN), which in a body without a
+ * length marks its end.
+ */
+static void reset_connection(struct httpd_connection *c)
+{
+	struct sockaddr none = { .sa_family = AF_UNSPEC };
+
+	if (connect(c->fd, &none, sizeof(none)))
+		g_warning("cannot reset a caller's connection: %s",
+			  g_strerror(errno));
+}
+
 void httpd_stream_end(struct httpd_request *r, bool complete)
 {
+	if (!complete && r->ends_with_connection && r->conn)
+		reset_connection(r->conn);
 	r->body_ended = true;
 	r->body_incomplete = !complete;
 	resume(r);
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -101,6 +101,8 @@
 	bool streaming;
 	bool body_ended;
 	bool body_incomplete;
+	bool is_http_1_0;
+	bool ends_with_connection; /* its body's end is not marked otherwise */
 	bool drop_unanswered; /* close the connection without an answer */
 	struct MHD_Response *response; /* queued on resume */
 	uint32_t status;
@@ -174,7 +176,10 @@
 /* Append bytes to a streamed answer. */
 void httpd_stream_write(struct httpd_request *r, const void *data, size_t len);
 
-/* End a streamed answer; one that is incomplete closes the connection. */
+/*
+ * End a streamed answer; one that is incomplete closes the connection. A caller
+ * that knows the end of a body only by that gets a reset.
+ */
 void httpd_stream_end(struct httpd_request *r, bool complete);
 
 /* Bytes of a streamed answer that libmicrohttpd has not taken yet. */
--- a/t/test-entry-answer.c
+++ b/t/test-entry-answer.c
@@ -457,6 +457,30 @@
 	head_again = false;
 }
 
+/* A caller of HTTP/1.0 has only the end of the connection to go by. */
+static void test_broken_off_for_http_1_0(void)
+{
+	struct received got;
+
+	call(&in_parts[0], "1.0", &got);
+	g_assert_cmpstr(got.body, ==, "hello");
+	g_assert_false(got.reset);
+	g_string_free(got.bytes, TRUE);
+	head_again = true;
+	call(&in_parts[0], "1.0", &got);
+	head_again = false;
+	g_assert_true(got.reset);
+	g_string_free(got.bytes, TRUE);
+}
+
+/* Connections that are closed after an answer do not change how it ends. */
+static void test_parts_while_draining(void)
+{
+	node.entry.httpd.draining = true;
+	test_answers_in_parts();
+	node.entry.httpd.draining = false;
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -471,5 +495,9 @@
 			test_other_length_does_not_look_whole);
 	g_test_add_func("/entry-answer/second-head-does-not-look-whole",
 			test_second_head_does_not_look_whole);
+	g_test_add_func("/entry-answer/broken-off-for-http-1.0",
+			test_broken_off_for_http_1_0);
+	g_test_add_func("/entry-answer/parts-while-draining",
+			test_parts_while_draining);
 	return g_test_run();
 }
