t: answers to grants that break off leave the call in doubt

/store/broken-grants ends the connection, by FIN and by reset, after each number of bytes of the answers 200, 400 and 409 to a grant, and asks what the granter takes the call to have done: in doubt each time, and the whole answers what they say. granter_outcome() is public for that.

All hold since net/fetch ends broken answers with an error.

--- a/node/granter.c
+++ b/node/granter.c
@@ -24,7 +24,7 @@
 
 static void start_due_calls(struct granter *x);
 
-static enum grant_outcome outcome_of(const struct fetch *f, int result)
+enum grant_outcome granter_outcome(const struct fetch *f, int result)
 {
 	if (!result)
 		return grant_wire_outcome(f->status);
@@ -76,7 +76,7 @@
 	struct granter_request *r = f->user;
 	struct granter *x = r->granter;
 	struct grants *g = &x->node->gate.grants;
-	enum grant_outcome outcome = outcome_of(f, result);
+	enum grant_outcome outcome = granter_outcome(f, result);
 
 	r->busy = false;
 	x->n_busy[r->call.kind]--;
--- a/node/granter.h
+++ b/node/granter.h
@@ -57,4 +57,7 @@
 /* Starts the calls that are due. */
 void granter_tick(struct granter *x);
 
+/* What a call that ended with this result is known to have done. */
+enum grant_outcome granter_outcome(const struct fetch *f, int result);
+
 #endif
--- a/t/test-store.c
+++ b/t/test-store.c
@@ -7,12 +7,14 @@
 #include <unistd.h>
 
 #include "net/log-client.h"
+#include "node/granter.h"
 #include "platform/store.h"
 #include "util/result.h"
 
 /*
- * What the client of the log believes of answers that break off, by the end of
- * the connection or by its reset, and of pages that are not as they should be.
+ * What the clients of the log and of grants believe of answers that break off,
+ * by the end of the connection or by its reset, and the client of the log of
+ * pages that are not as they should be.
  */
 
 #define TIMEOUT_S 5
@@ -403,6 +405,61 @@
 	}
 }
 
+static void on_grant_done(struct fetch *f, int result)
+{
+	enum grant_outcome *outcome = f->user;
+
+	*outcome = granter_outcome(f, result);
+	ev_break(loop, EVBREAK_ALL);
+}
+
+static enum grant_outcome call_for_grant(void)
+{
+	static const struct fetch_ops grant_ops = { .on_done = on_grant_done };
+	g_autofree char *url = g_strdup_printf("http://%s/-/grant", address);
+	enum grant_outcome outcome = GRANT_NOT_APPLIED;
+	struct fetcher fetcher;
+	struct fetch f;
+
+	fetcher_init(&fetcher, loop, 1);
+	fetch_start(&f, &fetcher, "POST", url, NULL, "{}", 2, TIMEOUT_S * 1000,
+		    true, &grant_ops, &outcome);
+	ev_run(loop, 0);
+	fetcher_finish(&fetcher);
+	return outcome;
+}
+
+/* A server breaks off its answers to grants, whatever they would say. */
+static void test_broken_grants(void)
+{
+	static const struct {
+		const char *status;
+		enum grant_outcome outcome;
+	} all[] = {
+		{ "200 .", GRANT_APPLIED },
+		{ "400 .", GRANT_NOT_APPLIED },
+		{ "409 .", GRANT_FENCED },
+	};
+	uint32_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(all); i++) {
+		GString *whole;
+		size_t n;
+
+		set_answer(all[i].status, TEXT("{}"));
+		whole = last_answer();
+		for (n = 0; n < 2 * whole->len; n++) {
+			resets = n % 2;
+			cut_answer(whole, n / 2);
+			g_assert_cmpint(call_for_grant(), ==, GRANT_IN_DOUBT);
+		}
+		resets = false;
+		cut_answer(whole, whole->len);
+		g_assert_cmpint(call_for_grant(), ==, all[i].outcome);
+		g_string_free(whole, TRUE);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -413,5 +470,6 @@
 	g_test_add_func("/store/odd-pages", test_odd_pages);
 	g_test_add_func("/store/page-without-more", test_page_without_more);
 	g_test_add_func("/store/odd-reads", test_odd_reads);
+	g_test_add_func("/store/broken-grants", test_broken_grants);
 	return g_test_run();
 }
