--- a/t/soak/fleet.c
+++ b/t/soak/fleet.c
@@ -191,6 +191,7 @@
 		" \"choice\": \"soonest\", \"far_ms\": 10,\n"
 		" \"far_ms_per_kb\": 10, \"stop_limit_ms\": 5600,\n"
 		" \"grants\": \"%s\", \"log_level\": \"info\",\n"
+		" \"log_format\": \"json\",\n"
 		" \"test_hooks\": true}\n",
 		i, h->data_centre, h->service, node_address(f, i, PORT_CALLERS),
 		peer_address(f, i), operator_address(f, i),
