node: an encoded answer is not repeated for an id

What callers of the own interface could get: for a booking sent again under its id, the body of the first answer without its Content-Encoding, which is another body. An answer is repeated with its content type only.

The body of an encoded answer is not kept; the booking sent again is told that it has run already, as where an answer is too long to be kept.

Found by reading.

--- a/node/gate-ids.c
+++ b/node/gate-ids.c
@@ -98,11 +98,18 @@
 	return true;
 }
 
+/* The body to repeat, NULL if what is kept of the answer is not all of it. */
+static const char *body_to_repeat(const struct gate_request *r)
+{
+	if ((int64_t)r->stored_answer->len != r->answer_bytes ||
+	    header_find(r->fetch.answer->headers, "Content-Encoding"))
+		return NULL;
+	return r->stored_answer->str;
+}
+
 void gate_record_outcome(struct gate_request *r, int result)
 {
 	struct ids *t = &r->gate->ids;
-	bool whole = r->stored_answer &&
-		     (int64_t)r->stored_answer->len == r->answer_bytes;
 
 	if (!r->id_hash)
 		return;
@@ -113,6 +120,5 @@
 	else
 		ids_end(t, r->id_hash, SEEN_ANSWERED, r->fetch.status,
 			header_find(r->fetch.answer->headers, "Content-Type"),
-			whole ? r->stored_answer->str : NULL,
-			r->stored_answer->len);
+			body_to_repeat(r), r->stored_answer->len);
 }
--- a/t/test-gate.c
+++ b/t/test-gate.c
@@ -8,6 +8,10 @@
 #include "gate/limit.h"
 #include "gate/link.h"
 #include "gate/queue.h"
+#include "net/clock.h"
+#include "net/headers.h"
+#include "node/gate-request.h"
+#include "node/node.h"
 #include "util/fifo-cache.h"
 #include "util/result.h"
 
@@ -223,6 +227,44 @@
 	ids_finish(&t);
 }
 
+/* Whether the answer to a booking, with this header, is kept for its id. */
+static bool answer_is_kept(const char *name, const char *value)
+{
+	static struct node node;
+	struct answer answer = { .headers = headers_new() };
+	struct gate_request r = { .gate = &node.gate, .id_hash = 7 };
+	const struct seen_id *e;
+	bool kept;
+
+	ids_init(&node.gate.ids, 10);
+	ids_begin(&node.gate.ids, 7, 1, 60000, clock_now_ms());
+	header_add(answer.headers, name, value);
+	r.fetch.answer = &answer;
+	r.fetch.status = 200;
+	r.fetch.sent = true;
+	r.stored_answer = g_string_new("body");
+	r.answer_bytes = 4;
+	gate_record_outcome(&r, RESULT_OK);
+	e = ids_find(&node.gate.ids, 7, clock_now_ms());
+	g_assert_nonnull(e);
+	g_assert_cmpint(e->state, ==, SEEN_ANSWERED);
+	kept = e->answer;
+	g_string_free(r.stored_answer, TRUE);
+	g_ptr_array_unref(answer.headers);
+	ids_finish(&node.gate.ids);
+	return kept;
+}
+
+/*
+ * An answer is repeated with its content type only. Without its encoding an
+ * encoded body is another one.
+ */
+static void test_encoded_answer_is_not_kept(void)
+{
+	g_assert_true(answer_is_kept("Content-Type", "text/plain"));
+	g_assert_false(answer_is_kept("Content-Encoding", "gzip"));
+}
+
 /*
  * When the table is full, a new id is refused. If the oldest id were evicted
  * instead, a retry of that request would run it again.
@@ -640,6 +682,8 @@
 	g_test_add_func("/ids/full", test_ids_full);
 	g_test_add_func("/ids/move", test_ids_move);
 	g_test_add_func("/ids/made", test_ids_creation_time);
+	g_test_add_func("/ids/encoded-answer-is-not-kept",
+			test_encoded_answer_is_not_kept);
 	g_test_add_func("/link/wait", test_link_wait);
 	g_test_add_func("/recent/drops-the-oldest",
 			test_fifo_cache_evicts_oldest);
