t: test-answer-bytes prints a request that comes twice

Once, with the sanitizers, its server got a request for a call that it had answered already. What is printed since tells a request that was sent twice from one of another process that met the test's port.

--- a/t/test-answer-bytes.c
+++ b/t/test-answer-bytes.c
@@ -577,6 +577,8 @@
 	struct world *w = s->world;
 	GString *bytes;
 
+	if (c->answered)
+		g_printerr("call %u came twice: %s\n", c->id, s->in->str);
 	g_assert_false(c->answered);
 	c->answered = true;
 	make_text(w, &c->answer, c->id, c->is_head, c->form);
