net: a counter that could not rise is gone; what tells connections apart

An answer that is not wanted any more ends no fetch, so that answers_unwanted stayed 0. The comment on connections said that local ports tell them apart.

--- a/net/connections.h
+++ b/net/connections.h
@@ -12,9 +12,6 @@
  * connection must not be used again. The client library drops such bytes
  * silently where an answer has no body, and takes those that wait for the next
  * answer.
- *
- * Connections are told apart by their local ports, so all must lead to one
- * address.
  */
 struct connections {
 	GArray *all; /* struct connection */
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -118,10 +118,10 @@
 		[ANSWER_FAULT_body_cut] = COUNTER_answers_body_cut,
 		[ANSWER_FAULT_protocol] = COUNTER_answers_no_protocol,
 		[ANSWER_FAULT_endless] = COUNTER_answers_endless,
-		[ANSWER_FAULT_cancelled] = COUNTER_answers_unwanted,
 	};
 
-	counters[counter_of[fault]]++;
+	if (fault != ANSWER_FAULT_none && fault != ANSWER_FAULT_cancelled)
+		counters[counter_of[fault]]++;
 }
 
 /* The result of a fetch that libcurl has ended with code. */
--- a/util/counters.h
+++ b/util/counters.h
@@ -55,7 +55,6 @@
 	X(answers_head_cut)        \
 	X(answers_body_cut)        \
 	X(answers_no_protocol)     \
-	X(answers_unwanted)        \
 	X(connections_stray)       \
 	X(gate_answers_lost)       \
 	X(gate_sent_again)         \
