--- a/net/answer.h
+++ b/net/answer.h
@@ -70,11 +70,14 @@
 	bool no_body; /* the request was a HEAD */
 	bool in_head; /* the first line of the head has been received */
 	bool surplus; /* bytes followed the whole answer */
+	bool is_chunked;
 	long status; /* of the final head, 0 until that is whole */
 	GPtrArray *headers; /* names and values, alternating; no trailers */
 	int64_t head_bytes;
 	int64_t body_bytes; /* without chunk sizes, extensions and trailers */
 	int64_t framed_bytes; /* with these */
+	const char *unchecked; /* of the bytes being parsed: framing follows */
+	uint8_t framing_matched; /* of a status line within the framing */
 	http_parser parser;
 	const struct answer_ops *ops;
 	void *user;
@@ -110,9 +113,10 @@
 /* The text of a fault for logs. */
 const char *answer_fault_text(enum answer_fault fault);
 
-#ifdef RULE_SWITCHES
-/* Tests only: takes for an answer whatever the HTTP client takes for one. */
+/*
+ * Tests only: true when whatever the HTTP client takes for an answer is to be
+ * one. Defined when built with RULE_SWITCHES.
+ */
 extern bool answer_rules_disabled;
-#endif
 
 #endif
