--- a/node/gate.c
+++ b/node/gate.c
@@ -412,7 +412,8 @@
 			   ",\"head_bytes\":%" PRId64 ",\"body_bytes\":%" PRId64
 			   ",\"connection\":%d",
 			   answer_fault_text(a->fault), a->status,
-			   a->head_bytes, a->body_bytes, r->fetch.local_port);
+			   a->head_bytes, a->body_bytes,
+			   r->fetch.connection.local_port);
 	return out;
 }
 
