net: one place reads how many bytes have arrived at a socket

The HTTP client's connections and the pipelined requests of callers each read the kernel's counts by themselves. No change of behaviour: a count that is not told is 0 for the one, and begins nothing ahead for the other, as before. test-fetch, test-answer-bytes, t0027 and t0083 pass.

--- a/net/connections.c
+++ b/net/connections.c
@@ -1,10 +1,9 @@
 #include <arpa/inet.h>
-#include <linux/tcp.h>
 #include <string.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "net/connections.h"
+#include "net/socket-bytes.h"
 
 void connections_init(struct connections *t)
 {
@@ -99,12 +98,8 @@
 
 bool connection_has_stray_bytes(const struct connection *c)
 {
-	struct tcp_info info = { 0 };
-	socklen_t len = sizeof(info);
-	int unread = 0;
-
-	if (!ioctl(c->fd, FIONREAD, &unread) && unread > 0)
-		return true;
-	return !getsockopt(c->fd, IPPROTO_TCP, TCP_INFO, &info, &len) &&
-	       (int64_t)info.tcpi_bytes_received > c->answered_bytes;
+	struct socket_bytes b;
+
+	socket_bytes_read(c->fd, &b);
+	return b.unread > 0 || b.received > c->answered_bytes;
 }
--- a/net/pipeline.c
+++ b/net/pipeline.c
@@ -1,14 +1,12 @@
 #include <errno.h>
-#include <linux/tcp.h>
-#include <netinet/in.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <http_parser.h>
 
 #include "net/pipeline.h"
 #include "net/headers.h"
+#include "net/socket-bytes.h"
 #include "util/counters.h"
 
 /*
@@ -135,13 +133,10 @@
  */
 static bool begins_with_request(const struct httpd_connection *c)
 {
-	struct tcp_info info = { 0 };
-	socklen_t len = sizeof(info);
-	int unread = 0;
+	struct socket_bytes b;
 
-	return !c->parsed_unknown && !ioctl(c->fd, FIONREAD, &unread) &&
-	       !getsockopt(c->fd, IPPROTO_TCP, TCP_INFO, &info, &len) &&
-	       (int64_t)info.tcpi_bytes_received - unread == c->parsed_bytes;
+	return !c->parsed_unknown && socket_bytes_read(c->fd, &b) &&
+	       b.received - b.unread == c->parsed_bytes;
 }
 
 void pipeline_poll(struct httpd_connection *c)
