net: one rule for which answers have a body

The state of an answer and the entry each had HEAD, 204 and 304. No change of behaviour: test-answer, test-fetch, test-answer-bytes, test-entry-answer and test-sendings pass.

--- a/net/answer-check.c
+++ b/net/answer-check.c
@@ -66,8 +66,8 @@
 	return (int64_t)length;
 }
 
-bool answer_has_body(const char *method, long status)
+bool answer_has_body(bool is_head, long status)
 {
-	return strcmp(method, "HEAD") && status != HTTP_NO_CONTENT &&
+	return !is_head && status != HTTP_NO_CONTENT &&
 	       status != HTTP_NOT_MODIFIED;
 }
--- a/net/answer-check.h
+++ b/net/answer-check.h
@@ -42,7 +42,7 @@
 /* The length of the body that a head states, or ANSWER_LENGTH_*. */
 int64_t answer_length(const GPtrArray *headers);
 
-/* Whether an answer with this status to such a request has a body. */
-bool answer_has_body(const char *method, long status);
+/* Whether an answer with this status has a body. is_head: to a HEAD. */
+bool answer_has_body(bool is_head, long status);
 
 #endif
--- a/net/answer.c
+++ b/net/answer.c
@@ -1,12 +1,11 @@
 #include <string.h>
 #include <strings.h>
 
+#include "net/answer-check.h"
 #include "net/answer.h"
 #include "net/headers.h"
 
 #define HTTP_SWITCHING_PROTOCOLS 101
-#define HTTP_NO_CONTENT 204
-#define HTTP_NOT_MODIFIED 304
 #define FIRST_FINAL_STATUS 200
 #define NO_BODY 1 /* from on_headers() to the parser */
 #define MIN_STATUS_LINE 12
@@ -89,12 +88,6 @@
 		!has_status_line(&a->framing_matched, begin, len));
 }
 
-static bool has_no_body(const struct answer *a)
-{
-	return a->no_body || a->status == HTTP_NO_CONTENT ||
-	       a->status == HTTP_NOT_MODIFIED;
-}
-
 static int on_headers(http_parser *p)
 {
 	struct answer *a = p->data;
@@ -118,7 +111,7 @@
 		return -1;
 	}
 	a->state = ANSWER_BODY;
-	return has_no_body(a) ? NO_BODY : 0;
+	return answer_has_body(a->is_head, a->status) ? 0 : NO_BODY;
 }
 
 static int on_body(http_parser *p, const char *data, size_t len)
@@ -164,7 +157,7 @@
 		 const struct answer_ops *ops, void *user)
 {
 	memset(a, 0, sizeof(*a));
-	a->no_body = !strcmp(method, "HEAD");
+	a->is_head = !strcmp(method, "HEAD");
 	a->headers = headers_new();
 	a->ops = ops;
 	a->user = user;
--- a/net/answer.h
+++ b/net/answer.h
@@ -67,7 +67,7 @@
 struct answer {
 	enum answer_state state;
 	enum answer_fault fault;
-	bool no_body; /* the request was a HEAD */
+	bool is_head; /* the request was a HEAD */
 	bool in_head; /* the first line of the head has been received */
 	bool surplus; /* bytes followed the whole answer */
 	bool is_chunked;
--- a/node/entry-answer.c
+++ b/node/entry-answer.c
@@ -243,7 +243,8 @@
 				    const struct request_msg *m)
 {
 	const struct header_names *names = r->entry->node->settings.headers;
-	bool has_body = answer_has_body(r->http->method, m->status);
+	bool has_body =
+		answer_has_body(!strcmp(r->http->method, "HEAD"), m->status);
 
 	if (m->status < MIN_STATUS || m->status > MAX_STATUS ||
 	    r->answer_length == ANSWER_LENGTH_IN_DOUBT)
