net: gates and entries check the head of an answer by one function

Both asked for the id, then for the signature. answer_check_head() does it for them. No change of behaviour; in test-sendings a struct of the test's own has another name, its checks are the same. Green: test-answer, test-fetch, test-answer-bytes, test-entry-answer, test-sendings, test-gate, test-grants, t0019, t0075, make check.

--- a/net/answer-check.c
+++ b/net/answer-check.c
@@ -53,6 +53,17 @@
 	       !header_find(headers, "Content-Encoding");
 }
 
+enum answer_fault answer_check_head(const GPtrArray *headers,
+				    const struct header_names *names,
+				    const char *attempt_id, long status)
+{
+	if (!answer_is_for(headers, names, attempt_id))
+		return ANSWER_FAULT_other;
+	if (!answer_is_signed(headers, names, status))
+		return ANSWER_FAULT_unsigned;
+	return ANSWER_FAULT_none;
+}
+
 int64_t answer_length(const GPtrArray *headers)
 {
 	const char *text = header_find(headers, "Content-Length");
--- a/net/answer-check.h
+++ b/net/answer-check.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 #include <glib.h>
 
+#include "net/answer.h"
 #include "net/headers.h"
 
 /*
@@ -36,6 +37,11 @@
 bool answer_is_signed(const GPtrArray *headers,
 		      const struct header_names *names, long status);
 
+/* Why a head is none of an answer to this attempt, ANSWER_FAULT_none if it is. */
+enum answer_fault answer_check_head(const GPtrArray *headers,
+				    const struct header_names *names,
+				    const char *attempt_id, long status);
+
 #define ANSWER_LENGTH_NONE (-1)
 #define ANSWER_LENGTH_IN_DOUBT (-2) /* no number, or several that differ */
 
--- a/node/entry-answer.c
+++ b/node/entry-answer.c
@@ -245,14 +245,14 @@
 	const struct header_names *names = r->entry->node->settings.headers;
 	bool has_body =
 		answer_has_body(!strcmp(r->http->method, "HEAD"), m->status);
+	enum answer_fault fault;
 
 	if (m->status < MIN_STATUS || m->status > MAX_STATUS ||
 	    r->answer_length == ANSWER_LENGTH_IN_DOUBT)
 		return ANSWER_FAULT_protocol;
-	if (!answer_is_for(m->headers, names, r->attempt_id))
-		return ANSWER_FAULT_other;
-	if (!answer_is_signed(m->headers, names, m->status))
-		return ANSWER_FAULT_unsigned;
+	fault = answer_check_head(m->headers, names, r->attempt_id, m->status);
+	if (fault)
+		return fault;
 	if (((m->flags & REQ_FLAG_END) && !answer_is_complete(r, m)) ||
 	    !length_fits(r, m, has_body))
 		return ANSWER_FAULT_body_cut;
--- a/node/gate-answer.c
+++ b/node/gate-answer.c
@@ -74,17 +74,13 @@
 static enum answer_fault check_head(struct fetch *f)
 {
 	const struct gate_request *r = f->user;
-	const struct header_names *names = gate_header_names(r);
+	enum answer_fault fault = answer_check_head(f->answer->headers,
+						    gate_header_names(r),
+						    r->attempt_id, f->status);
 
-	if (!answer_is_for(f->answer->headers, names, r->attempt_id)) {
+	if (fault)
 		COUNT(answers_mixed);
-		return ANSWER_FAULT_other;
-	}
-	if (!answer_is_signed(f->answer->headers, names, f->status)) {
-		COUNT(answers_mixed);
-		return ANSWER_FAULT_unsigned;
-	}
-	return ANSWER_FAULT_none;
+	return fault;
 }
 
 static double connect_ms(const struct gate_request *r)
--- a/t/test-sendings.c
+++ b/t/test-sendings.c
@@ -27,7 +27,7 @@
 static uint32_t first_seed = 1;
 
 /* An answer on its way, and the sending that it is the answer to. */
-struct answer {
+struct sent_answer {
 	char id[16];
 	uint64_t sending;
 	bool refuses;
@@ -35,8 +35,8 @@
 };
 
 struct connection {
-	GQueue answers; /* struct answer *, in the order of their arrival */
-	GQueue copies; /* struct answer *, kept by the server */
+	GQueue answers; /* struct sent_answer *, in the order of their arrival */
+	GQueue copies; /* struct sent_answer *, kept by the server */
 	bool busy;
 };
 
@@ -115,7 +115,7 @@
 	return c;
 }
 
-static void push_answer(struct connection *c, const struct answer *a)
+static void push_answer(struct connection *c, const struct sent_answer *a)
 {
 	g_queue_push_tail(&c->answers, g_memdup2(a, sizeof(*a)));
 }
@@ -126,7 +126,7 @@
 	uint32_t n = c->copies.length;
 
 	while (n--) {
-		struct answer *a = g_queue_pop_head(&c->copies);
+		struct sent_answer *a = g_queue_pop_head(&c->copies);
 
 		if (a->skips) {
 			a->skips--;
@@ -141,8 +141,8 @@
 static void serve(struct world *w, struct request *r)
 {
 	struct connection *c = r->connection;
-	struct answer a = { .sending = r->sending,
-			    .refuses = chance(w, SHARE_REFUSED) };
+	struct sent_answer a = { .sending = r->sending,
+				 .refuses = chance(w, SHARE_REFUSED) };
 
 	g_strlcpy(a.id, r->id, sizeof(a.id));
 	send_copies(c);
@@ -201,7 +201,7 @@
 	serve(w, r);
 }
 
-static bool is_for(const struct request *r, const struct answer *a)
+static bool is_for(const struct request *r, const struct sent_answer *a)
 {
 	GPtrArray *headers = headers_new();
 	bool is;
@@ -227,7 +227,7 @@
 static void read_answer(struct world *w, struct request *r)
 {
 	struct retry_budget b;
-	struct answer *a = g_queue_pop_head(&r->connection->answers);
+	struct sent_answer *a = g_queue_pop_head(&r->connection->answers);
 
 	if (!a) {
 		end_without_answer(w, r, ATTEMPT_EVENT_ANSWER_LOST);
