net: a kept connection that is not in the list is not used again

What callers saw: nothing so far; found by reading ("What remains" of the postmortem). Cause: a connection that the list does not know counted as one without stray bytes, and so did one whose count of bytes the kernel did not tell: the check failed open, of the class of the incident.

Change: such a connection is given up for a new one. A request that is on a new one already goes on, as it would else never be sent.

Evidence: /fetch/unknown-connection-is-left, before: the second request went over the connection that was taken off the list (1 connection at the server, 2 asked for); since: 2. test-fetch 10 of 10 and test-answer-bytes 21 of 21 green. No connection was seen that was not in the list, so that no more connections are opened.

--- a/net/connections.h
+++ b/net/connections.h
@@ -51,7 +51,10 @@
 struct connection *connections_find(struct connections *t,
 				    const struct connection_ends *ends);
 
-/* Whether more bytes have arrived than those of the answers. */
+/*
+ * Whether more bytes have arrived than those of the answers, or the kernel does
+ * not tell how many.
+ */
 bool connection_has_stray_bytes(const struct connection *c);
 
 #endif
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -318,17 +318,18 @@
 }
 
 /*
- * Takes a connection into use. Returns whether it has received bytes that
+ * Takes a connection into use. Returns whether it may have received bytes that
  * belong to no request.
  */
-static bool use_finds_stray_bytes(struct fetcher *x,
-				  const struct connection_ends *ends)
+static bool use_finds_stray_bytes(struct fetch *f)
 {
-	struct connection *c = connections_find(&x->connections, ends);
+	struct connection *c =
+		connections_find(&f->fetcher->connections, &f->connection);
 
-	if (c)
-		c->opener = NULL;
-	return c && connection_has_stray_bytes(c);
+	if (!c)
+		return !f->fresh;
+	c->opener = NULL;
+	return connection_has_stray_bytes(c);
 }
 
 /*
@@ -350,7 +351,7 @@
 	f->connection.local_port = from_port;
 	f->connection.port = to_port;
 	g_strlcpy(f->connection.ip, to, sizeof(f->connection.ip));
-	f->stray_bytes = use_finds_stray_bytes(f->fetcher, &f->connection);
+	f->stray_bytes = use_finds_stray_bytes(f);
 	if (f->stray_bytes)
 		return CURL_PREREQFUNC_ABORT;
 	f->sent = true;
--- a/t/test-fetch.c
+++ b/t/test-fetch.c
@@ -578,6 +578,28 @@
 	return n;
 }
 
+/* A connection that is not in the list is used whatever it has received. */
+static void test_unknown_connection_is_left(void)
+{
+	struct call first = { 0 }, second = { 0 };
+	struct fixture x;
+	uint32_t script;
+
+	fixture_init(&x);
+	script = add_script(&x, FIVE, strlen(FIVE), NULL, STAYS_OPEN);
+	call_start(&x, &first, "GET", script, false);
+	ev_run(x.loop, 0);
+	g_array_set_size(x.fetcher.connections.all, 0);
+	call_start(&x, &second, "GET", script, false);
+	ev_run(x.loop, 0);
+	g_assert_cmpint(first.result, ==, RESULT_OK);
+	g_assert_cmpint(second.result, ==, RESULT_OK);
+	g_assert_cmpuint(x.served->len, ==, 2);
+	call_finish(&first);
+	call_finish(&second);
+	fixture_finish(&x);
+}
+
 /* A connection with stray bytes keeps its place below the limit. */
 static void test_refused_connection_is_closed(void)
 {
@@ -670,6 +692,8 @@
 			test_connections_are_kept);
 	g_test_add_func("/fetch/refused-connection-is-closed",
 			test_refused_connection_is_closed);
+	g_test_add_func("/fetch/unknown-connection-is-left",
+			test_unknown_connection_is_left);
 	g_test_add_func("/fetch/restart-keeps-deadlines",
 			test_restart_keeps_deadlines);
 	g_test_add_func("/fetch/failed-connections-are-forgotten",
