node: a late heartbeat grants no keys to the next instance

Cause: any heartbeat of the known instance was a sign that connections opened in the next 0.3 s reach it, also one that was sent before all connections for grants ended. A release could open a connection at any time that grants used afterwards.

Change: gate/instance-proof.c, without I/O: while a connection is open, further ones may be opened; once all have ended, the second heartbeat from then on counts, or the first one of another instance. Releases have connections of their own.

The table /server-instance/proof; with one heartbeat needed in place of two /server-instance/late-heartbeat-is-no-proof gives the keys.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,8 @@
 # These files ensure that a key has at most one owner, and that what is reported
 # as not run never runs. They are compiled a second
 # time with -DRULE_SWITCHES, so that tests can disable single safety rules.
-RULE_SRC = $(wildcard member/*.c) gate/grant-call.c gate/reconcile.c \
+RULE_SRC = $(wildcard member/*.c) gate/grant-call.c gate/instance-proof.c \
+	gate/reconcile.c \
 	gate/server-instance.c gate/rate-limit.c state/quarantine.c \
 	state/early.c route/plan.c net/answer-check.c net/answer.c
 RULE_OBJ = $(RULE_SRC:%.c=$(OUT)/rules/%.o)
--- a/net/connections.c
+++ b/net/connections.c
@@ -96,6 +96,20 @@
 	return NULL;
 }
 
+bool connections_any_open(const struct connections *t)
+{
+	uint32_t i;
+
+	for (i = 0; i < t->all->len; i++) {
+		const struct connection *c =
+			&g_array_index(t->all, struct connection, i);
+
+		if (!c->opener && !socket_is_closed(c->fd))
+			return true;
+	}
+	return false;
+}
+
 bool connection_has_stray_bytes(const struct connection *c)
 {
 	struct socket_bytes b;
--- a/net/connections.h
+++ b/net/connections.h
@@ -51,6 +51,9 @@
 struct connection *connections_find(struct connections *t,
 				    const struct connection_ends *ends);
 
+/* Whether any connection that is used or kept is open at both ends. */
+bool connections_any_open(const struct connections *t);
+
 /*
  * Whether more bytes have arrived than those of the answers, or the kernel does
  * not tell how many.
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -1,7 +1,6 @@
 #define _GNU_SOURCE /* POLLRDHUP */
 #include <arpa/inet.h>
 #include <errno.h>
-#include <poll.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
@@ -9,6 +8,7 @@
 
 #include "net/address.h"
 #include "net/pipeline.h"
+#include "net/socket-bytes.h"
 #include "net/clock.h"
 #include "net/headers.h"
 #include "net/httpd.h"
@@ -108,9 +108,7 @@
 
 static bool caller_has_left(const struct httpd_connection *c)
 {
-	struct pollfd p = { .fd = c->fd, .events = POLLRDHUP };
-
-	return poll(&p, 1, 0) > 0 && p.revents;
+	return socket_is_closed(c->fd);
 }
 
 /*
--- a/net/socket-bytes.c
+++ b/net/socket-bytes.c
@@ -1,5 +1,7 @@
+#define _GNU_SOURCE /* for POLLRDHUP */
 #include <linux/tcp.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -18,3 +20,10 @@
 	b->received = received_known ? (int64_t)info.tcpi_bytes_received : 0;
 	return unread_known && received_known;
 }
+
+bool socket_is_closed(int fd)
+{
+	struct pollfd p = { .fd = fd, .events = POLLRDHUP };
+
+	return poll(&p, 1, 0) > 0 && p.revents;
+}
--- a/net/socket-bytes.h
+++ b/net/socket-bytes.h
@@ -16,4 +16,7 @@
  */
 bool socket_bytes_read(int fd, struct socket_bytes *b);
 
+/* Whether the other end has closed a connected socket, or it has failed. */
+bool socket_is_closed(int fd);
+
 #endif
--- a/node/backend.c
+++ b/node/backend.c
@@ -201,7 +201,7 @@
 	gate_apply_configuration(&n->gate);
 	if (n->gate.grants.ops == &grant_by_call) {
 		reply_json(r, 200, "{}");
-		granter_on_heartbeat(&n->granter);
+		granter_on_heartbeat(&n->granter, check == INSTANCE_NEW);
 		goto out;
 	}
 	grant_heartbeat_received(&n->gate.grants, a.heartbeat_number, a.holds,
--- a/node/granter.c
+++ b/node/granter.c
@@ -15,12 +15,6 @@
 #define GRANT_TIMEOUT_MS 250
 /* A release is answered once the work in progress on its keys has ended. */
 #define RELEASE_TIMEOUT_MS 1500
-/*
- * How long after a heartbeat connections for grants may be opened. A backend
- * server that ended right after its heartbeat takes longer than this to
- * restart, so such a connection reaches the instance that sent the heartbeat.
- */
-#define CONNECT_AFTER_HEARTBEAT_MS 300
 
 static void start_due_calls(struct granter *x);
 
@@ -71,6 +65,17 @@
 		      r->fetch.status, c->latest_end_ms - clock_now_ms());
 }
 
+static bool is_connected(const struct granter *x)
+{
+	return connections_any_open(&x->fetcher.connections);
+}
+
+/* Whether the backend server closed the connection, or none was opened. */
+static bool was_lost(const struct fetch *f, int result)
+{
+	return f->connect_expired || (result && result != RESULT_TIMEOUT);
+}
+
 static void on_done(struct fetch *f, int result)
 {
 	struct granter_request *r = f->user;
@@ -81,12 +86,9 @@
 	r->busy = false;
 	x->n_busy[r->call.kind]--;
 	g_clear_pointer(&r->body, g_free);
-	/*
-	 * The connection closed or could not be opened, so the backend server
-	 * may have restarted: send no grants until its next heartbeat.
-	 */
-	if (f->connect_expired || (result && result != RESULT_TIMEOUT))
-		x->awaits_heartbeat = true;
+	if (r->call.kind == GRANT_CALL_GRANT)
+		instance_proof_on_call_ended(&x->proof, was_lost(f, result),
+					     is_connected(x));
 	if (result == RESULT_UNREACHABLE && f->connection_refused)
 		gate_connect_failed(&x->node->gate, f);
 	if (outcome == GRANT_FENCED)
@@ -131,12 +133,12 @@
 	return NULL;
 }
 
-static uint32_t kinds_allowed(const struct granter *x)
+static uint32_t kinds_allowed(const struct granter *x, int64_t now)
 {
 	uint32_t kinds = 0;
 
 	if (x->n_busy[GRANT_CALL_GRANT] < GRANTER_MAX_GRANTS &&
-	    !x->awaits_heartbeat)
+	    instance_proof_connect_by_ms(&x->proof, now) > now)
 		kinds |= 1 << GRANT_CALL_GRANT;
 	if (x->n_busy[GRANT_CALL_RELEASE] < GRANTER_MAX_RELEASES)
 		kinds |= 1 << GRANT_CALL_RELEASE;
@@ -156,18 +158,18 @@
 	x->n_busy[r->call.kind]++;
 	r->body = grant_wire_body(&r->call);
 	/*
-	 * A release uses a new connection. On a kept one, a second answer to a
-	 * grant would be taken as its confirmation while the backend server
-	 * still serves the keys.
+	 * A release uses a new connection. On a kept one, a second answer to
+	 * another call would be taken as its confirmation while the backend
+	 * server still serves the keys.
 	 */
-	fetch_start(&r->fetch, &x->fetcher, "POST", url, headers, r->body,
-		    strlen(r->body),
+	fetch_start(&r->fetch, give ? &x->fetcher : &x->release_fetcher, "POST",
+		    url, headers, r->body, strlen(r->body),
 		    give ? GRANT_TIMEOUT_MS : RELEASE_TIMEOUT_MS, !give,
 		    &grant_fetch_ops, r);
 	if (give)
 		fetch_set_deadlines(&r->fetch, r->call.send_by_ms,
-				    x->last_heartbeat_at_ms +
-					    CONNECT_AFTER_HEARTBEAT_MS);
+				    instance_proof_connect_by_ms(
+					    &x->proof, clock_now_ms()));
 	g_ptr_array_unref(headers);
 }
 
@@ -178,7 +180,8 @@
 	uint32_t kinds;
 
 	grant_owner_from(&o, &n->member);
-	while ((kinds = kinds_allowed(x))) {
+	instance_proof_set_connected(&x->proof, is_connected(x));
+	while ((kinds = kinds_allowed(x, clock_now_ms()))) {
 		struct granter_request *r = find_idle_request(x);
 
 		if (!r || !grant_call_next(&n->gate.grants, &o, kinds,
@@ -199,8 +202,10 @@
 	x->node = node;
 	for (i = 0; i < G_N_ELEMENTS(x->requests); i++)
 		x->requests[i].granter = x;
-	fetcher_init(&x->fetcher, node->loop, G_N_ELEMENTS(x->requests));
+	instance_proof_init(&x->proof);
+	fetcher_init(&x->fetcher, node->loop, GRANTER_MAX_GRANTS);
 	x->fetcher.max_idle_s = node->settings.kept_idle_s;
+	fetcher_init(&x->release_fetcher, node->loop, GRANTER_MAX_RELEASES);
 }
 
 void granter_finish(struct granter *x)
@@ -214,14 +219,15 @@
 		g_free(x->requests[i].body);
 	}
 	fetcher_finish(&x->fetcher);
+	fetcher_finish(&x->release_fetcher);
 }
 
-void granter_on_heartbeat(struct granter *x)
+void granter_on_heartbeat(struct granter *x, bool is_first)
 {
 	if (x->node->gate.grants.ops != &grant_by_call)
 		return;
-	x->last_heartbeat_at_ms = clock_now_ms();
-	x->awaits_heartbeat = false;
+	instance_proof_set_connected(&x->proof, is_connected(x));
+	instance_proof_on_heartbeat(&x->proof, is_first, clock_now_ms());
 	grant_call_heartbeat_received(&x->node->gate.grants);
 	start_due_calls(x);
 }
--- a/node/granter.h
+++ b/node/granter.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "gate/grant-call.h"
+#include "gate/instance-proof.h"
 #include "net/fetch.h"
 
 /*
@@ -15,8 +16,8 @@
  * If the backend server has restarted at the same address, and its first
  * heartbeat has not arrived yet, the new instance would accept a grant meant
  * for the previous one, under a fence that the previous one already had. So
- * grants are sent only over connections opened soon after a heartbeat of the
- * known instance: these close when that instance ends.
+ * grants are sent only over connections that gate/instance-proof.h allows.
+ * Releases have connections of their own, which no grant may use.
  */
 
 struct node;
@@ -36,12 +37,12 @@
 
 struct granter {
 	struct node *node;
-	struct fetcher fetcher;
+	struct fetcher fetcher; /* for grants */
+	struct fetcher release_fetcher;
 	struct granter_request
 		requests[GRANTER_MAX_GRANTS + GRANTER_MAX_RELEASES];
 	uint32_t n_busy[2]; /* by enum grant_call_kind */
-	int64_t last_heartbeat_at_ms; /* of the known instance */
-	bool awaits_heartbeat; /* send no grants before the next one */
+	struct instance_proof proof;
 	bool at_limit; /* the most calls of a kind are in flight */
 };
 
@@ -49,10 +50,10 @@
 void granter_finish(struct granter *x);
 
 /*
- * The known instance of the backend server sent a heartbeat: grants may be sent
- * again.
+ * The known instance of the backend server sent a heartbeat. is_first: it was
+ * not known before.
  */
-void granter_on_heartbeat(struct granter *x);
+void granter_on_heartbeat(struct granter *x, bool is_first);
 
 /* Starts the calls that are due. */
 void granter_tick(struct granter *x);
--- a/t/lib-platform.sh
+++ b/t/lib-platform.sh
@@ -43,7 +43,7 @@
 	"$BIN/platform-server" --listen "$(backend_of "$1")" \
 		--node "$(announce_of "$1")" --service "${NODE_SERVICE[$1]}" \
 		--data-centre "${NODE_DC[$1]}" --grants "${GRANTS:-heartbeat}" \
-		${END_ON:+--end-on "$END_ON"} 2>>"$DIR/backend-$1.log" &
+		${END_ON:+--end-on "$END_ON"} ${MUTE:+--mute} 2>>"$DIR/backend-$1.log" &
 	BACKEND_PID[$1]=$!
 	PIDS="$PIDS $!"
 }
--- a/t/platform-server.c
+++ b/t/platform-server.c
@@ -20,11 +20,12 @@
  * requests for keys that it does not hold, returns the attempt's id with each
  * answer, and counts in a ledger how often it ran each attempt. With --grants
  * call it is granted keys by calls instead of by the answers to its heartbeats.
- * --address sets the address in its heartbeats if that is not the one that it
- * listens on, but that of a proxy before it. --end-on TEXT makes it end 80 ms
- * after it has begun a request whose path contains TEXT, with all that it runs;
- * it starts again, as a new instance, after 700 ms. It prints a line for each
- * such request that arrives, and one when it ends.
+ * --mute sends no heartbeats before POST /control mute=0. --address sets the
+ * address in its heartbeats if that is not the one that it listens on, but that
+ * of a proxy before it. --end-on TEXT makes it end 80 ms after it has begun a
+ * request whose path contains TEXT, with all that it runs; it starts again, as
+ * a new instance, after 700 ms. It prints a line for each such request that
+ * arrives, and one when it ends.
  *
  * POST /control takes:
  *   work_ms=N    duration of a request
@@ -799,6 +800,7 @@
 		{ "data-centre", required_argument, NULL, 'd' },
 		{ "grants", required_argument, NULL, 'g' },
 		{ "end-on", required_argument, NULL, 'e' },
+		{ "mute", no_argument, NULL, 'm' },
 		{ 0 }
 	};
 	int c;
@@ -819,6 +821,8 @@
 			by_call = !strcmp(optarg, "call");
 		else if (c == 'e')
 			end_on = optarg;
+		else if (c == 'm')
+			mute = true;
 		else
 			return 2;
 	}
--- a/t/test-server-instance.c
+++ b/t/test-server-instance.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "gate/instance-proof.h"
 #include "gate/server-instance.h"
 
 /*
@@ -386,6 +387,124 @@
 	{ "start-of-deregistered", INSTANCE_RULE_START_OF_DEREGISTERED },
 };
 
+enum proof_event {
+	FIRST_HEARTBEAT,
+	NEXT_HEARTBEAT,
+	CONNECTED,
+	CONNECTIONS_END,
+	CALL_LOST, /* and no connection is open */
+	CALL_LOST_OTHERS_OPEN,
+	CALL_TIMED_OUT /* and no connection is open */
+};
+
+/* Events, one each PROOF_STEP_MS, and whether connections may be opened then. */
+struct proof_case {
+	enum proof_event events[6];
+	uint32_t n_events;
+	int64_t after_ms; /* the last one */
+	bool allowed;
+};
+
+#define PROOF_STEP_MS 100
+
+static void apply_proof_event(struct instance_proof *p, enum proof_event event,
+			      int64_t now_ms)
+{
+	switch (event) {
+	case FIRST_HEARTBEAT:
+	case NEXT_HEARTBEAT:
+		instance_proof_on_heartbeat(p, event == FIRST_HEARTBEAT,
+					    now_ms);
+		break;
+	case CONNECTED:
+	case CONNECTIONS_END:
+		instance_proof_set_connected(p, event == CONNECTED);
+		break;
+	case CALL_LOST:
+	case CALL_LOST_OTHERS_OPEN:
+		instance_proof_on_call_ended(p, true, event != CALL_LOST);
+		break;
+	case CALL_TIMED_OUT:
+		instance_proof_on_call_ended(p, false, false);
+		break;
+	}
+}
+
+static bool proof_allows(const struct proof_case *c)
+{
+	struct instance_proof p;
+	int64_t now_ms = 0;
+	uint32_t i;
+
+	instance_proof_init(&p);
+	for (i = 0; i < c->n_events; i++) {
+		now_ms += PROOF_STEP_MS;
+		apply_proof_event(&p, c->events[i], now_ms);
+	}
+	now_ms += c->after_ms;
+	return instance_proof_connect_by_ms(&p, now_ms) > now_ms;
+}
+
+static void test_proof(void)
+{
+	static const struct proof_case cases[] = {
+		{ { 0 }, 0, 0, false },
+		{ { FIRST_HEARTBEAT }, 1, 299, true },
+		{ { FIRST_HEARTBEAT }, 1, 300, false },
+		{ { FIRST_HEARTBEAT, CONNECTED }, 2, 9000, true },
+		{ { FIRST_HEARTBEAT, CONNECTED, CONNECTIONS_END }, 3, 0, false },
+		/* It may have been sent before the connections ended. */
+		{ { FIRST_HEARTBEAT, CONNECTED, CONNECTIONS_END,
+		    NEXT_HEARTBEAT },
+		  4,
+		  0,
+		  false },
+		{ { FIRST_HEARTBEAT, CONNECTED, CONNECTIONS_END, NEXT_HEARTBEAT,
+		    NEXT_HEARTBEAT },
+		  5,
+		  0,
+		  true },
+		{ { FIRST_HEARTBEAT, CONNECTED, CONNECTIONS_END, NEXT_HEARTBEAT,
+		    FIRST_HEARTBEAT },
+		  5,
+		  0,
+		  true },
+		{ { FIRST_HEARTBEAT, CALL_LOST, NEXT_HEARTBEAT }, 3, 0, false },
+		{ { FIRST_HEARTBEAT, CALL_LOST, NEXT_HEARTBEAT, CALL_LOST,
+		    NEXT_HEARTBEAT },
+		  5,
+		  0,
+		  false },
+		{ { FIRST_HEARTBEAT, CALL_LOST_OTHERS_OPEN }, 2, 9000, true },
+		{ { FIRST_HEARTBEAT, CONNECTED, CALL_TIMED_OUT,
+		    NEXT_HEARTBEAT },
+		  4,
+		  0,
+		  true },
+	};
+	uint32_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		if (proof_allows(&cases[i]) != cases[i].allowed)
+			g_error("case %u", i);
+}
+
+/* One late heartbeat of an instance that has ended opens no connection. */
+static void test_late_heartbeat_is_no_proof(void)
+{
+	static const struct proof_case late = {
+		{ FIRST_HEARTBEAT, CONNECTED, CONNECTIONS_END, NEXT_HEARTBEAT },
+		4,
+		0,
+		false
+	};
+
+	g_assert_false(proof_allows(&late));
+	instance_proof_heartbeats = 1;
+	g_assert_true(proof_allows(&late));
+	instance_proof_heartbeats = 2;
+}
+
 int main(int argc, char **argv)
 {
 	uint32_t i;
@@ -402,6 +521,9 @@
 
 		g_test_add_data_func(path, &scenarios[i], test_scenario);
 	}
+	g_test_add_func("/server-instance/proof", test_proof);
+	g_test_add_func("/server-instance/late-heartbeat-is-no-proof",
+			test_late_heartbeat_is_no_proof);
 	g_test_add_func("/server-instance/random-messages",
 			test_random_messages);
 	for (i = 0; i < G_N_ELEMENTS(rules); i++) {
