net: where the kernel tells no count of bytes, kept connections are still used

What callers saw: nothing; found by reading again. Where TCP_INFO is not offered at all, every connection would have counted as one with stray bytes, also a new one, and no request would have been sent. Such a kernel was not met.

Bytes that wait in the socket are seen without a count.

--- a/net/connections.c
+++ b/net/connections.c
@@ -114,6 +114,6 @@
 {
 	struct socket_bytes b;
 
-	return !socket_bytes_read(c->fd, &b) || b.unread > 0 ||
-	       b.received > c->answered_bytes;
+	socket_bytes_read(c->fd, &b);
+	return b.unread > 0 || b.received > c->answered_bytes;
 }
--- a/net/connections.h
+++ b/net/connections.h
@@ -55,8 +55,8 @@
 bool connections_any_open(const struct connections *t);
 
 /*
- * Whether more bytes have arrived than those of the answers, or the kernel does
- * not tell how many.
+ * Whether more bytes have arrived than those of the answers. Where the kernel
+ * does not count them, only those still unread are seen.
  */
 bool connection_has_stray_bytes(const struct connection *c);
 
