net: pipelined requests are begun ahead where the kernel counts no bytes

What callers saw: since, on kernels that do not count the bytes of a socket, callers that pipeline waited for each other.

Cause: what libmicrohttpd has read ahead is known only by the kernel's count; without one nothing was begun ahead.

Change: without a count a request is known by its text alone, as before. Where the kernel counts (Linux since 4.1) nothing changes.

--- a/net/pipeline.c
+++ b/net/pipeline.c
@@ -126,17 +126,17 @@
 	return r;
 }
 
-/*
- * Whether the first unread byte of the socket begins a request. libmicrohttpd
- * may have read a part of the next request into its own buffer; then the rest
- * of that one comes first, whose body may look like a request.
- */
+bool pipeline_is_in_step(const struct socket_bytes *b, int64_t parsed_bytes)
+{
+	return !b->received || b->received - b->unread == parsed_bytes;
+}
+
 static bool begins_with_request(const struct httpd_connection *c)
 {
 	struct socket_bytes b;
 
-	return !c->parsed_unknown && socket_bytes_read(c->fd, &b) &&
-	       b.received - b.unread == c->parsed_bytes;
+	socket_bytes_read(c->fd, &b);
+	return !c->parsed_unknown && pipeline_is_in_step(&b, c->parsed_bytes);
 }
 
 void pipeline_poll(struct httpd_connection *c)
--- a/net/pipeline.h
+++ b/net/pipeline.h
@@ -2,6 +2,7 @@
 #define NET_PIPELINE_H
 
 #include "net/httpd.h"
+#include "net/socket-bytes.h"
 
 /*
  * HTTP pipelining: requests that a caller sends before it has the answer to an
@@ -13,6 +14,15 @@
  * the one it has read. Answers are still sent in the order of the requests.
  */
 
+/*
+ * Whether the first unread byte of a socket begins a request. libmicrohttpd may
+ * have read a part of the next request into its own buffer; then the rest of
+ * that one comes first, whose body may look like a request. parsed_bytes: of
+ * the requests that it has parsed so far. Some kernels do not count the bytes
+ * received; then a request is known by its text alone.
+ */
+bool pipeline_is_in_step(const struct socket_bytes *b, int64_t parsed_bytes);
+
 /* Begin the pipelined requests that are unread in the connection's socket. */
 void pipeline_poll(struct httpd_connection *c);
 
--- a/t/test-net.c
+++ b/t/test-net.c
@@ -11,6 +11,7 @@
 #include "net/headers.h"
 #include "net/log-client.h"
 #include "net/peer.h"
+#include "net/pipeline.h"
 #include "net/request-msg.h"
 #include "util/deflate.h"
 #include "platform/store.h"
@@ -512,9 +513,35 @@
 	close(fd);
 }
 
+/* A connection's received, unread and parsed bytes; whether a request follows. */
+static void test_pipeline_in_step(void)
+{
+	static const struct {
+		struct socket_bytes bytes;
+		int64_t parsed;
+		bool in_step;
+	} cases[] = {
+		{ { 100, 0 }, 100, true },
+		{ { 150, 50 }, 100, true },
+		/* Part of the next request has been read. */
+		{ { 150, 0 }, 100, false },
+		{ { 150, 20 }, 100, false },
+		{ { 150, 60 }, 100, false },
+		/* Not counted by the kernel. */
+		{ { 0, 50 }, 100, true },
+	};
+	uint32_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		g_assert_true(
+			pipeline_is_in_step(&cases[i].bytes, cases[i].parsed) ==
+			cases[i].in_step);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/net/pipeline-in-step", test_pipeline_in_step);
 	g_test_add_func("/net/request", test_request_round_trip);
 	g_test_add_func("/net/malformed", test_malformed);
 	g_test_add_func("/net/address", test_address);
