node: grants that this node did not send say nothing of the server

A call that was not sent in time, or found no connection in the time for it, counted as a connection that the server had ended, and renewals waited for two more heartbeats.

Change: only a call that was sent and broke off, or could not be connected, counts.

--- a/node/granter.c
+++ b/node/granter.c
@@ -70,10 +70,12 @@
 	return connections_any_open(&x->fetcher.connections);
 }
 
-/* Whether the backend server closed the connection, or none was opened. */
+/* Whether the backend server closed the connection, or took none. */
 static bool was_lost(const struct fetch *f, int result)
 {
-	return f->connect_expired || (result && result != RESULT_TIMEOUT);
+	if (!result || result == RESULT_TIMEOUT || f->connect_expired)
+		return false;
+	return f->sent || result == RESULT_UNREACHABLE;
 }
 
 static void on_done(struct fetch *f, int result)
