net: an answer that breaks off ends for its caller at once

What callers saw: an answer in chunks that breaks off while bytes of it are still to be sent does not end until something else happens at the listener.

Cause: libmicrohttpd closes such a connection in the run after the one in which it is told, and nothing asked for that run.

--- a/net/httpd.c
+++ b/net/httpd.c
@@ -654,10 +654,13 @@
 
 	(void)pos;
 	if (!n) {
-		if (r->body_ended)
+		if (r->body_ended) {
+			/* It closes the connection in its next run only. */
+			r->httpd->needs_run |= r->body_incomplete;
 			return r->body_incomplete
 				       ? MHD_CONTENT_READER_END_WITH_ERROR
 				       : MHD_CONTENT_READER_END_OF_STREAM;
+		}
 		MHD_suspend_connection(r->mhd_connection);
 		r->suspended = true;
 		watch_caller(r);
--- a/t/test-entry-answer.c
+++ b/t/test-entry-answer.c
@@ -59,6 +59,7 @@
 static uint32_t n_parts_sent;
 static bool repeatable;
 static bool head_again; /* each part of the answer bears the head */
+static bool at_once; /* all parts of the answer arrive together */
 static struct plan plan; /* of the last request, as it ended */
 static uint64_t attempt_id;
 static GPtrArray *gate_headers;
@@ -99,7 +100,9 @@
 	(void)loop;
 	(void)w;
 	(void)events;
-	send_part();
+	do
+		send_part();
+	while (at_once && ev_is_active(&part_timer));
 }
 
 /* Takes a request as the entry does, and its gate answers. */
@@ -457,6 +460,14 @@
 	head_again = false;
 }
 
+/* Bytes of the answer are still to be sent when it breaks off. */
+static void test_broken_off_behind_unsent_bytes(void)
+{
+	at_once = true;
+	test_second_head_does_not_look_whole();
+	at_once = false;
+}
+
 /* A caller of HTTP/1.0 has only the end of the connection to go by. */
 static void test_broken_off_for_http_1_0(void)
 {
@@ -499,5 +510,7 @@
 			test_broken_off_for_http_1_0);
 	g_test_add_func("/entry-answer/parts-while-draining",
 			test_parts_while_draining);
+	g_test_add_func("/entry-answer/broken-off-behind-unsent-bytes",
+			test_broken_off_behind_unsent_bytes);
 	return g_test_run();
 }
