--- a/net/httpd.c
+++ b/net/httpd.c
@@ -686,6 +686,11 @@
 	r->response = MHD_create_response_from_callback(
 		length < 0 ? MHD_SIZE_UNKNOWN : (uint64_t)length,
 		STREAM_BLOCK_BYTES, read_unsent, r, NULL);
+	/* Without this, libmicrohttpd sends a last chunk after the head. */
+	if (length < 0 && !strcmp(r->method, MHD_HTTP_METHOD_HEAD))
+		MHD_set_response_options(r->response,
+					 MHD_RF_HTTP_1_0_COMPATIBLE_STRICT,
+					 MHD_RO_END);
 	add_headers(r, headers);
 	resume(r);
 }
--- a/t/test-entry-answer.c
+++ b/t/test-entry-answer.c
@@ -468,6 +468,20 @@
 	at_once = false;
 }
 
+/* What follows the head would be read as the next answer. */
+static void test_head_without_length_has_no_body(void)
+{
+	static const struct gate_answer answer = {
+		"HEAD without a length", "HEAD", 200, { SIGNED }, { "" }
+	};
+	struct received got;
+
+	call(&answer, "1.1", &got);
+	g_assert_cmpint(got.status, ==, 200);
+	g_assert_cmpstr(got.body, ==, "");
+	g_string_free(got.bytes, TRUE);
+}
+
 /* A caller of HTTP/1.0 has only the end of the connection to go by. */
 static void test_broken_off_for_http_1_0(void)
 {
@@ -510,6 +524,8 @@
 			test_broken_off_for_http_1_0);
 	g_test_add_func("/entry-answer/parts-while-draining",
 			test_parts_while_draining);
+	g_test_add_func("/entry-answer/head-without-length-has-no-body",
+			test_head_without_length_has_no_body);
 	g_test_add_func("/entry-answer/broken-off-behind-unsent-bytes",
 			test_broken_off_behind_unsent_bytes);
 	return g_test_run();
