net: what waits for a caller takes the memory of its length

What callers saw: nothing. t0076 was red now and then, as the entry's node grew by 4,264 to 4,416 kB where 4,096 are allowed.

Cause: the part of an answer that its caller has not taken was kept in an array that grows by doubling. A window of 256 KiB and the part that passes it are up to 337,342 bytes (a trial logged the most), for which the array takes 512 KiB; while it grows, the old array stands beside the new one, and the allocator keeps the space. So with five slow callers the heap grew by twice of what waited.

Change: what waits is kept in the blocks in which it came, each freed when taken. Weighed, not tried: an array of fixed size for each caller, as most answers are short; a smaller window, which callers far away would feel.

--- a/net/httpd.c
+++ b/net/httpd.c
@@ -205,6 +205,7 @@
 	r->httpd = h;
 	r->read_at_us = clock_now_us();
 	r->body = g_byte_array_new();
+	byte_queue_init(&r->unsent);
 	ev_init(&r->caller_watch, on_socket_readable);
 	return r;
 }
@@ -218,8 +219,7 @@
 	g_byte_array_unref(r->body);
 	if (r->headers)
 		g_ptr_array_unref(r->headers);
-	if (r->unsent)
-		g_byte_array_unref(r->unsent);
+	byte_queue_finish(&r->unsent);
 	if (r->response)
 		MHD_destroy_response(r->response);
 	g_free(r);
@@ -650,7 +650,7 @@
 static ssize_t read_unsent(void *user, uint64_t pos, char *out, size_t max)
 {
 	struct httpd_request *r = user;
-	size_t n = MIN(max, r->unsent->len);
+	size_t n = byte_queue_take(&r->unsent, out, max);
 
 	(void)pos;
 	if (!n) {
@@ -663,8 +663,6 @@
 		watch_caller(r);
 		return 0;
 	}
-	memcpy(out, r->unsent->data, n);
-	g_byte_array_remove_range(r->unsent, 0, n);
 	if (r->httpd->ops->on_drained)
 		r->httpd->ops->on_drained(r->httpd->user, r);
 	return n;
@@ -679,7 +677,6 @@
 	r->streaming = true;
 	r->ends_with_connection = r->is_http_1_0 && length < 0;
 	r->status = status;
-	r->unsent = g_byte_array_new();
 	r->response = MHD_create_response_from_callback(
 		length < 0 ? MHD_SIZE_UNKNOWN : (uint64_t)length,
 		STREAM_BLOCK_BYTES, read_unsent, r, NULL);
@@ -689,7 +686,7 @@
 
 void httpd_stream_write(struct httpd_request *r, const void *data, size_t len)
 {
-	g_byte_array_append(r->unsent, data, len);
+	byte_queue_append(&r->unsent, data, len);
 	resume(r);
 }
 
@@ -717,5 +714,5 @@
 
 size_t httpd_unsent_bytes(const struct httpd_request *r)
 {
-	return r->unsent ? r->unsent->len : 0;
+	return r->unsent.len;
 }
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -7,6 +7,8 @@
 #include <glib.h>
 #include <microhttpd.h>
 
+#include "net/byte-queue.h"
+
 /*
  * HTTP/1.1 server on the event loop of the process, on top of libmicrohttpd,
  * which runs without threads here. on_request is called once a request's body
@@ -108,7 +110,7 @@
 	bool drop_unanswered; /* close the connection without an answer */
 	struct MHD_Response *response; /* queued on resume */
 	uint32_t status;
-	GByteArray *unsent; /* streamed bytes not yet taken by MHD */
+	struct byte_queue unsent; /* streamed bytes not yet taken by MHD */
 	void *user;
 };
 
--- a/t/test-net.c
+++ b/t/test-net.c
@@ -7,6 +7,7 @@
 
 #include "member/msg.h"
 #include "net/address.h"
+#include "net/byte-queue.h"
 #include "net/httpd.h"
 #include "net/headers.h"
 #include "net/log-client.h"
@@ -55,6 +56,37 @@
 	g_byte_array_unref(data);
 }
 
+/* Blocks of all sizes come out in order, whatever is taken at a time. */
+static void test_byte_queue_keeps_order(void)
+{
+	struct byte_queue q;
+	uint8_t block[300], out[500];
+	uint8_t next_in = 0, next_out = 0;
+	size_t len = 0;
+	uint32_t i, k;
+
+	byte_queue_init(&q);
+	for (i = 0; i < 2000; i++) {
+		size_t n = (size_t)g_test_rand_int_range(0, sizeof(block));
+		size_t max = (size_t)g_test_rand_int_range(0, sizeof(out));
+		size_t expected;
+
+		for (k = 0; k < n; k++)
+			block[k] = next_in++;
+		byte_queue_append(&q, block, n);
+		len += n;
+		expected = MIN(max, len);
+		g_assert_cmpuint(byte_queue_take(&q, out, max), ==, expected);
+		for (k = 0; k < expected; k++)
+			g_assert_cmpuint(out[k], ==, next_out++);
+		len -= expected;
+		g_assert_cmpuint(q.len, ==, len);
+	}
+	byte_queue_append(&q, block, sizeof(block));
+	byte_queue_finish(&q);
+	g_assert_cmpuint(q.len, ==, 0);
+}
+
 static GByteArray *encoded_member_msg(void)
 {
 	GByteArray *out = g_byte_array_new();
@@ -545,6 +577,7 @@
 	g_test_add_func("/net/request", test_request_round_trip);
 	g_test_add_func("/net/malformed", test_malformed);
 	g_test_add_func("/net/address", test_address);
+	g_test_add_func("/net/byte-queue", test_byte_queue_keeps_order);
 	g_test_add_func("/net/hop-by-hop", test_hop_by_hop);
 	g_test_add_func("/net/short-form", test_deflate_round_trip);
 	g_test_add_func("/net/nothing-leaves",
