--- a/review/src-2/fleet.sh
+++ b/review/src-2/fleet.sh
@@ -155,7 +155,7 @@
 # start_fleet: nodes and servers of records and bookings in four zones.
 start_fleet() {
 	local i=0 z s
-	N_NODES=8
+	N_NODES=20
 	begin
 	start_store
 	configure 3
