--- a/review/src-2/fleet.sh
+++ b/review/src-2/fleet.sh
@@ -12,7 +12,7 @@
 CASE=$(cd "$(dirname "$0")" && pwd)
 RECORD=$CASE/record.txt
 TROUBLE=${TROUBLE:-1}
-LIMIT_S=110
+LIMIT_S=100 # after this time nothing is waited for
 PIDS=
 declare -A NODE SERVER SERVICE ZONE
 NODES=
@@ -23,16 +23,16 @@
 
 end_all() {
 	local pid
-	for pid in $PIDS; do
+	for pid in $(jobs -p) $PIDS; do
 		kill -CONT "$pid" 2>/dev/null
 		kill -9 "$pid" 2>/dev/null
 	done
-	wait $PIDS 2>/dev/null
+	wait 2>/dev/null
 	[ -n "${KEEP:-}" ] && cp -r "$DIR" "$KEEP"
 	rm -rf "$DIR"
 }
 finish() { # 0 the rule held, 1 it was broken, 2 the case could not run
-	trap - EXIT INT TERM HUP ALRM
+	trap - EXIT INT TERM HUP
 	end_all 2>/dev/null
 	exit "$1"
 }
@@ -43,7 +43,6 @@
 }
 trap 'end_all 2>/dev/null' EXIT
 trap 'finish 2' INT TERM HUP
-trap 'fail "time is over"' ALRM
 
 port_is_free() { ! (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; }
 ports_are_free() { # BASE
@@ -67,9 +66,6 @@
 	[ -x "$STAND_INS/platform-store" ] && [ -x "$SERVER_BIN" ] || fail "the stand-ins are not built"
 	pick_ports
 	STORE=127.0.0.1:$BASE
-	(sleep $LIMIT_S && kill -ALRM $$) >/dev/null 2>&1 &
-	PIDS="$PIDS $!"
-	disown $!
 }
 
 ask() { curl -sS --noproxy '*' --max-time 10 "$@" 2>>"$DIR/curl.log"; }
@@ -77,6 +73,7 @@
 wait_for() { # WHAT COMMAND...
 	local what=$1 end=$((SECONDS + 40))
 	shift
+	[ $end -lt $LIMIT_S ] || end=$LIMIT_S
 	until "$@" >/dev/null 2>&1; do
 		[ $SECONDS -lt $end ] || fail "gave up waiting for $what"
 		sleep 0.1
