--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -18,7 +18,7 @@
 sent=$(now_ms)
 note "server $id sends a heartbeat that will be late: $heartbeat"
 status=$(ask -o /dev/null -w '%{http_code}' -X POST -H 'Content-Type: application/json' \
-	--data-binary "{\"born\":$(jq .born <<<"$heartbeat")}" \
+	--data-binary "{\"born\":$(born_of "$heartbeat")}" \
 	"http://$(address $LEAVES 6)/-/instances/$id/deregister")
 acked=$(now_ms)
 note "its deregistration is answered $status"
--- a/review/src-2/fleet.sh
+++ b/review/src-2/fleet.sh
@@ -181,5 +181,7 @@
 		-H "X-Mesh-Deadline-Ms: ${DEADLINE_MS:-1500}" \
 		-H "X-Mesh-Request-Id: $id" "$@" "http://$(address "$i" 1)$path"
 }
+# born_of HEARTBEAT: the start of the server that sent it.
+born_of() { sed -n 's/.*"born":\([0-9]*\).*/\1/p' <<<"$1"; }
 # ledger I: the requests that server I has run, one a line: id, times.
 ledger() { ask "http://$(address "$1" 4)/ledger"; }
